--- /dev/null
+++ b/class/document.go
@@ -0,0 +1,201 @@
+package class
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"regexp"
+	"strings"
+	"time"
+
+	"bramleymill/fleet"
+	"bramleymill/strictjson"
+)
+
+// Document is the class document as operators write it.
+type Document struct {
+	Classes []Class `json:"classes"`
+	// MeasuringBytesPerSecond bounds the bytes that probes may put on the
+	// network for each backend server.
+	MeasuringBytesPerSecond int64 `json:"measuring_bytes_per_second,omitempty"`
+}
+
+// Class is one class of work.
+type Class struct {
+	Name            string              `json:"name"`
+	Service         string              `json:"service"`
+	Match           Match               `json:"match"`
+	Idempotent      bool                `json:"idempotent"`
+	InternalOnly    bool                `json:"internal_only,omitempty"`
+	LatencyTarget   strictjson.Duration `json:"latency_target"` // for 99 requests in 100
+	Deadline        strictjson.Duration `json:"deadline"`
+	Urgency         string              `json:"urgency"`
+	ProbesPerSecond float64             `json:"probes_per_second,omitempty"` // budget for each backend server
+	MaxBody         strictjson.Bytes    `json:"max_body,omitempty"`          // buffered for retry or claim
+	Key             string              `json:"key,omitempty"`               // required or optional
+	WhenUnconfirmed string              `json:"when_unconfirmed,omitempty"`  // refuse or serve
+}
+
+// Match states which requests a class takes. The longest path prefix wins.
+type Match struct {
+	Methods    []string `json:"methods"`
+	PathPrefix string   `json:"path_prefix"`
+}
+
+// Limits and defaults of a class document.
+const (
+	MaxClasses     = 2000
+	MaxDeadline    = 10 * time.Minute
+	DefaultMaxBody = 1 << 20
+	LargestMaxBody = 16 << 20
+	KeyRequired    = "required"
+	KeyOptional    = "optional"
+	Refuse         = "refuse"
+	Serve          = "serve"
+)
+
+var urgencies = map[string]fleet.Urgency{
+	"low":      fleet.UrgencyLow,
+	"normal":   fleet.UrgencyNormal,
+	"high":     fleet.UrgencyHigh,
+	"critical": fleet.UrgencyCritical,
+}
+
+// forbidden lists field names that would take the choice away from the fleet.
+var forbidden = regexp.MustCompile(`(?i)(weight|address|host|port|endpoint|backend|server|upstream)`)
+
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+var methodPattern = regexp.MustCompile(`^[A-Z]{1,16}$`)
+
+// Parse decodes and validates a class document.
+func Parse(data []byte) (*Document, error) {
+	var d Document
+	if err := strictjson.Decode(data, &d); err != nil {
+		return nil, explainForbidden(err)
+	}
+	if err := d.validate(); err != nil {
+		return nil, err
+	}
+	return &d, nil
+}
+
+func explainForbidden(err error) error {
+	var errs strictjson.Errors
+	if !errors.As(err, &errs) {
+		return err
+	}
+	for _, e := range errs {
+		if strings.HasPrefix(e.Remedy, "unknown field") && forbidden.MatchString(lastPart(e.Field)) {
+			e.Remedy = "classes state targets only; the fleet chooses servers, so weights and addresses are not accepted; remove the field"
+		}
+	}
+	return errs
+}
+
+func lastPart(field string) string {
+	return field[strings.LastIndexByte(field, '.')+1:]
+}
+
+func (d *Document) validate() error {
+	var errs strictjson.Errors
+	if len(d.Classes) > MaxClasses {
+		errs.Add("classes", len(d.Classes), fmt.Sprintf("state at most %d classes", MaxClasses))
+		return errs
+	}
+	if d.MeasuringBytesPerSecond < 0 {
+		errs.Add("measuring_bytes_per_second", d.MeasuringBytesPerSecond, "write zero or more")
+	}
+	names := map[string]int{}
+	routes := map[string]string{}
+	for i := range d.Classes {
+		c := &d.Classes[i]
+		at := fmt.Sprintf("classes[%d]", i)
+		c.validate(at, &errs)
+		if j, ok := names[c.Name]; ok {
+			errs.Add(at+".name", c.Name, fmt.Sprintf("classes[%d] has the same name; choose another", j))
+		}
+		names[c.Name] = i
+		for _, m := range c.Match.Methods {
+			route := m + " " + c.Match.PathPrefix
+			if other, ok := routes[route]; ok {
+				errs.Add(at+".match", route, "class "+other+" already takes these requests")
+			}
+			routes[route] = c.Name
+		}
+	}
+	return errs.Err()
+}
+
+func (c *Class) validate(at string, errs *strictjson.Errors) {
+	if !namePattern.MatchString(c.Name) {
+		errs.Add(at+".name", c.Name, "use 1 to 63 lower-case letters, digits and hyphens, starting with a letter")
+	}
+	if !namePattern.MatchString(c.Service) {
+		errs.Add(at+".service", c.Service, "name the service in lower-case letters, digits and hyphens")
+	}
+	c.validateMatch(at, errs)
+	c.validateTimes(at, errs)
+	if _, ok := urgencies[c.Urgency]; !ok {
+		errs.Add(at+".urgency", c.Urgency, "use low, normal, high or critical")
+	}
+	if c.Urgency == "critical" && !c.InternalOnly {
+		errs.Add(at+".urgency", c.Urgency, "critical is for classes with internal_only true, because it may use the reserved slots")
+	}
+	if c.ProbesPerSecond < 0 || c.ProbesPerSecond > 100 {
+		errs.Add(at+".probes_per_second", c.ProbesPerSecond, "write a number from 0 to 100")
+	}
+	if c.MaxBody < 0 || c.MaxBody > LargestMaxBody {
+		errs.Add(at+".max_body", c.MaxBody, `use a size up to "16MiB"`)
+	}
+	switch c.Key {
+	case "", KeyOptional, KeyRequired:
+	default:
+		errs.Add(at+".key", c.Key, "use required or optional")
+	}
+	if c.Key != "" && c.Idempotent {
+		errs.Add(at+".key", c.Key, "an idempotent class takes no idempotency key; remove the field")
+	}
+	switch c.WhenUnconfirmed {
+	case "", Refuse:
+	case Serve:
+		if !c.Idempotent || c.InternalOnly {
+			errs.Add(at+".when_unconfirmed", c.WhenUnconfirmed, "only an idempotent class that is not internal_only may be served under an unconfirmed configuration")
+		}
+	default:
+		errs.Add(at+".when_unconfirmed", c.WhenUnconfirmed, "use refuse or serve")
+	}
+}
+
+func (c *Class) validateMatch(at string, errs *strictjson.Errors) {
+	if len(c.Match.Methods) == 0 {
+		errs.Add(at+".match.methods", nil, `list at least one method, such as ["GET","HEAD"]`)
+	}
+	for _, m := range c.Match.Methods {
+		if !methodPattern.MatchString(m) || m == "CONNECT" {
+			errs.Add(at+".match.methods", m, "use HTTP methods in capitals; CONNECT is not served")
+		}
+	}
+	if !strings.HasPrefix(c.Match.PathPrefix, "/") {
+		errs.Add(at+".match.path_prefix", c.Match.PathPrefix, "start the prefix with /")
+	}
+}
+
+func (c *Class) validateTimes(at string, errs *strictjson.Errors) {
+	deadline, target := c.Deadline.Std(), c.LatencyTarget.Std()
+	if deadline <= 0 || deadline > MaxDeadline {
+		errs.Add(at+".deadline", c.Deadline, `use more than 0 and at most "10m"`)
+	}
+	if target <= 0 || target > deadline {
+		errs.Add(at+".latency_target", c.LatencyTarget, "use more than 0 and at most the deadline")
+	}
+}
+
+// Encode returns the canonical JSON form of d.
+func (d *Document) Encode() ([]byte, error) {
+	b, err := json.MarshalIndent(d, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode class document: %w", err)
+	}
+	return append(b, '\n'), nil
+}
--- /dev/null
+++ b/filter/interface.go
@@ -0,0 +1,32 @@
+package filter
+
+import (
+	"context"
+	"time"
+
+	"bramleymill/claim"
+	"bramleymill/class"
+	"bramleymill/fleet"
+)
+
+// Directory tells which backend servers offer a service. The first call for a
+// service makes the node follow it.
+type Directory interface {
+	Servers(service string) []fleet.Server
+}
+
+// Configuration gives the class documents in force at this node.
+type Configuration interface {
+	// Current returns nil until the node has a confirmed configuration.
+	Current() *class.Set
+	// Confirmed returns the age of the newest proof that Current is the
+	// accepted configuration.
+	Confirmed() time.Duration
+}
+
+// Claims reaches the claims group from any node.
+type Claims interface {
+	Begin(ctx context.Context, r claim.BeginRequest) (claim.Result, error)
+	Reassign(ctx context.Context, r claim.ReassignRequest) (claim.Result, error)
+	Finish(ctx context.Context, r claim.FinishRequest) (claim.Result, error)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,198 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"regexp"
+	"strconv"
+
+	"bramleymill/strictjson"
+)
+
+// Settings are the static settings of one node.
+type Settings struct {
+	Node           string              `json:"node"`
+	Region         string              `json:"region"`
+	Zone           string              `json:"zone"`
+	CallerAddress  string              `json:"caller_address"`            // HTTP for callers
+	ServiceAddress string              `json:"service_address,omitempty"` // HTTP for calls by the own backend server
+	PeerAddress    string              `json:"peer_address"`              // TCP and UDP, other nodes
+	AdminAddress   string              `json:"admin_address"`             // operator interface and metrics
+	MetricsAddress string              `json:"metrics_address,omitempty"` // plain HTTP, metrics only
+	Backend        *Backend            `json:"backend,omitempty"`
+	Control        *Control            `json:"control,omitempty"`
+	Seeds          []string            `json:"seeds"` // peer addresses of control instances
+	Keys           Keys                `json:"keys"`
+	DrainTimeout   strictjson.Duration `json:"drain_timeout,omitempty"`
+	RecordFile     string              `json:"record_file,omitempty"` // decision record for replay
+	LogLevel       string              `json:"log_level,omitempty"`
+}
+
+// Backend describes the backend server beside the node.
+type Backend struct {
+	Service      string              `json:"service"`
+	Address      string              `json:"address"`
+	Slots        int                 `json:"slots"`
+	Connections  int                 `json:"connections"`
+	QueueLength  int                 `json:"queue_length,omitempty"`
+	HealthPath   string              `json:"health_path,omitempty"`
+	LoadPath     string              `json:"load_path,omitempty"`
+	CheckEvery   strictjson.Duration `json:"check_every,omitempty"`
+	ServiceToken string              `json:"service_token_file,omitempty"`
+}
+
+// Control gives the node the control role.
+type Control struct {
+	DataFolder       string              `json:"data_folder"`
+	MaxChildren      int                 `json:"max_children,omitempty"`
+	MaxClaims        int                 `json:"max_claims,omitempty"`
+	MaxClaimBytes    strictjson.Bytes    `json:"max_claim_bytes,omitempty"`
+	ClaimRetention   strictjson.Duration `json:"claim_retention,omitempty"`
+	SnapshotInterval int                 `json:"snapshot_interval,omitempty"` // log entries between snapshots
+}
+
+// Keys names the key files of the node.
+type Keys struct {
+	Authority   string `json:"authority"`
+	Certificate string `json:"certificate"`
+	PrivateKey  string `json:"private_key"`
+}
+
+var nodePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+// Load reads and validates the settings file at path.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	s, err := Parse(b)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s:\n%w", path, err)
+	}
+	return s, nil
+}
+
+// Parse decodes settings, validates them and fills in defaults.
+func Parse(data []byte) (*Settings, error) {
+	var s Settings
+	if err := strictjson.Decode(data, &s); err != nil {
+		return nil, err
+	}
+	if err := s.validate(); err != nil {
+		return nil, err
+	}
+	s.setDefaults()
+	return &s, nil
+}
+
+func (s *Settings) validate() error {
+	var errs strictjson.Errors
+	checkName(&errs, "node", s.Node)
+	checkName(&errs, "region", s.Region)
+	checkName(&errs, "zone", s.Zone)
+	checkAddress(&errs, "caller_address", s.CallerAddress, true)
+	checkAddress(&errs, "peer_address", s.PeerAddress, true)
+	checkAddress(&errs, "admin_address", s.AdminAddress, true)
+	checkAddress(&errs, "service_address", s.ServiceAddress, false)
+	checkAddress(&errs, "metrics_address", s.MetricsAddress, false)
+	s.checkDistinct(&errs)
+	if len(s.Seeds) == 0 {
+		errs.Add("seeds", nil, "list the peer addresses of the control instances")
+	}
+	for i, a := range s.Seeds {
+		checkAddress(&errs, fmt.Sprintf("seeds[%d]", i), a, true)
+	}
+	checkFile(&errs, "keys.authority", s.Keys.Authority)
+	checkFile(&errs, "keys.certificate", s.Keys.Certificate)
+	checkFile(&errs, "keys.private_key", s.Keys.PrivateKey)
+	if s.DrainTimeout < 0 {
+		errs.Add("drain_timeout", s.DrainTimeout, `use a positive time such as "10s"`)
+	}
+	switch s.LogLevel {
+	case "", "debug", "info", "warn", "error":
+	default:
+		errs.Add("log_level", s.LogLevel, "use debug, info, warn or error")
+	}
+	s.Backend.validate(&errs)
+	s.Control.validate(&errs)
+	return errs.Err()
+}
+
+func (s *Settings) checkDistinct(errs *strictjson.Errors) {
+	seen := map[string]string{}
+	for _, f := range []struct{ field, address string }{
+		{"caller_address", s.CallerAddress},
+		{"service_address", s.ServiceAddress},
+		{"peer_address", s.PeerAddress},
+		{"admin_address", s.AdminAddress},
+		{"metrics_address", s.MetricsAddress},
+	} {
+		if f.address == "" {
+			continue
+		}
+		if other, ok := seen[f.address]; ok {
+			errs.Add(f.field, f.address, other+" uses the same address; choose another port")
+		}
+		seen[f.address] = f.field
+	}
+}
+
+func (b *Backend) validate(errs *strictjson.Errors) {
+	if b == nil {
+		return
+	}
+	checkName(errs, "backend.service", b.Service)
+	checkAddress(errs, "backend.address", b.Address, true)
+	if b.Slots < 1 || b.Slots > 10000 {
+		errs.Add("backend.slots", b.Slots, "use 1 to 10000")
+	}
+	if b.Connections < b.Slots || b.Connections > 100000 {
+		errs.Add("backend.connections", b.Connections, "use at least the number of slots and at most 100000")
+	}
+	if b.QueueLength < 0 {
+		errs.Add("backend.queue_length", b.QueueLength, "use zero or more")
+	}
+	if b.CheckEvery < 0 {
+		errs.Add("backend.check_every", b.CheckEvery, `use a positive time such as "1s"`)
+	}
+}
+
+func (c *Control) validate(errs *strictjson.Errors) {
+	if c == nil {
+		return
+	}
+	if c.DataFolder == "" {
+		errs.Add("control.data_folder", nil, "name the folder for the replicated log")
+	}
+	if c.MaxChildren < 0 || c.MaxClaims < 0 || c.MaxClaimBytes < 0 || c.ClaimRetention < 0 || c.SnapshotInterval < 0 {
+		errs.Add("control", nil, "limits must not be negative")
+	}
+}
+
+func checkName(errs *strictjson.Errors, field, v string) {
+	if !nodePattern.MatchString(v) {
+		errs.Add(field, v, "use 1 to 63 lower-case letters, digits and hyphens, starting with a letter")
+	}
+}
+
+func checkFile(errs *strictjson.Errors, field, v string) {
+	if v == "" {
+		errs.Add(field, nil, "name the file made by 'bramleymillctl keys'")
+	}
+}
+
+func checkAddress(errs *strictjson.Errors, field, v string, required bool) {
+	if v == "" && !required {
+		return
+	}
+	host, port, err := net.SplitHostPort(v)
+	if err != nil || net.ParseIP(host) == nil {
+		errs.Add(field, v, `use an IP number and port, such as "127.0.0.1:7001"`)
+		return
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		errs.Add(field, v, "use a port from 1 to 65535")
+	}
+}
--- /dev/null
+++ b/transport/mux.go
@@ -0,0 +1,82 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+// Kind tells the type of a message. Each package owns a range.
+type Kind uint16
+
+// First kinds of the ranges that packages number their messages from.
+const (
+	KindsOfRaft    Kind = 100
+	KindsOfMember  Kind = 200
+	KindsOfClaim   Kind = 300
+	KindsOfConfig  Kind = 400
+	KindsOfSuspect Kind = 500
+	KindsOfExplain Kind = 600
+)
+
+// MaxMessageBytes bounds the encoded size of a message.
+const MaxMessageBytes = 1 << 20
+
+// Peer is the authenticated sender of a message.
+type Peer struct {
+	Node    fleet.NodeID
+	Role    fleet.Role
+	Address string
+}
+
+// Client sends a message to the node at a peer address and waits for the reply.
+// A failed call returns an *errkind.Error when the remote handler returned one;
+// any other error leaves open whether the remote handler ran.
+type Client interface {
+	Call(ctx context.Context, address string, kind Kind, request, reply any) error
+}
+
+type rawHandler func(ctx context.Context, from Peer, payload []byte) ([]byte, error)
+
+// Mux maps kinds to handlers. Handlers are registered before it is used.
+type Mux struct {
+	handlers map[Kind]rawHandler
+}
+
+// NewMux returns an empty Mux.
+func NewMux() *Mux { return &Mux{handlers: map[Kind]rawHandler{}} }
+
+// Handle registers f for messages of kind k.
+func Handle[Request, Reply any](m *Mux, k Kind, f func(ctx context.Context, from Peer, r *Request) (*Reply, error)) {
+	m.handlers[k] = func(ctx context.Context, from Peer, payload []byte) ([]byte, error) {
+		var r Request
+		if err := cbor.Unmarshal(payload, &r); err != nil {
+			return nil, errkind.New(errkind.BadRequest, "decode message kind %d: %w", k, err)
+		}
+		reply, err := f(ctx, from, &r)
+		if err != nil {
+			return nil, err
+		}
+		return cbor.Marshal(reply)
+	}
+}
+
+// Dispatch decodes payload, runs the handler of k and returns the encoded reply.
+func (m *Mux) Dispatch(ctx context.Context, from Peer, k Kind, payload []byte) ([]byte, error) {
+	h, ok := m.handlers[k]
+	if !ok {
+		return nil, errkind.New(errkind.NotFound, "no handler for message kind %d", k)
+	}
+	if len(payload) > MaxMessageBytes {
+		return nil, errkind.New(errkind.BodyTooLarge, "message kind %d has %d bytes, limit %d", k, len(payload), MaxMessageBytes)
+	}
+	reply, err := h(ctx, from, payload)
+	if err != nil {
+		return nil, fmt.Errorf("message kind %d: %w", k, err)
+	}
+	return reply, nil
+}
