Add the stand-in backend server

Cause: the request path and the demo need backend servers that are slow, cold, late in their reports, drain, shed and crash, and that count executions. Ruled out: recording an execution when it ends; a crash would hide it.

--- /dev/null
+++ b/standin/listener.go
@@ -0,0 +1,57 @@
+package standin
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// limitedListener closes connections above the limit and delays the first read
+// of the others, which is when a caller notices the time to open.
+type limitedListener struct {
+	net.Listener
+	limit int64
+	open  atomic.Int64
+	delay time.Duration
+}
+
+func newLimitedListener(l net.Listener, limit int, delay time.Duration) *limitedListener {
+	return &limitedListener{Listener: l, limit: int64(limit), delay: delay}
+}
+
+// Accept returns the next connection within the limit.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) > l.limit {
+			l.open.Add(-1)
+			c.Close()
+			continue
+		}
+		return &limitedConn{Conn: c, listener: l, delay: l.delay}, nil
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	listener *limitedListener
+	delay    time.Duration
+	opened   sync.Once
+	closed   sync.Once
+}
+
+// Read delays the first read by the time to open a connection.
+func (c *limitedConn) Read(b []byte) (int, error) {
+	c.opened.Do(func() { time.Sleep(c.delay) })
+	return c.Conn.Read(b)
+}
+
+// Close closes the connection and makes room for another one.
+func (c *limitedConn) Close() error {
+	c.closed.Do(func() { c.listener.open.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/standin/record.go
@@ -0,0 +1,91 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+)
+
+// Event tells which part of an execution a record is about.
+type Event string
+
+// The events of an execution.
+const (
+	Started  Event = "started"
+	Finished Event = "finished"
+	Aborted  Event = "aborted" // the caller went away and the work was abandoned
+)
+
+// Record is one line of the execution records. WorkID is chosen by the caller
+// and stays the same when the caller sends the request again.
+type Record struct {
+	Event   Event     `json:"event"`
+	WorkID  string    `json:"work_id"`
+	Service string    `json:"service"`
+	Server  string    `json:"server"`
+	Method  string    `json:"method"`
+	Path    string    `json:"path"`
+	At      time.Time `json:"at"`
+}
+
+// Recorder appends records to a file. Each record is one write call, so that
+// the records of a killed process stay complete.
+type Recorder struct {
+	mu   sync.Mutex
+	file *os.File
+}
+
+// OpenRecorder opens the file at path for appending. An empty path records nothing.
+func OpenRecorder(path string) (*Recorder, error) {
+	if path == "" {
+		return &Recorder{}, nil
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("open execution records: %w", err)
+	}
+	return &Recorder{file: f}, nil
+}
+
+// Write appends r.
+func (r *Recorder) Write(rec Record) error {
+	if r.file == nil {
+		return nil
+	}
+	b, err := json.Marshal(rec)
+	if err != nil {
+		return fmt.Errorf("encode execution record: %w", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, err := r.file.Write(append(b, '\n')); err != nil {
+		return fmt.Errorf("write execution record: %w", err)
+	}
+	return nil
+}
+
+// Close closes the file.
+func (r *Recorder) Close() error {
+	if r.file == nil {
+		return nil
+	}
+	return r.file.Close()
+}
+
+// ReadRecords returns the records of a file.
+func ReadRecords(in io.Reader) ([]Record, error) {
+	var out []Record
+	s := bufio.NewScanner(in)
+	for s.Scan() {
+		var rec Record
+		if err := json.Unmarshal(s.Bytes(), &rec); err != nil {
+			return nil, fmt.Errorf("execution record %d: %w", len(out)+1, err)
+		}
+		out = append(out, rec)
+	}
+	return out, s.Err()
+}
--- /dev/null
+++ b/standin/server.go
@@ -0,0 +1,248 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// Headers that callers may send to a stand-in.
+const (
+	HeaderWorkID = "Work-Id"       // identity of the work, kept when the request is sent again
+	HeaderCrash  = "Standin-Crash" // any value: the process exits while it runs the request
+)
+
+// crashExitCode is the exit status after a request with HeaderCrash.
+const crashExitCode = 3
+
+// Server is a running stand-in.
+type Server struct {
+	config   Config
+	logger   *slog.Logger
+	recorder *Recorder
+	timing   *timing
+	reports  *reports
+	slots    chan struct{}
+	waiting  atomic.Int64
+	inFlight atomic.Int64
+	draining atomic.Bool
+	http     *http.Server
+	listener net.Listener
+	client   *http.Client
+	exit     func(code int)
+}
+
+// New validates the configuration, opens the records and listens.
+func New(c Config, logger *slog.Logger) (*Server, error) {
+	if err := c.Validate(); err != nil {
+		return nil, err
+	}
+	rec, err := OpenRecorder(c.RecordFile)
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	s := &Server{
+		config:   c,
+		logger:   logger,
+		recorder: rec,
+		timing:   newTiming(c, time.Now()),
+		reports:  newReports(c),
+		slots:    make(chan struct{}, c.Slots),
+		listener: newLimitedListener(l, c.Connections, c.OpenDelay),
+		client:   &http.Client{},
+		exit:     os.Exit,
+	}
+	s.http = &http.Server{Handler: s.routes()}
+	return s, nil
+}
+
+// Address returns the address that the stand-in listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve answers requests until Shutdown.
+func (s *Server) Serve() error {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
+
+// Shutdown refuses new work, finishes work in flight and closes the records.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.draining.Store(true)
+	err := s.http.Shutdown(ctx)
+	return errors.Join(err, s.recorder.Close())
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", s.health)
+	mux.HandleFunc("GET /load", s.load)
+	mux.HandleFunc("POST /standin/slow", s.slow)
+	mux.HandleFunc("POST /standin/freeze", s.freeze)
+	mux.HandleFunc("POST /standin/drain", s.drain)
+	mux.HandleFunc("/", s.work)
+	return mux
+}
+
+func (s *Server) health(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(s.config.ReportDelay)
+	if s.draining.Load() {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ok\n")
+}
+
+func (s *Server) load(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(s.config.ReportDelay)
+	rep := s.reports.at(time.Now(), Load{InFlight: s.inFlight.Load(), Waiting: s.waiting.Load(), Slots: s.config.Slots})
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(rep); err != nil {
+		s.logger.Warn("write load report", "error", err)
+	}
+}
+
+func (s *Server) work(w http.ResponseWriter, r *http.Request) {
+	if s.config.FailFast {
+		http.Error(w, "failing", http.StatusInternalServerError)
+		return
+	}
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	if !s.acquire(r.Context()) {
+		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.release()
+	s.execute(w, r)
+}
+
+func (s *Server) acquire(ctx context.Context) bool {
+	n := s.waiting.Add(1)
+	defer s.waiting.Add(-1)
+	if s.config.ShedAbove > 0 && n > int64(s.config.ShedAbove) {
+		return false
+	}
+	select {
+	case s.slots <- struct{}{}:
+		s.inFlight.Add(1)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) release() {
+	s.inFlight.Add(-1)
+	<-s.slots
+}
+
+// execute runs the work. The record is written before the work starts, so that
+// a crash during the work is counted as an execution.
+func (s *Server) execute(w http.ResponseWriter, r *http.Request) {
+	body, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		http.Error(w, "read body", http.StatusBadRequest)
+		return
+	}
+	s.record(Started, r)
+	if s.config.AllowCrash && r.Header.Get(HeaderCrash) != "" {
+		s.logger.Warn("crash requested", "work_id", r.Header.Get(HeaderWorkID))
+		s.exit(crashExitCode)
+	}
+	if err := s.callOther(r); err != nil {
+		s.logger.Debug("nested call failed", "error", err)
+		http.Error(w, "nested call: "+err.Error(), http.StatusFailedDependency)
+		return
+	}
+	if !s.timing.wait(r.Context(), s.config.IgnoreContext) {
+		s.record(Aborted, r)
+		return
+	}
+	s.record(Finished, r)
+	s.answer(w, r, body)
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, body int64) {
+	h := w.Header()
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set(HeaderWorkID, r.Header.Get(HeaderWorkID))
+	h.Set("Standin-Body-Bytes", strconv.FormatInt(body, 10))
+	h.Set("Content-Length", strconv.Itoa(s.config.AnswerBytes))
+	if r.Method == http.MethodHead {
+		return
+	}
+	w.Write(fill(r.Header.Get(HeaderWorkID), s.config.AnswerBytes))
+}
+
+// fill repeats id up to n bytes, so that a caller can tell whether every byte
+// of an answer belongs to its own request.
+func fill(id string, n int) []byte {
+	b := make([]byte, n)
+	if id == "" {
+		id = "."
+	}
+	for i := range b {
+		b[i] = id[i%len(id)]
+	}
+	return b
+}
+
+// callOther queries another service while the execution holds its slot.
+func (s *Server) callOther(r *http.Request) error {
+	if s.config.CallURL == "" || r.Method == http.MethodGet || r.Method == http.MethodHead {
+		return nil
+	}
+	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, s.config.CallURL, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set(fleet.HeaderCall, r.Header.Get(fleet.HeaderCall))
+	req.Header.Set(HeaderWorkID, r.Header.Get(HeaderWorkID)+"/nested")
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d kind %s", resp.StatusCode, resp.Header.Get(fleet.HeaderKind))
+	}
+	return nil
+}
+
+func (s *Server) record(e Event, r *http.Request) {
+	err := s.recorder.Write(Record{
+		Event:   e,
+		WorkID:  r.Header.Get(HeaderWorkID),
+		Service: s.config.Service,
+		Server:  s.Address(),
+		Method:  r.Method,
+		Path:    r.URL.Path,
+		At:      time.Now(),
+	})
+	if err != nil {
+		s.logger.Error("execution record lost", "error", err)
+	}
+}
