--- /dev/null
+++ b/loadgen/run.go
@@ -0,0 +1,94 @@
+package loadgen
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Runner sends the load of a plan.
+type Runner struct {
+	plan   *Plan
+	client *http.Client
+	result *Result
+	tokens map[string]string // service token by file
+	start  time.Time
+	prefix string
+}
+
+// NewRunner returns a Runner for p. The prefix keeps the work ids of several
+// runs against the same records apart.
+func NewRunner(p *Plan, prefix string) (*Runner, error) {
+	r := &Runner{
+		plan:   p,
+		prefix: prefix,
+		result: newResult(p),
+		tokens: map[string]string{},
+		client: &http.Client{
+			Transport:     &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+	for _, s := range p.Streams {
+		if s.TokenFile == "" {
+			continue
+		}
+		b, err := os.ReadFile(s.TokenFile)
+		if err != nil {
+			return nil, fmt.Errorf("read service token: %w", err)
+		}
+		r.tokens[s.TokenFile] = strings.TrimSpace(string(b))
+	}
+	return r, nil
+}
+
+// Run sends the baseline and the load and waits for every answer.
+func (r *Runner) Run(ctx context.Context) (*Result, error) {
+	if r.plan.DirectDuration > 0 {
+		r.phase(ctx, r.plan.DirectDuration.Std(), r.sendDirect)
+	}
+	r.start = time.Now()
+	r.phase(ctx, r.plan.Duration.Std(), r.send)
+	return r.result, ctx.Err()
+}
+
+type sender func(ctx context.Context, s *Stream, rng *rand.Rand, n int)
+
+// phase runs every stream for d with arrivals of a Poisson process, so that
+// load is sent whether or not earlier requests were answered.
+func (r *Runner) phase(ctx context.Context, d time.Duration, send sender) {
+	var requests, streams sync.WaitGroup
+	for i := range r.plan.Streams {
+		s := &r.plan.Streams[i]
+		rng := rand.New(rand.NewPCG(r.plan.Seed, uint64(i)))
+		streams.Go(func() {
+			next, end := time.Now(), time.Now().Add(d)
+			for n := 0; ; n++ {
+				next = next.Add(time.Duration(rng.ExpFloat64() / s.Rate * float64(time.Second)))
+				if next.After(end) || !sleepUntil(ctx, next) {
+					return
+				}
+				own := rand.New(rand.NewPCG(r.plan.Seed^uint64(n), uint64(i)+1<<32))
+				requests.Go(func() { send(ctx, s, own, n) })
+			}
+		})
+	}
+	streams.Wait()
+	requests.Wait()
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	t := time.NewTimer(time.Until(at))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
