Add metrics on tally with Prometheus export

Change: package metrics with request, attempt and usage series; refusals do not enter the latency histogram. Ruled out: tally's own lookup by tags for each request, which takes a lock and allocates; handles are kept in a copy-on-write map.

--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -4,13 +4,10 @@
 package deps
 
 import (
-	_ "github.com/HdrHistogram/hdrhistogram-go"
 	_ "github.com/cespare/xxhash/v2"
 	_ "github.com/cockroachdb/datadriven"
 	_ "github.com/google/go-cmp/cmp"
 	_ "github.com/quic-go/quic-go"
-	_ "github.com/uber-go/tally/v4"
-	_ "github.com/uber-go/tally/v4/prometheus"
 	_ "golang.org/x/sync/errgroup"
 	_ "golang.org/x/time/rate"
 	_ "gonum.org/v1/plot"
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,113 @@
+package metrics
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+
+	"bramleymill/errkind"
+)
+
+// reportInterval is how often tally passes its values to the reporter.
+const reportInterval = time.Second
+
+// Bounds of the latency histograms: from 250 µs to about 16 s, doubling at
+// every second bucket.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(250*time.Microsecond, 1.4142135, 33)
+
+// Metrics holds the series of one node.
+type Metrics struct {
+	scope   tally.Scope
+	closer  io.Closer
+	handler http.Handler
+
+	requests series[requestKey, tally.Counter]
+	latency  series[string, tally.Histogram]
+	attempts series[attemptKey, tally.Counter]
+	gauges   series[string, tally.Gauge]
+	counters series[string, tally.Counter]
+}
+
+type requestKey struct {
+	class string
+	kind  errkind.Kind
+}
+
+type attemptKey struct {
+	class string
+	hedge bool
+}
+
+// New returns the metrics of node.
+func New(node string) *Metrics {
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "bramleymill",
+		Tags:                   map[string]string{"node": node},
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{scope: scope, closer: closer, handler: reporter.HTTPHandler()}
+}
+
+// Handler serves the series in the Prometheus text format.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// Close passes the last values on and stops the reporting.
+func (m *Metrics) Close() error {
+	if err := m.closer.Close(); err != nil {
+		return fmt.Errorf("close metrics: %w", err)
+	}
+	return nil
+}
+
+// RequestFinished counts a request at its entry node. An empty kind stands for
+// an answer of the backend server; only those enter the latency histogram, so
+// that fast refusals do not improve the tail.
+func (m *Metrics) RequestFinished(class string, kind errkind.Kind, d time.Duration) {
+	m.requests.get(requestKey{class, kind}, m.newRequests).Inc(1)
+	if kind == "" {
+		m.latency.get(class, m.newLatency).RecordDuration(d)
+	}
+}
+
+// Attempt counts an attempt that an entry node sent.
+func (m *Metrics) Attempt(class string, hedge bool) {
+	m.attempts.get(attemptKey{class, hedge}, m.newAttempts).Inc(1)
+}
+
+// Count adds n to the counter called name.
+func (m *Metrics) Count(name string, n int64) {
+	m.counters.get(name, m.scope.Counter).Inc(n)
+}
+
+// Set updates the gauge called name.
+func (m *Metrics) Set(name string, v float64) {
+	m.gauges.get(name, m.scope.Gauge).Update(v)
+}
+
+func (m *Metrics) newRequests(k requestKey) tally.Counter {
+	kind, outcome := "none", "answered"
+	if k.kind != "" {
+		kind, outcome = string(k.kind), string(errkind.Lookup(k.kind).Outcome)
+	}
+	return m.scope.Tagged(map[string]string{"class": k.class, "kind": kind, "outcome": outcome}).Counter("requests")
+}
+
+func (m *Metrics) newLatency(class string) tally.Histogram {
+	return m.scope.Tagged(map[string]string{"class": class}).Histogram("request_seconds", latencyBuckets)
+}
+
+func (m *Metrics) newAttempts(k attemptKey) tally.Counter {
+	return m.scope.Tagged(map[string]string{"class": k.class, "hedge": fmt.Sprint(k.hedge)}).Counter("attempts")
+}
