--- a/cmd/millstandin/main.go
+++ b/cmd/millstandin/main.go
@@ -43,6 +43,7 @@
 	f.IntVar(&c.AnswerBytes, "answer-bytes", c.AnswerBytes, "size of an answer")
 	f.BoolVar(&c.FailFast, "fail-fast", c.FailFast, "answer every request with 500 at once")
 	f.StringVar(&c.CallURL, "call-url", c.CallURL, "URL to call during every execution that is not GET or HEAD")
+	f.StringVar(&c.DirectCallURL, "direct-call-url", c.DirectCallURL, "URL to call instead for requests that came without a node")
 	f.StringVar(&c.RecordFile, "record-file", c.RecordFile, "file for execution records")
 	f.Uint64Var(&c.Seed, "seed", c.Seed, "seed of the execution times")
 	f.BoolVar(&c.AllowCrash, "allow-crash", c.AllowCrash, "exit on a request with the header "+standin.HeaderCrash)
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,198 @@
+#!/usr/bin/env bash
+# Runs a deployment on loopback in separate processes: keys, nodes, stand-in
+# backend servers, classes, load, a changed target, a killed backend server, a
+# killed node and a graceful stop. Exits with 0 only if nothing was lost or doubled.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+deployment=${1:-nitra}
+bin=$PWD/bin
+run=$PWD/run/$deployment
+host=127.0.0.1
+
+case $deployment in
+nitra)
+  region=sk-zapad zones=(nitra-a nitra-b trnava-c)
+  services=(katalog:5:8ms objednavky:3:12ms zasielky:3:4ms)
+  slots=10 report_delay=0s
+  caller_service=objednavky checked_service=zasielky check_path=/stock/item
+  victim_backend=katalog-3 victim_node=katalog-4
+  change='s/"latency_target": "60ms"/"latency_target": "50ms"/'
+  ;;
+kandyan)
+  region=lk-west zones=(colombo-a colombo-b negombo)
+  services=(pricebook:5:6ms surveys:3:20ms quotes:3:8ms)
+  slots=6 report_delay=6ms
+  caller_service=quotes checked_service=surveys check_path=/fitters/free
+  victim_backend=pricebook-3 victim_node=pricebook-4
+  change='s/"latency_target": "50ms"/"latency_target": "45ms"/'
+  ;;
+*)
+  echo "unknown deployment '$deployment': use nitra or kandyan" >&2
+  exit 1
+  ;;
+esac
+
+rm -rf "$run"
+mkdir -p "$run"/{keys,settings,logs,records,data}
+
+declare -A pid
+# Ends every process that this script started and that still runs.
+cleanup() {
+  local p
+  for p in "${pid[@]}"; do kill -9 "$p" 2>/dev/null || true; done
+}
+trap cleanup EXIT
+
+names=()
+declare -A service_of zone_of time_of backend caller service peer admin metrics
+i=0
+for s in "${services[@]}"; do
+  IFS=: read -r name count time <<<"$s"
+  for ((n = 1; n <= count; n++)); do
+    id=$name-$n
+    names+=("$id")
+    service_of[$id]=$name zone_of[$id]=${zones[$((i % 3))]} time_of[$id]=$time
+    i=$((i + 1))
+  done
+done
+
+mapfile -t ports < <("$bin/millload" free-ports $((${#names[@]} * 6)))
+i=0
+for id in "${names[@]}"; do
+  for kind in backend caller service peer admin metrics; do
+    declare "$kind[$id]=$host:${ports[$i]}"
+    i=$((i + 1))
+  done
+done
+
+# The first instance of each service takes the control role.
+controls=()
+for s in "${services[@]}"; do controls+=("${s%%:*}-1"); done
+is_control() { [[ " ${controls[*]} " == *" $1 "* ]]; }
+seeds=$(printf '"%s",' "${peer[${controls[0]}]}" "${peer[${controls[1]}]}" "${peer[${controls[2]}]}")
+seeds=${seeds%,}
+
+"$bin/bramleymillctl" keys init --folder "$run/keys" >/dev/null
+for id in "${names[@]}"; do
+  role=node
+  if is_control "$id"; then role=control; fi
+  "$bin/bramleymillctl" keys issue --folder "$run/keys" --name "$id" --role "$role" --ip "$host" >/dev/null
+done
+"$bin/bramleymillctl" keys issue --folder "$run/keys" --name operator-1 --role operator >/dev/null
+
+write_settings() {
+  local id=$1 control=""
+  if is_control "$id"; then control="\"control\": {\"data_folder\": \"$run/data/$id\"},"; fi
+  cat >"$run/settings/$id.json" <<EOF
+{
+  "node": "$id", "region": "$region", "zone": "${zone_of[$id]}",
+  "caller_address": "${caller[$id]}", "service_address": "${service[$id]}",
+  "peer_address": "${peer[$id]}", "admin_address": "${admin[$id]}", "metrics_address": "${metrics[$id]}",
+  "backend": {"service": "${service_of[$id]}", "address": "${backend[$id]}", "slots": $slots, "connections": 250},
+  $control
+  "seeds": [$seeds],
+  "keys": {"authority": "$run/keys/authority.pem", "certificate": "$run/keys/$id.pem", "private_key": "$run/keys/$id.key"}
+}
+EOF
+}
+
+start_backend() {
+  local id=$1
+  local extra=()
+  if [[ ${service_of[$id]} == "$caller_service" ]]; then
+    extra=(--call-url "http://${service[$id]}$check_path" --direct-call-url "http://${backend[$checked_service-1]}$check_path")
+  fi
+  "$bin/millstandin" --address "${backend[$id]}" --service "${service_of[$id]}" --slots "$slots" \
+    --service-time "${time_of[$id]}" --swing-factor 2 --swing-period 300ms --report-lag 500ms \
+    --report-delay "$report_delay" --seed "$RANDOM" --record-file "$run/records/$id.records" \
+    "${extra[@]}" >>"$run/logs/backend-$id.log" 2>&1 &
+  pid[backend-$id]=$!
+}
+
+start_node() {
+  local id=$1
+  "$bin/bramleymill" node --settings "$run/settings/$id.json" >>"$run/logs/node-$id.log" 2>&1 &
+  pid[node-$id]=$!
+}
+
+ctl() {
+  "$bin/bramleymillctl" --address "${admin[${controls[0]}]}" --address "${admin[${controls[1]}]}" --address "${admin[${controls[2]}]}" \
+    --authority "$run/keys/authority.pem" --certificate "$run/keys/operator-1.pem" --private-key "$run/keys/operator-1.key" "$@"
+}
+
+for id in "${names[@]}"; do
+  write_settings "$id"
+  "$bin/bramleymill" check-settings "$run/settings/$id.json" >/dev/null
+  start_backend "$id"
+done
+for id in "${names[@]}"; do start_node "$id"; done
+
+ctl init
+ctl apply "examples/$deployment/classes.json" --wait --reason "first classes"
+
+all_callers=$(for id in "${names[@]}"; do printf '"%s",' "${caller[$id]}"; done)
+direct_of() { for id in "${names[@]}"; do if [[ ${service_of[$id]} == "$1" ]]; then printf '"%s",' "${backend[$id]}"; fi; done; }
+list() { printf '[%s]' "${1%,}"; }
+
+case $deployment in
+nitra)
+  streams=$(cat <<EOF
+    {"class": "browse", "method": "GET", "path": "/katalog/gloves", "rate": 300, "idempotent": true, "resends": 2, "direct": $(list "$(direct_of katalog)")},
+    {"class": "order", "method": "POST", "path": "/orders", "rate": 40, "body_bytes": 600, "key": true, "resends": 4, "direct": $(list "$(direct_of objednavky)")},
+    {"class": "donation", "method": "POST", "path": "/donations", "rate": 15, "body_bytes": 300, "key": true, "resends": 4, "direct": $(list "$(direct_of objednavky)")}
+EOF
+  ) ;;
+kandyan)
+  streams=$(cat <<EOF
+    {"class": "price", "method": "GET", "path": "/prices/liner", "rate": 300, "idempotent": true, "resends": 2, "direct": $(list "$(direct_of pricebook)")},
+    {"class": "survey", "method": "POST", "path": "/surveys", "rate": 15, "body_bytes": 2000, "direct": $(list "$(direct_of surveys)")},
+    {"class": "quote", "method": "POST", "path": "/quotes", "rate": 40, "body_bytes": 400, "key": true, "resends": 4, "direct": $(list "$(direct_of quotes)")}
+EOF
+  ) ;;
+esac
+cat >"$run/plan.json" <<EOF
+{"seed": 1, "duration": "10s", "direct_duration": "3s", "nodes": $(list "$all_callers"), "streams": [
+$streams
+]}
+EOF
+
+"$bin/millload" run "$run/plan.json" --records "$run/records" --outcomes "$run/outcomes.jsonl" >"$run/table.txt" 2>"$run/logs/load.log" &
+pid[load]=$!
+
+sleep 5
+sed "$change" "examples/$deployment/classes.json" >"$run/changed.json"
+ctl apply "$run/changed.json" --wait --reason "tighter target"
+sleep 1
+echo "kill backend server $victim_backend"
+kill -9 "${pid[backend-$victim_backend]}"
+sleep 1.5
+echo "kill node $victim_node"
+kill -9 "${pid[node-$victim_node]}"
+sleep 1
+echo "restart backend server $victim_backend and node $victim_node"
+start_backend "$victim_backend"
+start_node "$victim_node"
+
+load_status=0
+wait "${pid[load]}" || load_status=$?
+unset 'pid[load]'
+ctl status || true
+
+# Nodes without the control role stop first, then the control instances.
+stop_status=0
+stop() {
+  kill -TERM "${pid[$1]}"
+  if ! wait "${pid[$1]}"; then
+    echo "$1 did not stop cleanly"
+    stop_status=1
+  fi
+  unset "pid[$1]"
+}
+for id in "${names[@]}"; do if ! is_control "$id"; then stop "node-$id"; fi; done
+for id in "${controls[@]}"; do stop "node-$id"; done
+for id in "${names[@]}"; do stop "backend-$id"; done
+
+if [[ $load_status -ne 0 ]]; then tail -n 20 "$run/logs/load.log" >&2; fi
+cat "$run/table.txt"
+if [[ $load_status -ne 0 || $stop_status -ne 0 ]]; then exit 1; fi
--- a/standin/config.go
+++ b/standin/config.go
@@ -24,7 +24,8 @@
 	ShedAbove     int           // waiting requests above which new ones are shed; zero: never shed
 	AnswerBytes   int           // body size of an answer
 	FailFast      bool          // answer every request with 500 at once
-	CallURL       string        // URL called during every non-idempotent execution
+	CallURL       string        // URL called during every execution that is not GET or HEAD
+	DirectCallURL string        // used instead of CallURL for requests that came without a node
 	RecordFile    string        // execution records, one JSON object a line
 	Seed          uint64        // seed of the execution times
 	AllowCrash    bool          // obey the crash header
--- a/standin/server.go
+++ b/standin/server.go
@@ -209,10 +209,14 @@
 
 // callOther queries another service while the execution holds its slot.
 func (s *Server) callOther(r *http.Request) error {
-	if s.config.CallURL == "" || r.Method == http.MethodGet || r.Method == http.MethodHead {
+	url := s.config.CallURL
+	if r.Header.Get(fleet.HeaderCall) == "" {
+		url = s.config.DirectCallURL
+	}
+	if url == "" || r.Method == http.MethodGet || r.Method == http.MethodHead {
 		return nil
 	}
-	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, s.config.CallURL, nil)
+	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
