--- /dev/null
+++ b/explain/record.go
@@ -0,0 +1,112 @@
+package explain
+
+import (
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+// Side tells which chain made a record.
+type Side uint8
+
+// The sides of a request.
+const (
+	Entry Side = iota + 1
+	ServerSide
+)
+
+// Bounds of the lists of a record.
+const (
+	MaxCandidates = 8
+	MaxAttempts   = 6
+)
+
+// Candidate is a backend server that was considered, with the load known at
+// the time of the choice.
+type Candidate struct {
+	Node     fleet.NodeID  `cbor:"1,keyasint" json:"node"`
+	InFlight int           `cbor:"2,keyasint" json:"in_flight"`
+	Age      time.Duration `cbor:"3,keyasint" json:"load_age_ns"` // negative: no load known
+	Cost     time.Duration `cbor:"4,keyasint" json:"cost_ns"`
+	Chosen   bool          `cbor:"5,keyasint,omitempty" json:"chosen"`
+}
+
+// Attempt is one attempt as seen by the entry node.
+type Attempt struct {
+	Number   uint32        `cbor:"1,keyasint" json:"number"`
+	Target   fleet.NodeID  `cbor:"2,keyasint" json:"target"`
+	Start    time.Duration `cbor:"3,keyasint" json:"start_ns"` // since the start of the request
+	Duration time.Duration `cbor:"4,keyasint" json:"duration_ns"`
+	Kind     errkind.Kind  `cbor:"5,keyasint,omitempty" json:"kind,omitempty"` // empty: answered
+	Status   int           `cbor:"6,keyasint,omitempty" json:"status,omitempty"`
+	Hedge    bool          `cbor:"7,keyasint,omitempty" json:"hedge,omitempty"`
+	Lost     bool          `cbor:"8,keyasint,omitempty" json:"lost,omitempty"` // another attempt answered first
+}
+
+// Record explains one request at one node. It is changed only by the goroutine
+// that serves the request until it is added to a Store, and never after.
+type Record struct {
+	RequestID     string        `cbor:"1,keyasint" json:"request_id"`
+	Side          Side          `cbor:"2,keyasint" json:"side"`
+	Node          fleet.NodeID  `cbor:"3,keyasint" json:"node"`
+	CallerID      string        `cbor:"4,keyasint,omitempty" json:"caller_id,omitempty"`
+	ParentID      string        `cbor:"5,keyasint,omitempty" json:"parent_id,omitempty"`
+	Class         string        `cbor:"6,keyasint" json:"class"`
+	ConfigVersion uint64        `cbor:"7,keyasint" json:"config_version"`
+	Start         int64         `cbor:"8,keyasint" json:"start_unix_ns"`
+	Duration      time.Duration `cbor:"9,keyasint" json:"duration_ns"`
+	Queued        time.Duration `cbor:"10,keyasint,omitempty" json:"queued_ns,omitempty"`
+	Depth         uint8         `cbor:"11,keyasint" json:"depth"`
+	Status        int           `cbor:"12,keyasint" json:"status"`
+	Kind          errkind.Kind  `cbor:"13,keyasint,omitempty" json:"kind,omitempty"`
+	Reason        string        `cbor:"14,keyasint,omitempty" json:"reason,omitempty"`
+	ClaimID       string        `cbor:"15,keyasint,omitempty" json:"claim_id,omitempty"`
+	ClaimState    string        `cbor:"16,keyasint,omitempty" json:"claim_state,omitempty"`
+	Suspect       bool          `cbor:"17,keyasint,omitempty" json:"suspect,omitempty"`
+	Confined      bool          `cbor:"18,keyasint,omitempty" json:"confined,omitempty"`
+	AttemptNumber uint32        `cbor:"19,keyasint,omitempty" json:"attempt_number,omitempty"` // server side
+	Candidates    []Candidate   `cbor:"20,keyasint,omitempty" json:"candidates,omitempty"`
+	Attempts      []Attempt     `cbor:"21,keyasint,omitempty" json:"attempts,omitempty"`
+
+	start      time.Time
+	candidates [MaxCandidates]Candidate
+	attempts   [MaxAttempts]Attempt
+}
+
+// NewRecord returns the record of a request that starts at now.
+func NewRecord(side Side, id string, now time.Time) *Record {
+	return &Record{RequestID: id, Side: side, Start: now.UnixNano(), start: now}
+}
+
+// AddCandidate records a candidate of a choice, up to MaxCandidates.
+func (r *Record) AddCandidate(c Candidate) {
+	if len(r.Candidates) < MaxCandidates {
+		r.Candidates = append(r.candidates[:len(r.Candidates)], c)
+	}
+}
+
+// AddAttempt records an attempt that started at start and ended at end, up to
+// MaxAttempts.
+func (r *Record) AddAttempt(a Attempt, start, end time.Time) {
+	if len(r.Attempts) < MaxAttempts {
+		a.Start, a.Duration = start.Sub(r.start), end.Sub(start)
+		r.Attempts = append(r.attempts[:len(r.Attempts)], a)
+	}
+}
+
+// maxReason bounds the text of an error that is kept.
+const maxReason = 200
+
+// Finish records the end of the request. A nil err means that it was answered.
+func (r *Record) Finish(now time.Time, status int, err error) {
+	r.Duration, r.Status = now.Sub(r.start), status
+	if err == nil {
+		return
+	}
+	r.Kind = errkind.Of(err).Kind
+	r.Reason = err.Error()
+	if len(r.Reason) > maxReason {
+		r.Reason = r.Reason[:maxReason]
+	}
+}
--- /dev/null
+++ b/explain/store.go
@@ -0,0 +1,120 @@
+package explain
+
+import (
+	"sync/atomic"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// Bounds of a Store.
+const (
+	DefaultRecords = 4096
+	DefaultEvents  = 512
+)
+
+// EventKind names what happened to a member of the fleet.
+type EventKind string
+
+// The kinds of events.
+const (
+	Ejected       EventKind = "ejected"
+	Readmitted    EventKind = "readmitted"
+	CrashDetected EventKind = "crash_detected"
+	BackendUp     EventKind = "backend_up"
+	Drained       EventKind = "drained"
+	DrainStarted  EventKind = "drain_started"
+	Quarantined   EventKind = "quarantined"
+	ConfigApplied EventKind = "config_applied"
+)
+
+// Event is one event of the fleet as seen by a node.
+type Event struct {
+	At      int64        `cbor:"1,keyasint" json:"at_unix_ns"`
+	Kind    EventKind    `cbor:"2,keyasint" json:"kind"`
+	Node    fleet.NodeID `cbor:"3,keyasint" json:"node"`
+	Service string       `cbor:"4,keyasint,omitempty" json:"service,omitempty"`
+	Reason  string       `cbor:"5,keyasint,omitempty" json:"reason,omitempty"`
+}
+
+// ring keeps the newest values. Adding takes one atomic addition and one
+// pointer store; a reader may miss values that are being overwritten.
+type ring[T any] struct {
+	next  atomic.Uint64
+	slots []atomic.Pointer[T]
+}
+
+func newRing[T any](n int) *ring[T] { return &ring[T]{slots: make([]atomic.Pointer[T], n)} }
+
+func (r *ring[T]) add(v *T) {
+	i := r.next.Add(1) - 1
+	r.slots[i%uint64(len(r.slots))].Store(v)
+}
+
+// each calls f for the values from the newest to the oldest until f returns false.
+func (r *ring[T]) each(f func(*T) bool) {
+	next, size := r.next.Load(), uint64(len(r.slots))
+	for i := uint64(0); i < min(size, next); i++ {
+		if v := r.slots[(next-1-i)%size].Load(); v != nil && !f(v) {
+			return
+		}
+	}
+}
+
+// Store keeps the newest records and events of one node.
+type Store struct {
+	node    fleet.NodeID
+	records *ring[Record]
+	events  *ring[Event]
+}
+
+// NewStore returns a Store for the node that keeps the given numbers.
+func NewStore(node fleet.NodeID, records, events int) *Store {
+	return &Store{node: node, records: newRing[Record](records), events: newRing[Event](events)}
+}
+
+// Add keeps a finished record. The record must not be changed afterwards.
+func (s *Store) Add(r *Record) {
+	r.Node = s.node
+	s.records.add(r)
+}
+
+// Find returns the records of a request id, oldest first.
+func (s *Store) Find(id string) []*Record {
+	var found []*Record
+	s.records.each(func(r *Record) bool {
+		if r.RequestID == id {
+			found = append([]*Record{r}, found...)
+		}
+		return true
+	})
+	return found
+}
+
+// Recent returns up to n records, newest first, of the class or of all classes
+// if it is empty.
+func (s *Store) Recent(class string, n int) []*Record {
+	var found []*Record
+	s.records.each(func(r *Record) bool {
+		if class == "" || r.Class == class {
+			found = append(found, r)
+		}
+		return len(found) < n
+	})
+	return found
+}
+
+// AddEvent keeps an event of this moment.
+func (s *Store) AddEvent(now time.Time, k EventKind, node fleet.NodeID, service, reason string) {
+	s.events.add(&Event{At: now.UnixNano(), Kind: k, Node: node, Service: service, Reason: reason})
+}
+
+// Events returns up to n events, newest first.
+func (s *Store) Events(n int) []Event {
+	var found []Event
+	s.events.each(func(e *Event) bool {
+		found = append(found, *e)
+		return len(found) < n
+	})
+	return found
+}
--- /dev/null
+++ b/filter/answer.go
@@ -0,0 +1,117 @@
+package filter
+
+import (
+	"errors"
+	"net/http"
+	"sync/atomic"
+)
+
+// ErrLost is returned by Answer.Begin when another attempt of the same request
+// has won. The bytes of the losing attempt are discarded.
+var ErrLost = errors.New("another attempt has answered")
+
+// Answer receives one answer. The calls come in the order Informational, Begin,
+// Write and Flush, End. An answer without End is incomplete.
+type Answer interface {
+	Informational(status int, h http.Header)
+	Begin(head Head) error
+	Write(p []byte) (int, error)
+	Flush() error
+	End(trailer http.Header) error
+}
+
+// Head is the part of an answer before its body.
+type Head struct {
+	Status  int
+	Header  http.Header
+	Trailer http.Header // announced names; the values come with End
+	Stream  bool        // the length is not known: every write is flushed
+}
+
+// Writer passes an answer on to an http.ResponseWriter and knows whether its
+// first byte was passed on.
+type Writer struct {
+	rw      http.ResponseWriter
+	started atomic.Bool
+	ended   atomic.Bool
+	status  int
+	stream  bool
+	onBegin func(h http.Header)
+}
+
+// NewWriter returns a Writer to rw. onBegin may add headers to the answer.
+func NewWriter(rw http.ResponseWriter, onBegin func(h http.Header)) *Writer {
+	return &Writer{rw: rw, onBegin: onBegin}
+}
+
+// Started reports whether the first byte of the answer was passed on.
+func (w *Writer) Started() bool { return w.started.Load() }
+
+// Complete reports whether the whole answer was passed on.
+func (w *Writer) Complete() bool { return w.ended.Load() }
+
+// Status returns the status that was passed on.
+func (w *Writer) Status() int { return w.status }
+
+// Informational passes on a 1xx answer. Status 100 is not passed on, because
+// the server sends it by itself when the body is read.
+func (w *Writer) Informational(status int, h http.Header) {
+	if w.started.Load() || status == http.StatusContinue || status == http.StatusSwitchingProtocols {
+		return
+	}
+	dst := w.rw.Header()
+	saved := dst.Clone()
+	copyHeader(dst, h)
+	w.rw.WriteHeader(status)
+	clear(dst)
+	copyHeader(dst, saved)
+}
+
+// Begin passes on the head of the answer.
+func (w *Writer) Begin(head Head) error {
+	if !w.started.CompareAndSwap(false, true) {
+		return ErrLost
+	}
+	h := w.rw.Header()
+	copyHeader(h, head.Header)
+	for name := range head.Trailer {
+		h.Add("Trailer", name)
+	}
+	if w.onBegin != nil {
+		w.onBegin(h)
+	}
+	w.status, w.stream = head.Status, head.Stream
+	w.rw.WriteHeader(head.Status)
+	if w.stream {
+		return w.Flush()
+	}
+	return nil
+}
+
+// Write passes on a part of the body.
+func (w *Writer) Write(p []byte) (int, error) {
+	n, err := w.rw.Write(p)
+	if err == nil && w.stream {
+		err = w.Flush()
+	}
+	return n, err
+}
+
+// Flush sends what is buffered.
+func (w *Writer) Flush() error { return http.NewResponseController(w.rw).Flush() }
+
+// End completes the answer with its trailer.
+func (w *Writer) End(trailer http.Header) error {
+	h := w.rw.Header()
+	for name, values := range trailer {
+		h[http.TrailerPrefix+name] = values
+	}
+	w.ended.Store(true)
+	return nil
+}
+
+func copyHeader(dst, src http.Header) {
+	for name, values := range src {
+		dst[name] = append(dst[name], values...)
+	}
+}
--- /dev/null
+++ b/filter/attempts.go
@@ -0,0 +1,164 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/explain"
+	"bramleymill/fleet"
+	"bramleymill/retry"
+)
+
+// AttemptObserver is told of each attempt that ended. The kind is empty if the
+// attempt was answered.
+type AttemptObserver interface {
+	Attempted(c *Call, kind errkind.Kind)
+}
+
+type attempts struct {
+	next     Handler
+	clock    clock.Clock
+	observer AttemptObserver
+	policies sync.Map // class name -> *retry.Policy
+}
+
+// NewAttempts returns the filter that makes further attempts: a retry after a
+// positive refusal or, for an idempotent class, after any failure before the
+// first byte was passed on; and a hedge when an idempotent request is slow.
+func NewAttempts(next Handler, k clock.Clock, o AttemptObserver) Handler {
+	return &attempts{next: next, clock: k, observer: o}
+}
+
+func (f *attempts) policy(class string) *retry.Policy {
+	if p, ok := f.policies.Load(class); ok {
+		return p.(*retry.Policy)
+	}
+	p, _ := f.policies.LoadOrStore(class, retry.New(f.clock.Now(), retry.Config{}))
+	return p.(*retry.Policy)
+}
+
+func (f *attempts) Serve(c *Call) error {
+	p := f.policy(c.Class.Name)
+	p.Began()
+	if c.tried == nil { // a confined attempt continues the numbers of the first
+		c.tried = &tried{}
+	}
+	r := &race{answer: c.Answer}
+	err := f.first(c, p, r)
+	for err != nil {
+		again, kind := f.further(c, p, r, err)
+		if !again {
+			return withKind(err, kind)
+		}
+		previous := err
+		if err = f.try(c, r, false); isNoServer(err) {
+			return previous // tells more than that no other server is left
+		}
+	}
+	p.Answered(f.clock.Now(), f.clock.Now().Sub(c.Started))
+	return nil
+}
+
+// first makes the first attempt and its hedge. The hedge starts from a timer, so
+// that a request that is not slow costs no goroutine.
+func (f *attempts) first(c *Call, p *retry.Policy, r *race) error {
+	delay, ok := p.HedgeDelay(c.Class.Idempotent, c.Class.InternalOnly, c.Deadline.Sub(f.clock.Now()))
+	if !ok || c.Meta.Confined || !c.Body.Whole() {
+		return f.try(c, r, false)
+	}
+	h := newHedge(delay, func() error {
+		if !r.open() || !p.Hedge(f.clock.Now(), c.Attempts) {
+			return errNoHedge
+		}
+		return f.try(c, r, true)
+	})
+	err := f.try(c, r, false)
+	if errors.Is(err, ErrLost) || !h.stop() {
+		if hedgeErr := h.wait(); !errors.Is(hedgeErr, errNoHedge) {
+			err = better(err, hedgeErr)
+		}
+	}
+	return err
+}
+
+// better returns nil if either attempt answered. The error of an attempt that
+// began to answer comes first, because its bytes were passed on.
+func better(first, hedge error) error {
+	switch {
+	case first == nil || hedge == nil:
+		return nil
+	case errors.Is(first, ErrLost):
+		return hedge
+	default:
+		return first
+	}
+}
+
+func (f *attempts) further(c *Call, p *retry.Policy, r *race, err error) (bool, errkind.Kind) {
+	if errors.Is(err, errReplay) || errors.Is(err, ErrLost) {
+		return false, ""
+	}
+	now := f.clock.Now()
+	failure := retry.Failure{
+		Kind:       errkind.Of(err).Kind,
+		Idempotent: c.Class.Idempotent,
+		BytesSent:  !r.open(),
+		Confined:   c.Meta.Confined,
+		Remaining:  c.Deadline.Sub(now),
+	}
+	if isNoServer(err) || !c.Body.Replayable() || c.Ctx.Err() != nil {
+		return false, failure.Kind
+	}
+	d := p.After(now, failure, c.Attempts)
+	return d.Verb == retry.RetryElsewhere, d.Kind
+}
+
+func isNoServer(err error) bool {
+	return err != nil && errkind.Of(err).Kind == errkind.NoBackendServer
+}
+
+// withKind returns err as kind, unless it is of that kind already.
+func withKind(err error, kind errkind.Kind) error {
+	if kind == "" || errkind.Of(err).Kind == kind {
+		return err
+	}
+	return &errkind.Error{Kind: kind, Cause: err}
+}
+
+// try makes one attempt.
+func (f *attempts) try(c *Call, r *race, hedge bool) error {
+	ctx, cancel := context.WithCancelCause(c.Ctx)
+	defer cancel(nil)
+	lane := &lane{race: r}
+	a := c.attempt(ctx, lane)
+	a.Meta.Hedge = hedge
+	lane.number = a.Meta.Attempt
+	r.enter(lane.number, cancel)
+	start := f.clock.Now()
+	err := f.next.Serve(a)
+	f.note(c, a, r, start, err)
+	return err
+}
+
+func (f *attempts) note(c, a *Call, r *race, start time, err error) {
+	var kind errkind.Kind
+	lost := errors.Is(err, ErrLost)
+	if err != nil && !lost {
+		kind = errkind.Of(err).Kind
+	}
+	r.mu.Lock()
+	for _, candidate := range a.Candidates {
+		c.Record.AddCandidate(candidate)
+	}
+	c.Record.AddAttempt(explain.Attempt{Number: a.Meta.Attempt, Target: a.Target.Node, Kind: kind,
+		Status: a.Status, Hedge: a.Meta.Hedge, Lost: lost}, start, f.clock.Now())
+	r.mu.Unlock()
+	if f.observer != nil {
+		f.observer.Attempted(a, kind)
+	}
+}
+
+var _ = fleet.MaxDepth
--- /dev/null
+++ b/filter/body.go
@@ -0,0 +1,268 @@
+package filter
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+// prefixBytes bounds what is read ahead of a body that is streamed. It is part
+// of the fingerprint that recognises a request that crashes servers.
+const prefixBytes = 64 << 10
+
+// ErrBodyConsumed is returned by Body.Open when a streamed body was already
+// read beyond its buffered prefix.
+var ErrBodyConsumed = errors.New("request body was already consumed")
+
+// Body is a request body whose prefix is buffered. A body that is buffered
+// whole can be opened any number of times, any other until its rest is read.
+type Body struct {
+	Length  int64 // -1: not known
+	Expect  bool  // the caller waits for 100 Continue
+	Trailer func() http.Header
+
+	mu       sync.Mutex
+	prefix   []byte
+	complete bool
+	rest     io.Reader
+	taken    bool
+}
+
+// Replayable reports whether Open will succeed.
+func (b *Body) Replayable() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.complete || !b.taken
+}
+
+// Whole reports whether the body is buffered completely.
+func (b *Body) Whole() bool { return b.complete }
+
+// Empty reports whether there is no body.
+func (b *Body) Empty() bool { return b.complete && len(b.prefix) == 0 }
+
+// Open returns a reader of the whole body.
+func (b *Body) Open() (io.ReadCloser, error) {
+	if !b.Replayable() {
+		return nil, ErrBodyConsumed
+	}
+	return &bodyReader{body: b, prefix: bytes.NewReader(b.prefix)}, nil
+}
+
+type bodyReader struct {
+	body   *Body
+	prefix *bytes.Reader
+	mu     sync.Mutex
+	closed bool
+	owner  bool // this reader has read from the rest
+}
+
+func (r *bodyReader) Read(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	if r.prefix.Len() > 0 {
+		return r.prefix.Read(p)
+	}
+	if r.body.complete {
+		return 0, io.EOF
+	}
+	if !r.owner {
+		if !r.body.take() {
+			return 0, ErrBodyConsumed
+		}
+		r.owner = true
+	}
+	return r.body.rest.Read(p)
+}
+
+// Close does not wait for a Read of the network: the connection of the caller
+// is closed by its server, which ends such a Read.
+func (r *bodyReader) Close() error {
+	if r.mu.TryLock() {
+		r.closed = true
+		r.mu.Unlock()
+	}
+	return nil
+}
+
+func (b *Body) take() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.taken {
+		return false
+	}
+	b.taken = true
+	return true
+}
+
+// NewBody returns a Body over the body of r without reading it.
+func NewBody(r *http.Request) *Body {
+	b := &Body{
+		Length:  r.ContentLength,
+		Expect:  r.Header.Get("Expect") != "",
+		Trailer: func() http.Header { return r.Trailer },
+		rest:    r.Body,
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		b.Length, b.complete, b.rest = 0, true, nil
+	}
+	return b
+}
+
+// fill reads up to limit bytes ahead.
+func (b *Body) fill(limit int64) error {
+	if b.complete {
+		return nil
+	}
+	if b.Length >= 0 && b.Length <= limit {
+		b.prefix = make([]byte, b.Length)
+		if _, err := io.ReadFull(b.rest, b.prefix); err != nil {
+			return err
+		}
+		b.complete = true
+		return b.drainEOF()
+	}
+	var buf bytes.Buffer
+	n, err := io.CopyN(&buf, b.rest, limit)
+	b.prefix = buf.Bytes()
+	if errors.Is(err, io.EOF) {
+		b.complete, b.Length = true, n
+		return nil
+	}
+	return err
+}
+
+// drainEOF reads the end of a body of known length, so that the server may
+// reuse the connection and watch it for the departure of the caller.
+func (b *Body) drainEOF() error {
+	var one [1]byte
+	if n, err := b.rest.Read(one[:]); n != 0 || (err != nil && !errors.Is(err, io.EOF)) {
+		return errors.Join(errors.New("body exceeds its length"), err)
+	}
+	return nil
+}
+
+type body struct {
+	next  Handler
+	clock clock.Clock
+}
+
+// NewBodyFilter returns the filter that buffers what a retry or a claim needs.
+// A body with an idempotency key is buffered whole, because the claim records
+// its fingerprint. Any other body up to the limit of the class is buffered too;
+// a larger one is streamed after a prefix.
+func NewBodyFilter(next Handler, k clock.Clock) Handler { return &body{next, k} }
+
+func (f *body) Serve(c *Call) error {
+	c.Body = NewBody(c.Request)
+	if !c.Body.complete {
+		if err := f.read(c); err != nil {
+			return err
+		}
+	}
+	c.Meta.Fingerprint = f.fingerprint(c)
+	if c.Key != "" {
+		c.BodyHash = hashRequest(c)
+	}
+	return f.next.Serve(c)
+}
+
+func (f *body) read(c *Call) error {
+	limit := c.Class.MaxBody
+	if c.Key != "" {
+		if c.Body.Length > limit {
+			return errkind.New(errkind.BodyTooLarge, "body of %d bytes exceeds %d", c.Body.Length, limit)
+		}
+		limit++ // one byte more tells a body of unknown length that is too large
+	} else {
+		if c.Body.Expect {
+			// The body is asked for only after the server has agreed.
+			return nil
+		}
+		if c.Body.Length < 0 || c.Body.Length > limit {
+			limit = min(limit, prefixBytes)
+		}
+	}
+	setReadDeadline(c, f.clock)
+	if err := c.Body.fill(limit); err != nil {
+		return f.readError(c, err)
+	}
+	if c.Key != "" && int64(len(c.Body.prefix)) > c.Class.MaxBody {
+		return errkind.New(errkind.BodyTooLarge, "body exceeds %d bytes", c.Class.MaxBody)
+	}
+	return nil
+}
+
+// readError is given before anything was sent.
+func (f *body) readError(c *Call, err error) error {
+	if !f.clock.Now().Before(c.Deadline) || c.Ctx.Err() != nil {
+		return errkind.New(errkind.DeadlineBeforeRun, "read body: %w", err)
+	}
+	return errkind.New(errkind.BadRequest, "read body: %w", err)
+}
+
+func setReadDeadline(c *Call, k clock.Clock) {
+	w, ok := c.Answer.(*Writer)
+	if !ok {
+		return
+	}
+	// Not every ResponseWriter supports deadlines; the context still ends the call.
+	_ = http.NewResponseController(w.rw).SetReadDeadline(time.Now().Add(c.Deadline.Sub(k.Now())))
+}
+
+// fingerprint recognises a request that a caller sends again: by its key,
+// otherwise by class, method, path and what is buffered of the body.
+func (f *body) fingerprint(c *Call) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(c.Class.Name)
+	if c.Key != "" {
+		_, _ = d.WriteString("\x00key\x00" + c.Key)
+		return d.Sum64()
+	}
+	_, _ = d.WriteString("\x00" + c.Request.Method + "\x00" + c.Request.URL.RequestURI() + "\x00")
+	_, _ = d.Write(c.Body.prefix[:min(len(c.Body.prefix), prefixBytes)])
+	return d.Sum64()
+}
+
+func hashRequest(c *Call) (sum [32]byte) {
+	h := sha256.New()
+	_, _ = io.WriteString(h, c.Request.Method+"\x00"+c.Request.URL.RequestURI()+"\x00")
+	_, _ = h.Write(c.Body.prefix)
+	h.Sum(sum[:0])
+	return sum
+}
+
+// keyOf returns the idempotency key of a request, which only non-idempotent
+// classes use.
+func keyOf(c *Call) (string, error) {
+	if c.Class.Idempotent {
+		return "", nil
+	}
+	values := c.Request.Header.Values(fleet.HeaderIdempotencyKey)
+	switch {
+	case len(values) == 0 && c.Class.KeyRequired:
+		return "", errkind.New(errkind.KeyRequired, "class %s requires the header %s", c.Class.Name, fleet.HeaderIdempotencyKey)
+	case len(values) == 0:
+		return "", nil
+	case len(values) > 1 || values[0] == "" || len(values[0]) > MaxKeyBytes:
+		return "", errkind.New(errkind.BadRequest, "state one %s of 1 to %d bytes", fleet.HeaderIdempotencyKey, MaxKeyBytes)
+	}
+	return values[0], nil
+}
+
+// MaxKeyBytes bounds an idempotency key.
+const MaxKeyBytes = 255
--- /dev/null
+++ b/filter/confirmed.go
@@ -0,0 +1,27 @@
+package filter
+
+import (
+	"time"
+
+	"bramleymill/errkind"
+)
+
+// MaxUnconfirmed is the age of the configuration's confirmation from which new
+// work is refused. It is below the bound of 14 s for a change to be in force.
+const MaxUnconfirmed = 10 * time.Second
+
+type confirmed struct {
+	next   Handler
+	config Configuration
+}
+
+// NewConfirmed returns the filter that refuses work under a configuration that
+// may have been superseded, except for classes that may be served stale.
+func NewConfirmed(next Handler, config Configuration) Handler { return &confirmed{next, config} }
+
+func (f *confirmed) Serve(c *Call) error {
+	if age := f.config.Confirmed(); age > MaxUnconfirmed && !c.Class.ServeStale {
+		return errkind.New(errkind.ConfigUnconfirmed, "configuration %d was last confirmed %v ago", c.Meta.ConfigVersion, age)
+	}
+	return f.next.Serve(c)
+}
--- /dev/null
+++ b/filter/deadline.go
@@ -0,0 +1,69 @@
+package filter
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/retry"
+)
+
+type deadline struct {
+	next     Handler
+	clock    clock.Clock
+	attempts uint32
+}
+
+// NewDeadline returns the filter that sets the limits of a call: its deadline,
+// its depth and its further attempts. A call below another one inherits
+// them, and neither a caller nor a backend server can extend them. A call at
+// the root of a tree may make attempts further attempts.
+func NewDeadline(next Handler, k clock.Clock, attempts uint32) Handler {
+	return &deadline{next, k, attempts}
+}
+
+func (f *deadline) Serve(c *Call) error {
+	limit, err := f.limit(c)
+	if err != nil {
+		return err
+	}
+	c.Meta.Depth, c.Attempts = 1, nil
+	c.Deadline = c.Started.Add(limit)
+	if p := c.Parent; p != nil {
+		c.Meta.Depth, c.Attempts = p.Depth+1, p.Attempts
+		if p.Deadline.Before(c.Deadline) {
+			c.Deadline = p.Deadline
+		}
+	}
+	if c.Attempts == nil {
+		c.Attempts = retry.NewAttempts(f.attempts)
+	}
+	c.Record.Depth = c.Meta.Depth
+	if c.Meta.Depth > fleet.MaxDepth {
+		return errkind.New(errkind.DepthExceeded, "call depth %d exceeds %d", c.Meta.Depth, fleet.MaxDepth)
+	}
+	remaining := c.Deadline.Sub(f.clock.Now())
+	if remaining <= 0 {
+		return errkind.New(errkind.DeadlineBeforeRun, "the deadline has passed")
+	}
+	ctx, cancel := context.WithTimeout(c.Ctx, remaining)
+	defer cancel()
+	c.Ctx = ctx
+	return f.next.Serve(c)
+}
+
+func (f *deadline) limit(c *Call) (time.Duration, error) {
+	limit := c.Class.Deadline
+	sent := c.Request.Header.Get(fleet.HeaderTimeoutMillis)
+	if sent == "" {
+		return limit, nil
+	}
+	ms, err := strconv.ParseUint(sent, 10, 32)
+	if err != nil || ms == 0 {
+		return 0, errkind.New(errkind.BadRequest, "%s %q is not a positive number of milliseconds", fleet.HeaderTimeoutMillis, sent)
+	}
+	return min(limit, time.Duration(ms)*time.Millisecond), nil
+}
--- /dev/null
+++ b/filter/dispatch.go
@@ -0,0 +1,27 @@
+package filter
+
+import (
+	"bramleymill/clock"
+	"bramleymill/errkind"
+)
+
+// Backend passes a call to the backend server of the own node.
+type Backend interface {
+	Dispatch(c *Call) error
+}
+
+type dispatch struct {
+	backend Backend
+	clock   clock.Clock
+}
+
+// NewDispatch returns the last filter of the server chain.
+func NewDispatch(b Backend, k clock.Clock) Handler { return &dispatch{b, k} }
+
+func (f *dispatch) Serve(c *Call) error {
+	// The attempt may have waited in the queue, or the process been frozen.
+	if !f.clock.Now().Before(c.Deadline) || c.Ctx.Err() != nil {
+		return errkind.New(errkind.DeadlineBeforeRun, "the deadline passed, or the caller left, before the backend server was called")
+	}
+	return f.backend.Dispatch(c)
+}
--- /dev/null
+++ b/filter/peercheck.go
@@ -0,0 +1,39 @@
+package filter
+
+import (
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+type peerCheck struct {
+	next    Handler
+	self    fleet.NodeID
+	inc     fleet.Incarnation
+	service string
+	config  Configuration
+	clock   clock.Clock
+}
+
+// NewPeerCheck returns the filter that refuses attempts that are addressed to
+// another node, to an earlier incarnation of this node, to another service, or
+// that arrive without time left. An attempt of an earlier incarnation may be a
+// duplicate of one that this node has forgotten.
+func NewPeerCheck(next Handler, self fleet.NodeID, inc fleet.Incarnation, service string, config Configuration, k clock.Clock) Handler {
+	return &peerCheck{next, self, inc, service, config, k}
+}
+
+func (f *peerCheck) Serve(c *Call) error {
+	m := &c.Meta
+	if m.Target != f.self || m.Incarnation != f.inc {
+		return errkind.New(errkind.StaleTarget, "attempt is for %s incarnation %d, this is %s incarnation %d",
+			m.Target, m.Incarnation, f.self, f.inc)
+	}
+	if m.Depth == 0 || m.Depth > fleet.MaxDepth {
+		return errkind.New(errkind.DepthExceeded, "call depth %d is not from 1 to %d", m.Depth, fleet.MaxDepth)
+	}
+	if m.Remaining <= 0 || !f.clock.Now().Before(c.Deadline) {
+		return errkind.New(errkind.DeadlineBeforeRun, "the deadline passed before the attempt arrived")
+	}
+	return f.next.Serve(c)
+}
--- /dev/null
+++ b/proxy/headers.go
@@ -0,0 +1,94 @@
+package proxy
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"bramleymill/fleet"
+)
+
+// Headers between nodes that no other package needs.
+const (
+	headerExpect       = fleet.HeaderPrefix + "Expect"        // the caller itself waits for 100 Continue
+	headerAttemptsLeft = fleet.HeaderPrefix + "Attempts-Left" // not used by the calls below an answer
+)
+
+// hopByHop lists the headers that concern one connection only. Trailer is
+// announced again for each hop.
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Proxy-Connection":    true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Expect":              true,
+	"Content-Length":      true,
+}
+
+// endToEnd returns a copy of h without hop-by-hop headers, headers listed in
+// Connection and headers of the project.
+func endToEnd(h http.Header) http.Header {
+	out := make(http.Header, len(h)+4)
+	listed := connectionTokens(h)
+	for name, values := range h {
+		if hopByHop[name] || isProjectHeader(name) || listed[name] {
+			continue
+		}
+		out[name] = values
+	}
+	return out
+}
+
+// connectionTokens returns the header names that Connection lists.
+func connectionTokens(h http.Header) map[string]bool {
+	values := h["Connection"]
+	if len(values) == 0 {
+		return nil
+	}
+	listed := map[string]bool{}
+	for _, v := range values {
+		for token := range strings.SplitSeq(v, ",") {
+			if token = textproto.TrimString(token); token != "" {
+				listed[http.CanonicalHeaderKey(token)] = true
+			}
+		}
+	}
+	return listed
+}
+
+// isProjectHeader compares without regard to case, because a name that is not
+// in the canonical form can reach a header map.
+func isProjectHeader(name string) bool {
+	return len(name) >= len(fleet.HeaderPrefix) && strings.EqualFold(name[:len(fleet.HeaderPrefix)], fleet.HeaderPrefix)
+}
+
+// endToEndTrailer returns the trailers that may be passed on.
+func endToEndTrailer(t http.Header) http.Header {
+	if len(t) == 0 {
+		return nil
+	}
+	out := make(http.Header, len(t))
+	for name, values := range t {
+		if !hopByHop[name] && !isProjectHeader(name) {
+			out[name] = values
+		}
+	}
+	return out
+}
+
+// wantsTrailers reports whether the sender of h accepts trailers.
+func wantsTrailers(h http.Header) bool {
+	for _, v := range h["Te"] {
+		for token := range strings.SplitSeq(v, ",") {
+			if strings.EqualFold(textproto.TrimString(token), "trailers") {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/proxy/remote.go
@@ -0,0 +1,144 @@
+package proxy
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/filter"
+	"bramleymill/fleet"
+)
+
+// Limits of the connections to other nodes.
+const (
+	dialTimeout        = time.Second
+	idleConnTimeout    = 90 * time.Second
+	maxIdlePerPeer     = 64
+	maxUnsentRetries   = 3 // idle connections that turn out to be closed
+	maxResponseHeaders = 1 << 20
+	// expectTimeout is far above any deadline: between nodes the body of a
+	// streamed request waits for the admission, so that a refusal finds the
+	// body unread and another server can be tried.
+	expectTimeout = time.Hour
+)
+
+// remote sends attempts to other nodes over mutual TLS.
+type remote struct {
+	transport *http.Transport
+	clientTLS func(server fleet.NodeID) *tls.Config
+	addresses sync.Map // pool name -> peer address
+}
+
+func newRemote(clientTLS func(fleet.NodeID) *tls.Config) *remote {
+	r := &remote{clientTLS: clientTLS}
+	r.transport = &http.Transport{
+		DialTLSContext:         r.dial,
+		MaxIdleConnsPerHost:    maxIdlePerPeer,
+		IdleConnTimeout:        idleConnTimeout,
+		ExpectContinueTimeout:  expectTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaders,
+		DisableCompression:     true,
+		ForceAttemptHTTP2:      false,
+		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
+	}
+	return r
+}
+
+// poolName names the connections to one incarnation of a node, so that those to
+// an earlier one are not used for the next.
+func (r *remote) poolName(s *fleet.Server) string {
+	name := string(s.Node) + "." + strconv.FormatUint(uint64(s.Incarnation), 36) + ":0"
+	if known, ok := r.addresses.Load(name); !ok || known != s.PeerAddress {
+		r.addresses.Store(name, s.PeerAddress)
+	}
+	return name
+}
+
+func (r *remote) dial(ctx context.Context, network, name string) (net.Conn, error) {
+	address, ok := r.addresses.Load(name)
+	if !ok {
+		return nil, fmt.Errorf("no address for %s", name)
+	}
+	node, _, _ := strings.Cut(name, ".")
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, network, address.(string))
+	if err != nil {
+		return nil, err
+	}
+	conn := tls.Client(raw, r.clientTLS(fleet.NodeID(node)))
+	if err := conn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close()
+		return nil, err
+	}
+	return &countedConn{Conn: conn}, nil
+}
+
+// Serve sends one attempt and passes its answer on.
+func (r *remote) Serve(c *filter.Call) error {
+	lent := c.Attempts.Lend()
+	c.Meta.AttemptsLeft = lent
+	err := r.send(c, lent)
+	if err != nil && errkind.Of(err).ProvedNotRun() {
+		c.Attempts.Return(lent)
+	}
+	return err
+}
+
+func (r *remote) send(c *filter.Call, lent uint32) error {
+	meta, err := fleet.EncodeHeader(&c.Meta)
+	if err != nil {
+		return errkind.New(errkind.Internal, "%w", err)
+	}
+	for try := 1; ; try++ {
+		x := &exchange{call: c, scheme: "https", host: r.poolName(&c.Target), header: endToEnd(c.Request.Header), expect: true}
+		x.header[fleet.HeaderCallMeta] = []string{meta}
+		if c.Body.Expect {
+			x.header[headerExpect] = []string{"1"}
+		}
+		resp, written, err := x.roundTrip(r.transport)
+		switch {
+		case err == nil:
+			return r.receive(c, resp, lent)
+		case written:
+			return lost(c, "connection to "+string(c.Target.Node)+" broke", err)
+		case x.conn == nil || try == maxUnsentRetries:
+			return notSent(c, errkind.BackendDown, err)
+		}
+	}
+}
+
+func (r *remote) receive(c *filter.Call, resp *http.Response, lent uint32) error {
+	c.Load = decodeLoad(resp.Header)
+	if err := refusal(resp); err != nil {
+		return err
+	}
+	if left, err := strconv.ParseUint(resp.Header.Get(headerAttemptsLeft), 10, 32); err == nil {
+		c.Attempts.Return(min(lent, uint32(left)))
+	}
+	h := endToEnd(resp.Header)
+	h[fleet.HeaderServedBy] = []string{string(c.Target.Node)}
+	return relay(c, resp, h)
+}
+
+func decodeLoad(h http.Header) *fleet.LoadReport {
+	v := h.Get(fleet.HeaderLoad)
+	if v == "" {
+		return nil
+	}
+	var report fleet.LoadReport
+	if fleet.DecodeHeader(v, &report) != nil {
+		return nil
+	}
+	return &report
+}
+
+func (r *remote) close() { r.transport.CloseIdleConnections() }
