Add selection, admission, retry, suspicion and measuring budget

Ruled out: a heap as the admission queue, because the expected wait needs the position of a request and the queue is short.

--- /dev/null
+++ b/admit/controller.go
@@ -0,0 +1,198 @@
+package admit
+
+import (
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+// Verdict is the immediate answer to an offer.
+type Verdict uint8
+
+// The verdicts of Offer.
+const (
+	Admitted Verdict = iota + 1
+	Queued
+	Refused
+)
+
+// Action decides a request that was queued: it starts when Kind is empty and is
+// refused as Kind otherwise.
+type Action struct {
+	ID   uint64
+	Kind errkind.Kind
+}
+
+// Controller is the pure state machine of admission. It is not safe for
+// concurrent use. The actions that a method returns are valid until the next call.
+type Controller struct {
+	config   Config
+	running  map[uint64]running
+	ordinary int // running requests that are not privileged
+	queue    queue
+	sequence uint64
+	closed   errkind.Kind
+	service  estimate
+	classes  map[string]*estimate
+	delay    delayRule
+	actions  []Action
+}
+
+type running struct {
+	privileged bool
+	class      string
+}
+
+// NewController returns a Controller without requests.
+func NewController(c Config) *Controller {
+	return &Controller{
+		config:  c.withDefaults(),
+		running: map[uint64]running{},
+		classes: map[string]*estimate{},
+	}
+}
+
+// Offer presents a request under an id that is not in use. The kind is set when
+// the verdict is Refused. The actions concern other requests.
+func (c *Controller) Offer(now time.Time, id uint64, r Request) (Verdict, errkind.Kind, []Action) {
+	c.actions = c.actions[:0]
+	if c.closed != "" {
+		return Refused, c.closed, nil
+	}
+	if !now.Before(r.Deadline) {
+		return Refused, errkind.DeadlineBeforeRun, nil
+	}
+	c.expire(now)
+	c.dispatch(now)
+	if c.slotFor(r) && c.overtakes(r) {
+		if c.remainingTooShort(now, r) {
+			return Refused, errkind.DeadlineBeforeRun, c.actions
+		}
+		c.observeDelay(now, 0, r)
+		c.run(id, r)
+		return Admitted, "", c.actions
+	}
+	verdict, kind := c.enqueue(now, id, r)
+	return verdict, kind, c.actions
+}
+
+// overtakes reports whether r would be the first of the queue. The head of the
+// queue may wait for a slot that r does not need.
+func (c *Controller) overtakes(r Request) bool {
+	w := waiting{request: r, rank: r.rank(), sequence: c.sequence + 1}
+	return c.queue.position(&w) == 0
+}
+
+func (c *Controller) enqueue(now time.Time, id uint64, r Request) (Verdict, errkind.Kind) {
+	c.sequence++
+	w := waiting{id: id, request: r, rank: r.rank(), arrived: now, giveUp: r.Deadline, sequence: c.sequence}
+	if r.Internal && now.Add(c.config.InternalWait).Before(w.giveUp) {
+		w.giveUp = now.Add(c.config.InternalWait)
+	}
+	position := c.queue.position(&w)
+	wait := c.expectedWait(now, r, position)
+	if now.Add(wait + c.classTime(now, r.Class)).After(r.Deadline) {
+		return Refused, errkind.DeadlineBeforeRun
+	}
+	if c.delay.overloaded && position > 0 && wait > c.allowedWait(w.rank) {
+		return Refused, errkind.QueueFull
+	}
+	if len(c.queue) >= c.config.QueueLength && !c.evict(w.rank) {
+		return Refused, c.fullKind(r)
+	}
+	c.queue.insert(position, w)
+	return Queued, ""
+}
+
+// evict refuses the last request of the queue when its urgency is below rank.
+func (c *Controller) evict(rank fleet.Urgency) bool {
+	last := len(c.queue) - 1
+	if last < 0 || c.queue[last].rank >= rank {
+		return false
+	}
+	w := c.queue.remove(last)
+	c.actions = append(c.actions, Action{w.id, errkind.QueueFull})
+	return true
+}
+
+// fullKind tells a full queue from slots that are free but reserved.
+func (c *Controller) fullKind(r Request) errkind.Kind {
+	if !r.privileged() && len(c.running) < c.config.Slots {
+		return errkind.SlotsReserved
+	}
+	return errkind.QueueFull
+}
+
+// allowedWait bounds the expected wait under overload, so that less urgent
+// requests are refused first. One request may always wait, so that a slot that
+// becomes free is used at once.
+func (c *Controller) allowedWait(rank fleet.Urgency) time.Duration {
+	switch {
+	case rank <= fleet.UrgencyLow:
+		return c.config.DelayTarget
+	case rank == fleet.UrgencyNormal:
+		return 2 * c.config.DelayTarget
+	case rank == fleet.UrgencyHigh:
+		return 4 * c.config.DelayTarget
+	}
+	return c.config.InternalWait
+}
+
+// Done records the end of a running request that took served. A zero served
+// leaves the estimates as they are.
+func (c *Controller) Done(now time.Time, id uint64, served time.Duration) []Action {
+	c.actions = c.actions[:0]
+	r, ok := c.running[id]
+	if !ok {
+		return nil
+	}
+	delete(c.running, id)
+	if !r.privileged {
+		c.ordinary--
+	}
+	if served > 0 {
+		c.service.add(now, served)
+		c.class(r.class).add(now, served)
+	}
+	c.expire(now)
+	c.dispatch(now)
+	return c.actions
+}
+
+// Cancel removes a queued request whose caller has gone. It reports whether the
+// request was queued; a running request ends with Done.
+func (c *Controller) Cancel(now time.Time, id uint64) (bool, []Action) {
+	c.actions = c.actions[:0]
+	i := c.queue.index(id)
+	if i < 0 {
+		return false, nil
+	}
+	c.queue.remove(i)
+	c.expire(now)
+	c.dispatch(now)
+	return true, c.actions
+}
+
+// Tick refuses queued requests whose time has passed.
+func (c *Controller) Tick(now time.Time) []Action {
+	c.actions = c.actions[:0]
+	c.expire(now)
+	c.dispatch(now)
+	return c.actions
+}
+
+// Close refuses queued and further requests as kind, for example Draining.
+// Running requests are not affected.
+func (c *Controller) Close(kind errkind.Kind) []Action {
+	c.actions = c.actions[:0]
+	c.closed = kind
+	for _, w := range c.queue {
+		c.actions = append(c.actions, Action{w.id, kind})
+	}
+	c.queue = c.queue[:0]
+	return c.actions
+}
+
+// Open ends the effect of Close.
+func (c *Controller) Open() { c.closed = "" }
--- /dev/null
+++ b/admit/queue.go
@@ -0,0 +1,51 @@
+package admit
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// waiting is a queued request.
+type waiting struct {
+	id       uint64
+	request  Request
+	rank     fleet.Urgency
+	arrived  time.Time
+	giveUp   time.Time // the deadline, or earlier for internal requests
+	sequence uint64
+}
+
+// before reports whether w is served before o.
+func (w *waiting) before(o *waiting) bool {
+	if w.rank != o.rank {
+		return w.rank > o.rank
+	}
+	if !w.request.Deadline.Equal(o.request.Deadline) {
+		return w.request.Deadline.Before(o.request.Deadline)
+	}
+	return w.sequence < o.sequence
+}
+
+// queue is sorted by urgency, then deadline, then arrival. It is short, so that
+// a sorted slice is cheaper than a heap and gives the position of a request.
+type queue []waiting
+
+// position returns the index at which w would be inserted.
+func (q queue) position(w *waiting) int {
+	return sort.Search(len(q), func(i int) bool { return w.before(&q[i]) })
+}
+
+func (q *queue) insert(i int, w waiting) { *q = slices.Insert(*q, i, w) }
+
+func (q *queue) remove(i int) waiting {
+	w := (*q)[i]
+	*q = slices.Delete(*q, i, i+1)
+	return w
+}
+
+func (q queue) index(id uint64) int {
+	return slices.IndexFunc(q, func(w waiting) bool { return w.id == id })
+}
--- /dev/null
+++ b/admit/schedule.go
@@ -0,0 +1,136 @@
+package admit
+
+import (
+	"time"
+
+	"bramleymill/errkind"
+)
+
+// Load is the state of a Controller as load reports carry it.
+type Load struct {
+	InFlight    int
+	Queued      int
+	Slots       int
+	ServiceTime time.Duration
+	Closed      errkind.Kind // empty: open
+}
+
+// Load returns the current counts.
+func (c *Controller) Load(now time.Time) Load {
+	return Load{
+		InFlight:    len(c.running),
+		Queued:      len(c.queue),
+		Slots:       c.config.Slots,
+		ServiceTime: c.service.value(now, c.config.EstimateTrust),
+		Closed:      c.closed,
+	}
+}
+
+// slotFor reports whether a slot is free for r.
+func (c *Controller) slotFor(r Request) bool {
+	if len(c.running) >= c.config.Slots {
+		return false
+	}
+	return r.privileged() || c.ordinary < c.config.Slots-c.config.Reserved
+}
+
+func (c *Controller) run(id uint64, r Request) {
+	c.running[id] = running{r.privileged(), r.Class}
+	if !r.privileged() {
+		c.ordinary++
+	}
+}
+
+// dispatch starts queued requests while slots are free. A request that can no
+// longer meet its deadline is refused, because running it would waste a slot.
+func (c *Controller) dispatch(now time.Time) {
+	for i := 0; i < len(c.queue) && len(c.running) < c.config.Slots; {
+		w := &c.queue[i]
+		if !c.slotFor(w.request) {
+			i++
+			continue
+		}
+		started := c.queue.remove(i)
+		if c.remainingTooShort(now, started.request) {
+			c.actions = append(c.actions, Action{started.id, errkind.DeadlineBeforeRun})
+			continue
+		}
+		c.observeDelay(now, now.Sub(started.arrived), started.request)
+		c.run(started.id, started.request)
+		c.actions = append(c.actions, Action{started.id, ""})
+	}
+}
+
+// observeDelay feeds the delay rule. Privileged requests overtake the others
+// and say nothing about the queue.
+func (c *Controller) observeDelay(now time.Time, wait time.Duration, r Request) {
+	if !r.privileged() {
+		c.delay.observe(now, wait, &c.config)
+	}
+}
+
+func (c *Controller) expire(now time.Time) {
+	for i := 0; i < len(c.queue); {
+		if now.Before(c.queue[i].giveUp) {
+			i++
+			continue
+		}
+		w := c.queue.remove(i)
+		kind := errkind.DeadlineBeforeRun
+		if now.Before(w.request.Deadline) {
+			kind = errkind.QueueFull
+		}
+		c.actions = append(c.actions, Action{w.id, kind})
+	}
+}
+
+// NextExpiry returns the earliest time at which Tick would refuse a request.
+func (c *Controller) NextExpiry() (time.Time, bool) {
+	var first time.Time
+	for i := range c.queue {
+		if g := c.queue[i].giveUp; first.IsZero() || g.Before(first) {
+			first = g
+		}
+	}
+	return first, !first.IsZero()
+}
+
+func (c *Controller) class(name string) *estimate {
+	e := c.classes[name]
+	if e == nil {
+		e = &estimate{}
+		c.classes[name] = e
+	}
+	return e
+}
+
+// classTime returns the expected service time of a class. Without samples of
+// the class nothing is assumed, so that the first request is never refused.
+func (c *Controller) classTime(now time.Time, name string) time.Duration {
+	e := c.classes[name]
+	if e == nil {
+		return 0
+	}
+	return e.value(now, c.config.EstimateTrust)
+}
+
+// expectedWait returns the time until a request at a position of the queue
+// starts when every slot is in use.
+func (c *Controller) expectedWait(now time.Time, r Request, position int) time.Duration {
+	slots := c.config.Slots
+	if !r.privileged() {
+		slots -= c.config.Reserved
+	}
+	return time.Duration(position+1) * c.service.value(now, c.config.EstimateTrust) / time.Duration(slots)
+}
+
+// hopelessShare is the share of the mean service time below which the time left
+// is taken as too short. Half the requests are faster than the mean, so that
+// the mean itself would refuse requests that meet their deadline.
+const hopelessShare = 0.5
+
+func (c *Controller) remainingTooShort(now time.Time, r Request) bool {
+	need := time.Duration(hopelessShare * float64(c.classTime(now, r.Class)))
+	left := r.Deadline.Sub(now)
+	return left <= 0 || left < need
+}
--- /dev/null
+++ b/pick/balancer.go
@@ -0,0 +1,146 @@
+package pick
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// Balancer selects among the backend servers of one service. Pick, Started,
+// Finished and Observe are safe for concurrent use with each other and Update.
+type Balancer struct {
+	config  Config
+	pool    atomic.Pointer[pool]
+	service atomicFloat // mean service time of the pool in nanoseconds
+
+	mu    sync.Mutex // serialises Update and ejections
+	zones map[string]*zoneDelay
+}
+
+// pool is an immutable list of the servers that may be chosen.
+type pool struct {
+	epoch     time.Time // zero of the int64 times of this package
+	endpoints []*Endpoint
+	byNode    map[fleet.NodeID]*Endpoint
+}
+
+// Endpoint is a backend server that Pick returned. It is immutable; its
+// estimates are shared with its successors of the same incarnation.
+type Endpoint struct {
+	Server fleet.Server
+
+	epoch   time.Time
+	readyAt int64
+	zone    *zoneDelay
+	load    *load
+}
+
+// New returns a Balancer with an empty pool.
+func New(c Config) *Balancer {
+	b := &Balancer{config: c.withDefaults(), zones: map[string]*zoneDelay{}}
+	b.service.Store(float64(b.config.ServiceTime))
+	b.pool.Store(&pool{})
+	return b
+}
+
+// Update publishes the servers announced for the service. Only servers in the
+// state Ready are chosen.
+func (b *Balancer) Update(now time.Time, servers []fleet.Server, ownZone string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	old := b.pool.Load()
+	next := &pool{epoch: old.epoch, byNode: make(map[fleet.NodeID]*Endpoint, len(servers))}
+	if next.epoch.IsZero() {
+		next.epoch = now
+	}
+	for _, s := range servers {
+		if _, twice := next.byNode[s.Node]; twice {
+			continue
+		}
+		e := b.endpoint(next.epoch, now, s, ownZone, old.byNode[s.Node])
+		next.byNode[s.Node] = e
+		if s.State == fleet.Ready {
+			next.endpoints = append(next.endpoints, e)
+		}
+	}
+	next.limitEjected(next.at(now))
+	b.pool.Store(next)
+}
+
+func (b *Balancer) endpoint(epoch, now time.Time, s fleet.Server, ownZone string, old *Endpoint) *Endpoint {
+	e := &Endpoint{Server: s, epoch: epoch, zone: b.zone(s.Zone, ownZone)}
+	e.readyAt = now.UnixMilli()
+	if s.ReadySince < e.readyAt {
+		e.readyAt = s.ReadySince
+	}
+	e.readyAt = int64(now.Sub(epoch)) - (now.UnixMilli()-e.readyAt)*int64(time.Millisecond)
+	if old == nil || old.Server.Incarnation != s.Incarnation {
+		e.load = newLoad(s.Slots)
+		return e
+	}
+	e.load = old.load
+	if old.Server.State != fleet.Ready && s.State == fleet.Ready || s.Sequence > old.Server.Sequence {
+		e.load.draining.Store(false)
+	}
+	return e
+}
+
+func (b *Balancer) zone(name, own string) *zoneDelay {
+	z := b.zones[name]
+	if z == nil {
+		z = &zoneDelay{}
+		if name != own {
+			z.nanos.Store(int64(b.config.OtherZoneDelay))
+		}
+		b.zones[name] = z
+	}
+	return z
+}
+
+func (p *pool) at(now time.Time) int64 { return int64(now.Sub(p.epoch)) }
+
+// Len returns the number of servers that may be chosen.
+func (b *Balancer) Len() int { return len(b.pool.Load().endpoints) }
+
+// Endpoint returns the endpoint of a node in any state, or nil.
+func (b *Balancer) Endpoint(node fleet.NodeID) *Endpoint { return b.pool.Load().byNode[node] }
+
+// View is the state of one server as the selecting node sees it.
+type View struct {
+	Server      fleet.Server
+	Cost        time.Duration // expected completion time
+	Outstanding int           // requests of the selecting node without an answer
+	ReportAge   time.Duration // age of the newest load report; negative without one
+	FailureRate float64
+	Ejected     bool
+}
+
+// Views returns the state of every server of the pool, for explanations.
+func (b *Balancer) Views(now time.Time) []View {
+	p := b.pool.Load()
+	t := p.at(now)
+	out := make([]View, 0, len(p.endpoints))
+	for _, e := range p.endpoints {
+		out = append(out, View{
+			Server:      e.Server,
+			Cost:        time.Duration(b.cost(e, t)),
+			Outstanding: int(e.load.outstanding.Load()),
+			ReportAge:   e.ReportAge(now),
+			FailureRate: e.load.failureRate(t, int64(b.config.FailureTrust)),
+			Ejected:     e.load.ejectedUntil.Load() != 0,
+		})
+	}
+	return out
+}
+
+// ReportAge returns the age of the newest load report of e, or a negative
+// duration when there is none.
+func (e *Endpoint) ReportAge(now time.Time) time.Duration {
+	at := e.load.reportAt.Load()
+	if at == never {
+		return -1
+	}
+	return now.Sub(e.epoch) - time.Duration(at)
+}
--- /dev/null
+++ b/pick/pick.go
@@ -0,0 +1,151 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+// MaxExcluded is the number of nodes that an Exclude remembers.
+const MaxExcluded = 8
+
+// Exclude is a small set of nodes that a request must not be sent to again. The
+// zero value is empty. Once full, a further node replaces the one added first.
+type Exclude struct {
+	nodes [MaxExcluded]fleet.NodeID
+	added int
+}
+
+// Add puts a node into x.
+func (x *Exclude) Add(node fleet.NodeID) {
+	x.nodes[x.added%MaxExcluded] = node
+	x.added++
+}
+
+// Has reports whether node is in x. A nil Exclude is empty.
+func (x *Exclude) Has(node fleet.NodeID) bool {
+	if x == nil {
+		return false
+	}
+	for _, n := range x.nodes[:min(x.added, MaxExcluded)] {
+		if n == node {
+			return true
+		}
+	}
+	return false
+}
+
+// Pick returns the server with the least expected completion time among a few
+// random candidates. Without a server it returns nil and the kind of the
+// refusal. It allocates nothing.
+func (b *Balancer) Pick(now time.Time, rng *rand.Rand, exclude *Exclude) (*Endpoint, errkind.Kind) {
+	p := b.pool.Load()
+	if len(p.endpoints) == 0 {
+		return nil, errkind.NoBackendServer
+	}
+	t := p.at(now)
+	e := b.sample(p, t, rng, exclude)
+	if e == nil {
+		e = b.scan(p, t, rng, exclude)
+	}
+	if e == nil {
+		return nil, errkind.NoBackendServer
+	}
+	return e, ""
+}
+
+// drawsPerCandidate bounds the random draws of a Pick when draws repeat or hit
+// servers that may not be chosen.
+const drawsPerCandidate = 3
+
+func (b *Balancer) sample(p *pool, t int64, rng *rand.Rand, exclude *Exclude) *Endpoint {
+	var seen [maxCandidates]int
+	found, want := 0, min(b.config.Candidates, len(p.endpoints))
+	var best *Endpoint
+	var bestCost float64
+	for draw := 0; found < want && draw < want*drawsPerCandidate; draw++ {
+		i := rng.IntN(len(p.endpoints))
+		if contains(seen[:found], i) {
+			continue
+		}
+		e := p.endpoints[i]
+		if e.load.draining.Load() || exclude.Has(e.Server.Node) {
+			continue
+		}
+		if e.load.ejectedUntil.Load() != 0 {
+			if b.takeTrial(e, t) {
+				return e
+			}
+			continue
+		}
+		seen[found] = i
+		found++
+		if c := b.cost(e, t); best == nil || c < bestCost {
+			best, bestCost = e, c
+		}
+	}
+	return best
+}
+
+func contains(list []int, v int) bool {
+	for _, x := range list {
+		if x == v {
+			return true
+		}
+	}
+	return false
+}
+
+// scan looks at every server when no random candidate may be chosen. Ejected
+// servers are considered only when nothing else is left.
+func (b *Balancer) scan(p *pool, t int64, rng *rand.Rand, exclude *Exclude) *Endpoint {
+	var best, ejected *Endpoint
+	var bestCost, ejectedCost float64
+	first := rng.IntN(len(p.endpoints))
+	for i := range p.endpoints {
+		e := p.endpoints[(first+i)%len(p.endpoints)]
+		if e.load.draining.Load() || exclude.Has(e.Server.Node) {
+			continue
+		}
+		c := b.cost(e, t)
+		if e.load.ejectedUntil.Load() != 0 {
+			if ejected == nil || c < ejectedCost {
+				ejected, ejectedCost = e, c
+			}
+		} else if best == nil || c < bestCost {
+			best, bestCost = e, c
+		}
+	}
+	if best == nil {
+		return ejected
+	}
+	return best
+}
+
+// cost returns the expected completion time in nanoseconds.
+func (b *Balancer) cost(e *Endpoint, t int64) float64 {
+	c := &b.config
+	l := e.load
+	service := b.serviceTime(l, t)
+	c0 := float64(e.zone.nanos.Load()) + (l.ahead(t, int64(c.ReportTrust))/float64(l.slots.Load())+1)*service
+	if warm := t - e.readyAt; warm < int64(c.SlowStart) {
+		c0 *= 1 + (c.SlowStartFactor-1)*(1-float64(max(warm, 0))/float64(c.SlowStart))
+	}
+	return c0 + l.failureRate(t, int64(c.FailureTrust))*float64(c.FailurePenalty)
+}
+
+// serviceTime returns the estimate of l, which returns to the mean of the pool
+// as it ages, so that a straggler is eventually tried again. The age of the
+// oldest outstanding request is a lower bound of the service time it will show.
+func (b *Balancer) serviceTime(l *load, t int64) float64 {
+	mean := b.service.Load()
+	service := l.service.Load()
+	if service == 0 {
+		service = mean
+	} else {
+		service = mean + (service-mean)*decay(t-l.serviceAt.Load(), int64(b.config.EstimateTrust))
+	}
+	return max(service, float64(l.oldest(t)))
+}
--- /dev/null
+++ b/pick/pick_test.go
@@ -0,0 +1,115 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func servers(n int) []fleet.Server {
+	out := make([]fleet.Server, n)
+	for i := range out {
+		out[i] = fleet.Server{Node: nodeName(i), Incarnation: 1, Zone: "zone-a", State: fleet.Ready, Slots: 10}
+	}
+	return out
+}
+
+func nodeName(i int) fleet.NodeID {
+	return fleet.NodeID([]byte{'n', byte('a' + i/676), byte('a' + i/26%26), byte('a' + i%26)})
+}
+
+func newBalancer(c Config, list []fleet.Server) (*Balancer, *rand.Rand) {
+	b := New(c)
+	b.Update(start, list, "zone-a")
+	return b, rand.New(rand.NewPCG(1, 2))
+}
+
+// answer sends one request to node at now and ends it after d.
+func answer(b *Balancer, node fleet.NodeID, now time.Time, d time.Duration, o Outcome, r *fleet.LoadReport) {
+	a := b.Started(b.Endpoint(node), now)
+	b.Finished(a, now.Add(d), Result{Outcome: o, Report: r})
+}
+
+// counts returns how often each node is picked in n picks at now.
+func counts(b *Balancer, rng *rand.Rand, now time.Time, n int, x *Exclude) map[fleet.NodeID]int {
+	out := map[fleet.NodeID]int{}
+	for range n {
+		if e, _ := b.Pick(now, rng, x); e != nil {
+			out[e.Server.Node]++
+		}
+	}
+	return out
+}
+
+// Guards against sending work to servers that are not ready, and against a
+// nil endpoint without a kind.
+func TestOnlyReadyServersAreChosen(t *testing.T) {
+	list := servers(5)
+	for i, s := range []fleet.ServerState{fleet.Starting, fleet.Draining, fleet.Down, fleet.Left} {
+		list[i].State = s
+	}
+	b, rng := newBalancer(Config{}, list)
+	got := counts(b, rng, start, 100, nil)
+	if len(got) != 1 || got[list[4].Node] != 100 {
+		t.Fatalf("picks = %v, want only %s", got, list[4].Node)
+	}
+	var x Exclude
+	x.Add(list[4].Node)
+	if e, kind := b.Pick(start, rng, &x); e != nil || kind != errkind.NoBackendServer {
+		t.Fatalf("Pick with every server excluded = %v, %q", e, kind)
+	}
+}
+
+// Guards against new work for a server whose own report already says that it drains.
+func TestReportedDrainStopsChoice(t *testing.T) {
+	b, rng := newBalancer(Config{}, servers(3))
+	b.Observe(nodeName(0), start, &fleet.LoadReport{Incarnation: 1, Sequence: 1, Draining: true})
+	if got := counts(b, rng, start, 300, nil); got[nodeName(0)] != 0 {
+		t.Fatalf("draining server was picked %d times", got[nodeName(0)])
+	}
+}
+
+// Guards against a slow server keeping its share until its own answers tell, and
+// against it being avoided for ever.
+func TestStragglerIsAvoidedAndTriedAgain(t *testing.T) {
+	b, rng := newBalancer(Config{Candidates: 3}, servers(3))
+	for i := range 3 {
+		answer(b, nodeName(i), start, 10*time.Millisecond, Succeeded, nil)
+	}
+	answer(b, nodeName(0), start, 200*time.Millisecond, Succeeded, nil)
+	now := start.Add(201 * time.Millisecond)
+	if got := counts(b, rng, now, 300, nil)[nodeName(0)]; got != 0 {
+		t.Errorf("straggler was picked %d times", got)
+	}
+	views := b.Views(now.Add(time.Hour))
+	if views[0].Cost > views[1].Cost*101/100 {
+		t.Errorf("after an hour the straggler costs %v and another server %v", views[0].Cost, views[1].Cost)
+	}
+}
+
+// Guards against waiting for the answer of a stuck request before its server
+// counts as slow.
+func TestOutstandingRequestRaisesCost(t *testing.T) {
+	b, rng := newBalancer(Config{}, servers(3))
+	for i := range 3 {
+		answer(b, nodeName(i), start, 10*time.Millisecond, Succeeded, nil)
+	}
+	stuck := b.Started(b.Endpoint(nodeName(1)), start)
+	now := start.Add(300 * time.Millisecond)
+	for i := range 3 {
+		// Equal reports leave the age of the request as the only difference.
+		b.Observe(nodeName(i), now, &fleet.LoadReport{Incarnation: 1, Sequence: 1, InFlight: 1})
+	}
+	if got := counts(b, rng, now, 300, nil)[nodeName(1)]; got != 0 {
+		t.Errorf("server with a stuck request was picked %d times", got)
+	}
+	b.Finished(stuck, now, Result{Outcome: Canceled})
+	if n := b.Endpoint(nodeName(1)).load.outstanding.Load(); n != 0 {
+		t.Errorf("outstanding = %d after the request ended", n)
+	}
+}
--- /dev/null
+++ b/pick/result.go
@@ -0,0 +1,122 @@
+package pick
+
+import (
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+// Outcome classifies how an attempt ended for the estimates of its server.
+type Outcome uint8
+
+// The outcomes of an attempt.
+const (
+	Succeeded Outcome = iota + 1 // the backend server answered without a server error
+	Failed                       // server error, lost connection, missed deadline, or a dead backend server
+	Refused                      // positive refusal of a server that works, such as a full queue
+	Canceled                     // ended by the selecting node, such as the losing attempt of a hedge
+)
+
+// OutcomeOf returns the outcome of an attempt that ended with an error kind.
+func OutcomeOf(k errkind.Kind) Outcome {
+	switch k {
+	case "":
+		return Succeeded
+	case errkind.CallerGone:
+		return Canceled
+	case errkind.BackendDown, errkind.ConnectionLost, errkind.DeadlineExceeded,
+		errkind.OutcomeUnknown, errkind.Internal, errkind.StaleTarget:
+		return Failed
+	}
+	return Refused
+}
+
+// Result is the end of an attempt.
+type Result struct {
+	Duration time.Duration // from sending to the end of the answer; zero: since Started
+	// AtServer is the part of Duration spent at the server's node. It separates
+	// the delay of the zone from the service time; zero when unknown.
+	AtServer time.Duration
+	Outcome  Outcome
+	Report   *fleet.LoadReport // nil when the answer carried none
+}
+
+// Attempt is a request that was sent to an endpoint. It is passed to Finished
+// exactly once.
+type Attempt struct {
+	endpoint *Endpoint
+	start    int64
+	index    int8
+}
+
+// Started records that a request is being sent to e.
+func (b *Balancer) Started(e *Endpoint, now time.Time) Attempt {
+	t := int64(now.Sub(e.epoch))
+	return Attempt{endpoint: e, start: t, index: e.load.start(t)}
+}
+
+// Finished records the end of an attempt.
+func (b *Balancer) Finished(a Attempt, now time.Time, r Result) {
+	e, l := a.endpoint, a.endpoint.load
+	t := int64(now.Sub(e.epoch))
+	if r.Duration == 0 {
+		r.Duration = time.Duration(t - a.start)
+	}
+	l.finish(a.index)
+	l.mu.Lock()
+	b.observe(e, t, r.Report)
+	b.learnTimes(e, t, r)
+	eject := false
+	switch r.Outcome {
+	case Succeeded:
+		l.succeeded(t, a.start)
+	case Failed:
+		eject = l.failed(t, a.start, &b.config)
+	}
+	l.mu.Unlock()
+	if eject {
+		b.eject(l, t)
+	}
+}
+
+// Observe records a load report that arrived without an attempt, such as the
+// answer to a probe. Reports of other incarnations are ignored.
+func (b *Balancer) Observe(node fleet.NodeID, now time.Time, r *fleet.LoadReport) {
+	e := b.Endpoint(node)
+	if e == nil {
+		return
+	}
+	e.load.mu.Lock()
+	defer e.load.mu.Unlock()
+	b.observe(e, int64(now.Sub(e.epoch)), r)
+}
+
+func (b *Balancer) observe(e *Endpoint, t int64, r *fleet.LoadReport) {
+	if r != nil && r.Incarnation == e.Server.Incarnation {
+		e.load.report(t, r)
+	}
+}
+
+// poolWeight is the weight of one answer in the mean service time of the pool.
+const poolWeight = 0.02
+
+func (b *Balancer) learnTimes(e *Endpoint, t int64, r Result) {
+	at := r.AtServer
+	if at > 0 {
+		e.zone.learn(max(r.Duration-at, 0))
+	} else {
+		at = max(r.Duration-time.Duration(e.zone.nanos.Load()), 0)
+	}
+	switch r.Outcome {
+	case Succeeded:
+		e.load.served(t, at)
+		mean := b.service.Load()
+		b.service.Store(mean + poolWeight*(float64(at)-mean))
+	case Canceled, Failed:
+		// The attempt ran at least this long. A short one says nothing.
+		if float64(at) > e.load.service.Load() {
+			e.load.served(t, at)
+		}
+	}
+}
--- /dev/null
+++ b/probe/budget.go
@@ -0,0 +1,126 @@
+package probe
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Limits is the measuring budget of one backend server. Zero allows nothing.
+type Limits struct {
+	ProbesPerSecond float64
+	BytesPerSecond  int64
+}
+
+// Bursts of the buckets. One probe may always be saved up; the byte bucket
+// holds one second, but at least the largest probe, so that a small budget
+// allows a probe now and then.
+const (
+	probeBurst      = 1
+	LargestProbe    = 4096 // bytes of request and answer
+	byteBurstPeriod = time.Second
+)
+
+// Budget enforces Limits. It is safe for concurrent use. Its buckets start
+// empty, so that restarts and changes of the limits add no probes.
+type Budget struct {
+	mu     sync.Mutex
+	limits Limits
+	probes *rate.Limiter
+	bytes  *rate.Limiter
+	spent  Spent
+
+	since         time.Time // end of the time that the allowances cover
+	allowedProbes float64
+	allowedBytes  float64
+}
+
+// Spent counts what was measured and what was refused since the start.
+type Spent struct {
+	Probes        uint64
+	Bytes         uint64
+	RefusedProbes uint64
+	RefusedBytes  uint64
+	// ProbeShare and ByteShare are spent shares of what the limits allowed. They
+	// are zero for a limit of zero.
+	ProbeShare float64
+	ByteShare  float64
+}
+
+// NewBudget returns a Budget with empty buckets.
+func NewBudget(now time.Time, l Limits) *Budget {
+	b := &Budget{since: now}
+	b.SetLimits(now, l)
+	return b
+}
+
+// SetLimits replaces the limits. Setting the same limits again changes nothing.
+func (b *Budget) SetLimits(now time.Time, l Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l.ProbesPerSecond, l.BytesPerSecond = max(l.ProbesPerSecond, 0), max(l.BytesPerSecond, 0)
+	if b.probes != nil && b.limits == l {
+		return
+	}
+	b.account(now)
+	b.limits = l
+	burst := max(int(float64(l.BytesPerSecond)*byteBurstPeriod.Seconds()), LargestProbe)
+	b.probes = emptyLimiter(now, l.ProbesPerSecond, probeBurst)
+	b.bytes = emptyLimiter(now, float64(l.BytesPerSecond), burst)
+}
+
+func emptyLimiter(now time.Time, perSecond float64, burst int) *rate.Limiter {
+	l := rate.NewLimiter(rate.Limit(perSecond), burst)
+	l.AllowN(now, burst)
+	return l
+}
+
+// account adds the allowance of the time since the last call. The caller holds mu.
+func (b *Budget) account(now time.Time) {
+	if seconds := now.Sub(b.since).Seconds(); seconds > 0 {
+		b.allowedProbes += seconds * b.limits.ProbesPerSecond
+		b.allowedBytes += seconds * float64(b.limits.BytesPerSecond)
+		b.since = now
+	}
+}
+
+// Probe reports whether the backend server may be probed now and counts the probe.
+func (b *Budget) Probe(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limits.ProbesPerSecond == 0 || !b.probes.AllowN(now, 1) {
+		b.spent.RefusedProbes++
+		return false
+	}
+	b.spent.Probes++
+	return true
+}
+
+// Bytes reports whether n bytes may be put on the network for measuring now and
+// counts them.
+func (b *Budget) Bytes(now time.Time, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n < 0 || b.limits.BytesPerSecond == 0 || !b.bytes.AllowN(now, n) {
+		b.spent.RefusedBytes += uint64(max(n, 0))
+		return false
+	}
+	b.spent.Bytes += uint64(n)
+	return true
+}
+
+// Spent returns the counters.
+func (b *Budget) Spent(now time.Time) Spent {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(now)
+	s := b.spent
+	if b.allowedProbes > 0 {
+		s.ProbeShare = float64(s.Probes) / b.allowedProbes
+	}
+	if b.allowedBytes > 0 {
+		s.ByteShare = float64(s.Bytes) / b.allowedBytes
+	}
+	return s
+}
--- /dev/null
+++ b/retry/policy.go
@@ -0,0 +1,203 @@
+package retry
+
+import (
+	"time"
+
+	"bramleymill/errkind"
+)
+
+// Config holds the parameters of a Policy. The zero value of a field selects
+// its default; a negative ratio allows none.
+type Config struct {
+	RetryRatio   float64 // retries for each request
+	HedgeRatio   float64 // hedges for each request
+	RetryReserve int     // retries available without recent traffic
+	HedgeReserve int
+	MinHedge     time.Duration // shortest delay of a hedge
+}
+
+// Defaults of Config.
+const (
+	DefaultRetryRatio   = 0.10
+	DefaultHedgeRatio   = 0.05
+	DefaultRetryReserve = 3
+	DefaultHedgeReserve = 1
+	DefaultMinHedge     = time.Millisecond
+)
+
+func (c Config) withDefaults() Config {
+	if c.RetryRatio == 0 {
+		c.RetryRatio = DefaultRetryRatio
+	}
+	if c.HedgeRatio == 0 {
+		c.HedgeRatio = DefaultHedgeRatio
+	}
+	if c.RetryReserve == 0 {
+		c.RetryReserve = DefaultRetryReserve
+	}
+	if c.HedgeReserve == 0 {
+		c.HedgeReserve = DefaultHedgeReserve
+	}
+	if c.MinHedge <= 0 {
+		c.MinHedge = DefaultMinHedge
+	}
+	c.RetryRatio, c.HedgeRatio = max(c.RetryRatio, 0), max(c.HedgeRatio, 0)
+	c.RetryReserve, c.HedgeReserve = max(c.RetryReserve, 0), max(c.HedgeReserve, 0)
+	return c
+}
+
+// Policy decides on further attempts of one class at one selecting node. It is
+// safe for concurrent use.
+type Policy struct {
+	config  Config
+	retries *Budget
+	hedges  *Budget
+	latency *Latency
+}
+
+// New returns a Policy without history.
+func New(now time.Time, c Config) *Policy {
+	c = c.withDefaults()
+	return &Policy{
+		config:  c,
+		retries: NewBudget(now, c.RetryRatio, c.RetryReserve),
+		hedges:  NewBudget(now, c.HedgeRatio, c.HedgeReserve),
+		latency: NewLatency(now),
+	}
+}
+
+// Began records a request of the class. It earns shares of further attempts.
+func (p *Policy) Began() {
+	p.retries.Earn()
+	p.hedges.Earn()
+}
+
+// Answered records the duration of a request that a backend server answered.
+func (p *Policy) Answered(now time.Time, d time.Duration) { p.latency.Record(now, d) }
+
+// Failure describes an attempt that ended without an answer to pass on.
+type Failure struct {
+	Kind       errkind.Kind
+	Idempotent bool          // of the class
+	BytesSent  bool          // a part of the answer has been passed on
+	Confined   bool          // a confined attempt is the only one
+	Remaining  time.Duration // time left until the deadline
+}
+
+// Verb is what follows an attempt.
+type Verb uint8
+
+// The verbs of a Decision.
+const (
+	GiveUp Verb = iota + 1
+	RetryElsewhere
+)
+
+// Decision is the answer to a Failure. Kind is the kind to answer with when
+// the verb is GiveUp.
+type Decision struct {
+	Verb Verb
+	Kind errkind.Kind
+}
+
+// After decides what follows a failed attempt. When it returns RetryElsewhere
+// it has taken one of the attempts and one token of the retry budget.
+func (p *Policy) After(now time.Time, f Failure, attempts *Attempts) Decision {
+	if !retryable(f) {
+		return Decision{GiveUp, finalKind(f)}
+	}
+	if !p.worthwhile(f.Remaining) || !attempts.Take() {
+		return Decision{GiveUp, f.Kind}
+	}
+	if !p.retries.Spend(now) {
+		attempts.Return(1)
+		return Decision{GiveUp, p.exhaustedKind(f)}
+	}
+	return Decision{Verb: RetryElsewhere}
+}
+
+// retryable reports whether a further attempt is safe and may end differently.
+func retryable(f Failure) bool {
+	if f.BytesSent || f.Confined || f.Remaining <= 0 {
+		return false
+	}
+	switch f.Kind {
+	case errkind.DeadlineBeforeRun, errkind.DeadlineExceeded, errkind.CallerGone, errkind.CrashSuspect:
+		return f.Kind == errkind.DeadlineBeforeRun
+	}
+	switch errkind.Lookup(f.Kind).Outcome {
+	case errkind.NotRun, errkind.Overloaded:
+		return true
+	case errkind.Unknown:
+		return f.Idempotent && f.Kind != errkind.DuplicateAttempt && f.Kind != errkind.InProgress
+	}
+	return false
+}
+
+// finalKind returns the kind to answer with. Work that may have run is never
+// answered as anything else than unknown.
+func finalKind(f Failure) errkind.Kind {
+	if f.Remaining <= 0 && errkind.Lookup(f.Kind).Outcome == errkind.Unknown {
+		return errkind.DeadlineExceeded
+	}
+	return f.Kind
+}
+
+// exhaustedKind keeps the kind of an attempt that may have run, because
+// RetryBudgetExhausted states that the work did not run.
+func (p *Policy) exhaustedKind(f Failure) errkind.Kind {
+	if errkind.Lookup(f.Kind).Outcome == errkind.Unknown {
+		return f.Kind
+	}
+	return errkind.RetryBudgetExhausted
+}
+
+// worthwhileShare is the share of the recent p95 that must remain for another
+// attempt to have a fair chance.
+const worthwhileShare = 0.5
+
+func (p *Policy) worthwhile(remaining time.Duration) bool {
+	p95, known := p.latency.P95()
+	return !known || float64(remaining) >= worthwhileShare*float64(p95)
+}
+
+// HedgeDelay returns how long to wait for the first attempt before it is hedged.
+// It reports false for classes that are never hedged, before the latency of the
+// class is known, and when the deadline leaves no time for a hedge.
+func (p *Policy) HedgeDelay(idempotent, internalOnly bool, remaining time.Duration) (time.Duration, bool) {
+	if !idempotent || internalOnly {
+		return 0, false
+	}
+	p95, known := p.latency.P95()
+	if !known {
+		return 0, false
+	}
+	delay := max(p95, p.config.MinHedge)
+	return delay, delay < remaining
+}
+
+// Hedge reports whether a hedge may be sent now that its delay has passed. When
+// it returns true it has taken one of the attempts and one token.
+func (p *Policy) Hedge(now time.Time, attempts *Attempts) bool {
+	if !attempts.Take() {
+		return false
+	}
+	if !p.hedges.Spend(now) {
+		attempts.Return(1)
+		return false
+	}
+	return true
+}
+
+// Budgets is the state of the budgets for metrics.
+type Budgets struct {
+	RetryTokens float64
+	HedgeTokens float64
+	P95         time.Duration // zero: not known
+}
+
+// Budgets returns the state of the budgets.
+func (p *Policy) Budgets() Budgets {
+	p95, _ := p.latency.P95()
+	return Budgets{p.retries.Tokens(), p.hedges.Tokens(), p95}
+}
--- /dev/null
+++ b/suspect/clear.go
@@ -0,0 +1,119 @@
+package suspect
+
+import (
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// Clearance states that crashes are no longer held against a request, because it
+// finished after them or because an operator released it.
+type Clearance struct {
+	Key     Key     `cbor:"1,keyasint"`
+	Crashes []Crash `cbor:"2,keyasint"`
+	// Operator is set when an operator released the request. Only then does the
+	// clearance end a refusal.
+	Operator bool `cbor:"3,keyasint,omitempty"`
+}
+
+// Finished records that an attempt of k that was sent at started finished on a
+// backend server. It clears a suspicion that is older than the attempt and
+// returns the clearance for the other nodes. It does not end a refusal.
+func (t *Table) Finished(now time.Time, k Key, started time.Time) (Clearance, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[k]
+	if e == nil || t.verdict(e) == Refuse || !started.After(e.last) {
+		return Clearance{}, false
+	}
+	return t.clear(now, k, e, false), true
+}
+
+// Release ends the suspicion or refusal of k by order of an operator and returns
+// the clearance for the other nodes.
+func (t *Table) Release(now time.Time, k Key) (Clearance, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[k]
+	if e == nil {
+		return Clearance{}, false
+	}
+	return t.clear(now, k, e, true), true
+}
+
+func (t *Table) clear(now time.Time, k Key, e *entry, operator bool) Clearance {
+	c := Clearance{Key: k, Operator: operator}
+	for crash := range e.crashes {
+		c.Crashes = append(c.Crashes, crash)
+		t.remember(now, k, crash)
+	}
+	delete(t.entries, k)
+	return c
+}
+
+// Clear merges a clearance of another node and tells whether it was new. Crashes
+// that the clearance does not name stay in force.
+func (t *Table) Clear(now time.Time, c Clearance) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	e := t.entries[c.Key]
+	if e != nil && t.verdict(e) == Refuse && !c.Operator {
+		return false
+	}
+	changed := false
+	for _, crash := range c.Crashes {
+		if _, known := t.cleared[clearedCrash{c.Key, crash}]; known {
+			continue
+		}
+		changed = true
+		t.remember(now, c.Key, crash)
+		if e != nil {
+			delete(e.crashes, crash)
+		}
+	}
+	if e != nil && len(e.crashes) == 0 {
+		delete(t.entries, c.Key)
+	}
+	return changed
+}
+
+// remember keeps a cleared crash, so that a late copy of its report does not
+// bring the suspicion back.
+func (t *Table) remember(now time.Time, k Key, crash Crash) {
+	if len(t.cleared) >= t.config.MaxEntries {
+		evictOldest(t.cleared)
+	}
+	t.cleared[clearedCrash{k, crash}] = now
+}
+
+func evictOldest(m map[clearedCrash]time.Time) {
+	var oldest clearedCrash
+	var at time.Time
+	for k, v := range m {
+		if at.IsZero() || v.Before(at) {
+			oldest, at = k, v
+		}
+	}
+	delete(m, oldest)
+}
+
+// Reports returns the reports that make up the table, for a node that joins.
+func (t *Table) Reports(now time.Time) []fleet.CrashReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []fleet.CrashReport
+	for k, e := range t.entries {
+		if t.expired(now, e) {
+			continue
+		}
+		for crash, confined := range e.crashes {
+			out = append(out, fleet.CrashReport{
+				Service: k.Service, Fingerprint: k.Fingerprint,
+				Node: crash.Node, Incarnation: crash.Incarnation, Life: crash.Life,
+				Confined: confined, Class: e.class, Path: e.path,
+			})
+		}
+	}
+	return out
+}
