claim, configstate: add the replicated state machines

Cause: the request path and the operator interface need claims and a versioned class document whose decisions are the same on every replica. Additive change in claim/messages.go: Invalid, lock messages, Limits and Result.Remaining. Ruled out: limits from the settings of each instance, because replicas with different limits would decide a full store differently and could grant a key twice after a change of leader; they are a replicated command instead. Keeping the text of keys in a claim, because a digest of 16 bytes finds the record and bounds its size.

--- /dev/null
+++ b/claim/claims.go
@@ -0,0 +1,139 @@
+package claim
+
+import "math"
+
+func (m *Machine) begin(index uint64, b *BeginRequest) reply {
+	if b.Key == "" || len(b.Key) > MaxKeyBytes || !validOwner(b.Owner) || b.Remaining <= 0 {
+		return reply{State: Invalid}
+	}
+	key := digestOf(claimSpace, b.Key)
+	owner := ownerDigest(b.Owner)
+	r := m.find(key)
+	if r != nil && r.phase == released && r.owner != owner {
+		m.remove(r)
+		r = nil
+	}
+	if r != nil {
+		return r.answerBegin(b, owner)
+	}
+	if len(m.records) >= m.limits.MaxClaims || m.bytes+recordBytes > m.limits.MaxBytes {
+		return reply{State: Full}
+	}
+	r = &record{
+		key:     key,
+		owner:   owner,
+		body:    digest(b.Fingerprint[:len(digest{})]),
+		id:      index,
+		when:    m.now + int64(min(b.Remaining, MaxRemaining)+Grace),
+		target:  targetHash(b.Target, b.Incarnation),
+		attempt: 1,
+		phase:   running,
+	}
+	m.add(r)
+	return r.grant()
+}
+
+func validOwner(owner string) bool { return owner != "" && len(owner) <= MaxOwnerBytes }
+
+// grant is the reply that allows the current attempt to be sent.
+func (r *record) grant() reply {
+	return reply{State: Granted, ClaimID: r.claimID(), Attempt: uint32(r.attempt)}
+}
+
+// answerBegin is the reply to a Begin that meets an existing claim. Only a
+// repetition by the owner of a claim that is still at attempt 1 is granted:
+// after a reassignment attempt 1 must not be sent any more.
+func (r *record) answerBegin(b *BeginRequest, owner digest) reply {
+	if r.body != digest(b.Fingerprint[:len(digest{})]) {
+		return reply{State: Mismatch}
+	}
+	switch r.phase {
+	case running:
+		if r.owner != owner || r.attempt != 1 {
+			return reply{State: InProgress}
+		}
+		if r.target != targetHash(b.Target, b.Incarnation) {
+			return reply{State: Stale}
+		}
+		return r.grant()
+	case answered:
+		return reply{State: Finished, ClaimID: r.claimID(), Attempt: uint32(r.attempt), Answer: []byte(r.answer)}
+	case released:
+		return reply{State: Stale}
+	}
+	return reply{State: Unknown}
+}
+
+// reassign grants the attempt after a refused one. A repetition of the request
+// that made the current attempt gets the same grant again.
+func (m *Machine) reassign(q *ReassignRequest) reply {
+	r := m.findID(q.ClaimID, q.Owner)
+	if r == nil || r.phase != running || q.Refused == 0 {
+		return reply{State: Stale}
+	}
+	target := targetHash(q.Target, q.Incarnation)
+	switch current := uint32(r.attempt); {
+	case q.Refused == current && current < math.MaxUint16:
+		r.attempt++
+		r.target = target
+		return r.grant()
+	case current > 1 && q.Refused == current-1 && r.target == target:
+		return r.grant()
+	}
+	return reply{State: Stale}
+}
+
+func (m *Machine) finish(f *FinishRequest) reply {
+	r := m.findID(f.ClaimID, f.Owner)
+	if r == nil || uint32(r.attempt) != f.Attempt || r.phase == locked {
+		return reply{State: Stale}
+	}
+	if r.phase == running || r.phase == lapsed {
+		return m.endClaim(r, f)
+	}
+	if r.phase == phaseOf(f.Ending) {
+		return reply{State: Recorded}
+	}
+	return reply{State: Stale}
+}
+
+func (m *Machine) endClaim(r *record, f *FinishRequest) reply {
+	switch f.Ending {
+	case Answered:
+		if f.Answer == nil {
+			return reply{State: Invalid}
+		}
+		m.store(r, f.Answer)
+		m.end(r, answered, m.limits.Retention)
+	case Ambiguous:
+		m.end(r, ambiguous, m.limits.Retention)
+	case Released:
+		m.end(r, released, ReleasedRetention)
+	default:
+		return reply{State: Invalid}
+	}
+	return reply{State: Recorded}
+}
+
+// store keeps the answer of r. When the bytes are used up, only the completion
+// is recorded: a finish must not be lost for lack of space.
+func (m *Machine) store(r *record, a *Answer) {
+	encoded := encodeAnswer(*a)
+	if m.bytes+int64(len(encoded)) > m.limits.MaxBytes {
+		encoded = truncatedAnswer(a.Status)
+	}
+	r.answer = encoded
+	m.bytes += int64(len(encoded))
+}
+
+func phaseOf(e Ending) phase {
+	switch e {
+	case Answered:
+		return answered
+	case Ambiguous:
+		return ambiguous
+	case Released:
+		return released
+	}
+	return 0
+}
--- /dev/null
+++ b/claim/command.go
@@ -0,0 +1,117 @@
+package claim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Bounds of a command. Requests outside them get Invalid.
+const (
+	MaxKeyBytes   = 1024
+	MaxOwnerBytes = 256
+	// MaxRemaining equals the longest deadline of a class document. A longer
+	// remaining time is shortened to it.
+	MaxRemaining = 10 * time.Minute
+	MaxLease     = time.Minute
+)
+
+// command is the encoded form of every request; exactly one field is set.
+type command struct {
+	Begin    *BeginRequest    `cbor:"1,keyasint,omitempty"`
+	Reassign *ReassignRequest `cbor:"2,keyasint,omitempty"`
+	Finish   *FinishRequest   `cbor:"3,keyasint,omitempty"`
+	Lock     *LockRequest     `cbor:"4,keyasint,omitempty"`
+	Unlock   *UnlockRequest   `cbor:"5,keyasint,omitempty"`
+	Limits   *Limits          `cbor:"6,keyasint,omitempty"`
+}
+
+// reply is Result with the stored answer left encoded.
+type reply struct {
+	State     State           `cbor:"1,keyasint"`
+	ClaimID   string          `cbor:"2,keyasint,omitempty"`
+	Attempt   uint32          `cbor:"3,keyasint,omitempty"`
+	Answer    cbor.RawMessage `cbor:"4,keyasint,omitempty"`
+	Remaining time.Duration   `cbor:"5,keyasint,omitempty"`
+}
+
+// encoding sorts map keys, so that every replica stores the same bytes for the
+// header of an answer.
+var encoding = mustEncMode()
+
+var decoding = mustDecMode()
+
+func mustEncMode() cbor.EncMode {
+	m, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustDecMode() cbor.DecMode {
+	m, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func encodeCommand(c command) ([]byte, error) {
+	b, err := encoding.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("encode claim command: %w", err)
+	}
+	return b, nil
+}
+
+func decodeCommand(b []byte) (command, error) {
+	var c command
+	if err := decoding.Unmarshal(b, &c); err != nil {
+		return command{}, fmt.Errorf("decode claim command: %w", err)
+	}
+	return c, nil
+}
+
+func decodeResult(b []byte) (Result, error) {
+	var r Result
+	if err := decoding.Unmarshal(b, &r); err != nil {
+		return Result{}, fmt.Errorf("decode claim result: %w", err)
+	}
+	if r.State == 0 {
+		return Result{}, fmt.Errorf("decode claim result: no state")
+	}
+	return r, nil
+}
+
+func encodeReply(r reply) []byte {
+	b, err := encoding.Marshal(r)
+	if err != nil {
+		// A reply consists of integers, text and stored CBOR, which always encode.
+		panic(fmt.Sprintf("encode claim reply: %v", err))
+	}
+	return b
+}
+
+// encodeAnswer returns the bytes to store for a. An answer over the bounds is
+// stored without header and body.
+func encodeAnswer(a Answer) string {
+	if len(a.Body) <= MaxAnswerBytes {
+		if b, err := encoding.Marshal(a); err == nil && len(b) <= MaxAnswerBytes+maxHeaderBytes {
+			return string(b)
+		}
+	}
+	return truncatedAnswer(a.Status)
+}
+
+func truncatedAnswer(status int) string {
+	b, err := encoding.Marshal(Answer{Status: status, Truncated: true})
+	if err != nil {
+		panic(fmt.Sprintf("encode truncated answer: %v", err))
+	}
+	return string(b)
+}
+
+// maxHeaderBytes bounds the encoded header of a stored answer.
+const maxHeaderBytes = 8 << 10
--- /dev/null
+++ b/claim/machine.go
@@ -0,0 +1,170 @@
+package claim
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Bounds and defaults of the store.
+const (
+	// Grace is added to the deadline of a request before its claim is unknown.
+	// It covers the commit of a Finish sent at the deadline.
+	Grace = 5 * time.Second
+	// ReleasedRetention is the time for which a released claim refuses delayed
+	// copies of its Begin.
+	ReleasedRetention = time.Minute
+
+	DefaultMaxClaims = 200_000
+	DefaultMaxBytes  = 16 << 20
+	DefaultRetention = 24 * time.Hour
+
+	// lockReserve is the number of locks that fit into a store full of claims.
+	lockReserve = 1024
+	// expiriesPerCommand bounds the expiry work of one command. One command adds
+	// at most one record, so that a backlog shrinks.
+	expiriesPerCommand = 16
+	// recordBytes is the measured memory of a record with its share of the map
+	// and the heap, rounded up, and the room for a truncated answer.
+	recordBytes = 192
+)
+
+// Machine holds the claims of one group. It is safe for concurrent use; Apply
+// and Restore are called by one goroutine in log order.
+type Machine struct {
+	mu      sync.Mutex
+	records map[digest]*record
+	expiry  expiry
+	limits  Limits
+	bytes   int64
+	now     int64 // latest stamped time
+}
+
+// New returns an empty Machine with the default limits.
+func New() *Machine {
+	return &Machine{
+		records: map[digest]*record{},
+		limits:  Limits{MaxClaims: DefaultMaxClaims, MaxBytes: DefaultMaxBytes, Retention: DefaultRetention},
+		now:     math.MinInt64,
+	}
+}
+
+// Stats describes the fill of the store.
+type Stats struct {
+	Records int   // claims and locks, including those whose removal is due
+	Bytes   int64 // as counted against Limits.MaxBytes
+	Limits  Limits
+}
+
+// Stats returns the fill of the store.
+func (m *Machine) Stats() Stats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Stats{Records: len(m.records), Bytes: m.bytes, Limits: m.limits}
+}
+
+// Apply executes one command and returns the encoded Result.
+func (m *Machine) Apply(index uint64, at time.Time, data []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// A stamp older than the previous one would revive lapsed claims.
+	m.now = max(m.now, at.UnixNano())
+	m.expire()
+	c, err := decodeCommand(data)
+	if err != nil {
+		return encodeReply(reply{State: Invalid})
+	}
+	return encodeReply(m.run(index, &c))
+}
+
+func (m *Machine) run(index uint64, c *command) reply {
+	switch {
+	case c.Begin != nil:
+		return m.begin(index, c.Begin)
+	case c.Reassign != nil:
+		return m.reassign(c.Reassign)
+	case c.Finish != nil:
+		return m.finish(c.Finish)
+	case c.Lock != nil:
+		return m.lock(index, c.Lock)
+	case c.Unlock != nil:
+		return m.unlock(c.Unlock)
+	case c.Limits != nil:
+		return m.setLimits(*c.Limits)
+	}
+	return reply{State: Invalid}
+}
+
+// expire settles the records whose phase ended first, up to the bound.
+func (m *Machine) expire() {
+	for range expiriesPerCommand {
+		r := m.expiry.first()
+		if r == nil || r.when > m.now {
+			return
+		}
+		m.settle(r)
+	}
+}
+
+// settle brings r to its phase at the current time. It returns nil when the
+// record has ended and removes it.
+func (m *Machine) settle(r *record) *record {
+	before := r.when
+	if !r.settle(m.now, m.limits.Retention) {
+		m.remove(r)
+		return nil
+	}
+	if r.when != before {
+		m.expiry.fix(r)
+	}
+	return r
+}
+
+// find returns the settled record of key, or nil.
+func (m *Machine) find(key digest) *record {
+	r := m.records[key]
+	if r == nil {
+		return nil
+	}
+	return m.settle(r)
+}
+
+// findID returns the record of a claim id held by owner, or nil.
+func (m *Machine) findID(claimID, owner string) *record {
+	key, id, ok := parseClaimID(claimID)
+	if !ok {
+		return nil
+	}
+	r := m.find(key)
+	if r == nil || r.id != id || r.owner != ownerDigest(owner) {
+		return nil
+	}
+	return r
+}
+
+func (m *Machine) add(r *record) {
+	m.records[r.key] = r
+	m.expiry.push(r)
+	m.bytes += r.cost()
+}
+
+func (m *Machine) remove(r *record) {
+	delete(m.records, r.key)
+	m.expiry.remove(r)
+	m.bytes -= r.cost()
+}
+
+// end moves r to an ended phase that is kept for the time keep.
+func (m *Machine) end(r *record, p phase, keep time.Duration) {
+	r.phase = p
+	r.when = m.now + int64(keep)
+	m.expiry.fix(r)
+}
+
+func (m *Machine) setLimits(l Limits) reply {
+	if l.MaxClaims < 1 || l.MaxBytes < recordBytes || l.Retention <= 0 {
+		return reply{State: Invalid}
+	}
+	m.limits = l
+	return reply{State: Recorded}
+}
--- a/claim/messages.go
+++ b/claim/messages.go
@@ -9,7 +9,7 @@
 // State is the state of a claim as told to the node that asks.
 type State uint8
 
-// The results of claim requests.
+// The results of claim requests. The zero value is none of them.
 const (
 	Granted    State = iota + 1 // the attempt may be sent to the target
 	InProgress                  // another request with the key has not finished
@@ -19,6 +19,7 @@
 	Full                        // the store is full; nothing was recorded
 	Recorded                    // a finish was stored
 	Stale                       // the claim or attempt is not the current one
+	Invalid                     // the command is malformed or out of bounds; nothing was recorded
 )
 
 // BeginRequest asks for the first attempt of a key. Repeating it with the same
@@ -72,10 +73,45 @@
 // MaxAnswerBytes bounds the body of a stored answer.
 const MaxAnswerBytes = 16 << 10
 
+// LockRequest asks for the lock of a key. The lease starts at the time stamped
+// into the log entry. Repeating the request with the same Owner returns the
+// grant again and does not extend the lease.
+type LockRequest struct {
+	Key   string        `cbor:"1,keyasint"` // such as suspect/SERVICE
+	Owner string        `cbor:"2,keyasint"` // unique for each holder
+	Lease time.Duration `cbor:"3,keyasint"`
+}
+
+// UnlockRequest releases a lock before its lease ends.
+type UnlockRequest struct {
+	ClaimID string `cbor:"1,keyasint"`
+	Owner   string `cbor:"2,keyasint"`
+}
+
+// Limits bounds the store. They are part of the replicated state.
+type Limits struct {
+	MaxClaims int           `cbor:"1,keyasint"`
+	MaxBytes  int64         `cbor:"2,keyasint"`
+	Retention time.Duration `cbor:"3,keyasint"`
+}
+
 // Result is the reply to a claim request.
 type Result struct {
 	State   State   `cbor:"1,keyasint"`
 	ClaimID string  `cbor:"2,keyasint,omitempty"`
 	Attempt uint32  `cbor:"3,keyasint,omitempty"`
 	Answer  *Answer `cbor:"4,keyasint,omitempty"`
+	// Remaining is the time until the lease of a lock ends.
+	Remaining time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+var stateNames = [...]string{"none", "granted", "in_progress", "finished", "unknown",
+	"mismatch", "full", "recorded", "stale", "invalid"}
+
+// String returns the lower-case name of s.
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "undefined"
 }
--- /dev/null
+++ b/configstate/answers.go
@@ -0,0 +1,72 @@
+package configstate
+
+import "time"
+
+// Bounds of the answers kept for resent changes. The oldest are dropped first.
+const (
+	AnswerRetention = 24 * time.Hour
+	MaxAnswers      = 8192
+	maxAnswerBytes  = 4 << 20
+	// keptAnswerBytes is counted for the fixed fields of a kept answer.
+	keptAnswerBytes = 256
+	// answerExpiriesPerChange bounds the expiry work of one change.
+	answerExpiriesPerChange = 16
+)
+
+// keptAnswer is the first answer to a change id, without the document.
+type keptAnswer struct {
+	ID       string `cbor:"1,keyasint"`
+	Identity Hash   `cbor:"2,keyasint"`
+	At       int64  `cbor:"3,keyasint"` // Unix nanoseconds of stamped time
+	Answer   Answer `cbor:"4,keyasint"`
+}
+
+func (k *keptAnswer) cost() int64 {
+	return keptAnswerBytes + int64(len(k.ID)+len(k.Answer.Message))
+}
+
+// answers holds the first answers in the order in which they were given.
+type answers struct {
+	queue []*keptAnswer
+	byID  map[string]*keptAnswer
+	bytes int64
+}
+
+func newAnswers() answers { return answers{byID: map[string]*keptAnswer{}} }
+
+func (a *answers) add(k *keptAnswer) {
+	k.Answer.Document = nil
+	a.queue = append(a.queue, k)
+	a.byID[k.ID] = k
+	a.bytes += k.cost()
+	for len(a.queue) > MaxAnswers || a.bytes > maxAnswerBytes {
+		a.drop()
+	}
+}
+
+func (a *answers) drop() {
+	k := a.queue[0]
+	a.queue[0] = nil
+	a.queue = a.queue[1:]
+	delete(a.byID, k.ID)
+	a.bytes -= k.cost()
+}
+
+// expire drops answers older than AnswerRetention, up to the bound.
+func (a *answers) expire(now int64) {
+	for range answerExpiriesPerChange {
+		if len(a.queue) == 0 || now-a.queue[0].At < int64(AnswerRetention) {
+			return
+		}
+		a.drop()
+	}
+}
+
+// identity hashes what distinguishes one change from another under the same id.
+// The origin, the expected version and the reason are left out: a change may be
+// sent again through another address, after the version was read again, or
+// without its comment.
+func (c Change) identity() Hash {
+	c.ID, c.Origin, c.Expected, c.Reason = "", "", 0, ""
+	return HashOf(mustEncode(c))
+}
--- /dev/null
+++ b/configstate/machine.go
@@ -0,0 +1,222 @@
+package configstate
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleymill/class"
+)
+
+// View is the state that other modules act on. It is immutable.
+type View struct {
+	Version  uint64
+	Document []byte     // as the operator wrote it; nil before the first change
+	Set      *class.Set // nil before the first change
+	Orders   *Orders
+}
+
+// Machine holds the configuration. View is lock-free; the other methods are
+// safe for concurrent use. Apply and Restore are called by one goroutine in log
+// order.
+type Machine struct {
+	view     atomic.Pointer[View]
+	onChange func(*View)
+
+	mu      sync.RWMutex
+	docs    documents
+	orders  *Orders
+	trail   auditTrail
+	answers answers
+	now     int64 // latest stamped time in Unix nanoseconds
+}
+
+// New returns an empty Machine. onChange, which may be nil, is called from
+// Apply and Restore with each new view and must not call the Machine's methods
+// other than View.
+func New(onChange func(*View)) *Machine {
+	if onChange == nil {
+		onChange = func(*View) {}
+	}
+	m := &Machine{onChange: onChange}
+	m.reset()
+	m.view.Store(&View{Orders: m.orders})
+	return m
+}
+
+func (m *Machine) reset() {
+	m.docs, m.orders, m.trail, m.answers, m.now = documents{}, &Orders{}, auditTrail{}, newAnswers(), 0
+}
+
+// View returns the current state. It is never nil.
+func (m *Machine) View() *View { return m.view.Load() }
+
+// Apply executes one change and returns the encoded Answer.
+func (m *Machine) Apply(_ uint64, at time.Time, command []byte) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now = max(m.now, at.UnixNano())
+	m.answers.expire(m.now)
+	c, err := decodeChange(command)
+	if err != nil {
+		return mustEncode(m.answer(Invalid, err.Error()))
+	}
+	return mustEncode(m.change(&c))
+}
+
+func (m *Machine) answer(o Outcome, message string) Answer {
+	return Answer{Outcome: o, Version: m.docs.current().Version, OrdersVersion: m.orders.Version, Message: cut(message, maxMessageBytes)}
+}
+
+func (m *Machine) change(c *Change) Answer {
+	if k, ok := m.answers.byID[c.ID]; ok && c.ID != "" {
+		if k.Identity == c.identity() {
+			return m.repeat(k)
+		}
+		return m.record(c, m.answer(IDReused, "the change id was used for a different change; leave it out to get a new one"))
+	}
+	before := m.entry(c)
+	a := m.decide(c)
+	a = m.recordEntry(before, a)
+	if c.ID != "" && len(c.ID) <= MaxIDBytes {
+		m.answers.add(&keptAnswer{ID: c.ID, Identity: c.identity(), At: m.now, Answer: a})
+	}
+	if a.Outcome == Conflict {
+		a.Document = m.docs.current().Document
+	}
+	return a
+}
+
+// repeat returns the first answer to a resent change.
+func (m *Machine) repeat(k *keptAnswer) Answer {
+	a := k.Answer
+	a.Repeated = true
+	if a.Outcome == Conflict {
+		v, _ := m.docs.get(a.Version)
+		a.Document = v.Document
+	}
+	return a
+}
+
+// decide executes c and returns the answer without its audit sequence number.
+func (m *Machine) decide(c *Change) Answer {
+	if err := c.check(); err != nil {
+		return m.answer(Invalid, err.Error())
+	}
+	if c.Action != ApplyDocument && c.Action != Rollback {
+		return m.order(c)
+	}
+	if current := m.docs.current().Version; c.Expected != current {
+		return m.answer(Conflict, fmt.Sprintf("the change expects version %d, but version %d is in force; check the difference and send the change again", c.Expected, current))
+	}
+	document, err := m.proposed(c)
+	if err != nil {
+		return m.answer(Invalid, err.Error())
+	}
+	parsed, err := class.Parse(document)
+	if err != nil {
+		return m.answer(Invalid, err.Error())
+	}
+	v := Version{Version: c.Expected + 1, Time: m.time(), Operator: c.Operator, ChangeID: c.ID, Document: document, Hash: HashOf(document)}
+	m.docs.add(v)
+	m.publish(&View{Version: v.Version, Document: document, Set: class.NewSet(v.Version, parsed), Orders: m.orders})
+	return m.answer(Accepted, "")
+}
+
+// proposed returns the document that c puts in force.
+func (m *Machine) proposed(c *Change) ([]byte, error) {
+	if c.Action == ApplyDocument {
+		return c.Document, nil
+	}
+	v, ok := m.docs.get(c.Version)
+	if !ok {
+		return nil, fmt.Errorf("version %d is not kept; use a version from %d to %d", c.Version, m.oldest(), m.docs.current().Version)
+	}
+	return v.Document, nil
+}
+
+func (m *Machine) oldest() uint64 {
+	if len(m.docs.list) == 0 {
+		return 0
+	}
+	return m.docs.list[0].Version
+}
+
+func (m *Machine) order(c *Change) Answer {
+	next, message, err := m.orders.apply(c, m.time())
+	if err != nil {
+		return m.answer(Invalid, err.Error())
+	}
+	if next != m.orders {
+		m.orders = next
+		old := m.view.Load()
+		m.publish(&View{Version: old.Version, Document: old.Document, Set: old.Set, Orders: next})
+	}
+	return m.answer(Accepted, message)
+}
+
+func (m *Machine) publish(v *View) {
+	m.view.Store(v)
+	m.onChange(v)
+}
+
+func (m *Machine) time() time.Time { return time.Unix(0, m.now).UTC() }
+
+// check refuses a change that is out of bounds.
+func (c *Change) check() error {
+	switch {
+	case c.ID == "" || len(c.ID) > MaxIDBytes:
+		return fmt.Errorf("the change id has %d bytes; use 1 to %d", len(c.ID), MaxIDBytes)
+	case c.Operator == "" || len(c.Operator) > MaxNameBytes:
+		return fmt.Errorf("the operator's name has %d bytes; use 1 to %d", len(c.Operator), MaxNameBytes)
+	case len(c.Reason) > MaxReasonBytes:
+		return fmt.Errorf("the reason has %d bytes; use at most %d", len(c.Reason), MaxReasonBytes)
+	case len(c.Document) > MaxDocumentBytes:
+		return fmt.Errorf("the document has %d bytes; use at most %d", len(c.Document), MaxDocumentBytes)
+	}
+	switch c.Action {
+	case ApplyDocument, Rollback, Drain, Undrain, ReleaseSuspect:
+		return nil
+	}
+	return fmt.Errorf("unknown action %q", cut(string(c.Action), MaxNameBytes))
+}
+
+// entry starts the audit entry of c with the state before the change.
+func (m *Machine) entry(c *Change) Entry {
+	current := m.docs.current()
+	e := Entry{
+		Time:     m.time(),
+		ChangeID: cut(c.ID, MaxIDBytes),
+		Action:   Action(cut(string(c.Action), MaxNameBytes)),
+		Operator: cut(c.Operator, MaxNameBytes),
+		Origin:   cut(c.Origin, MaxNameBytes),
+		Reason:   cut(c.Reason, MaxReasonBytes),
+		Expected: c.Expected,
+		Before:   current.Version, BeforeHash: current.Hash,
+		OrdersBefore: m.orders.Version,
+		Subject:      c.subject(),
+	}
+	if len(c.Document) > 0 {
+		e.ProposedHash = HashOf(c.Document)
+	}
+	return e
+}
+
+// recordEntry completes e with the state after the change and appends it.
+func (m *Machine) recordEntry(e Entry, a Answer) Answer {
+	current := m.docs.current()
+	e.Outcome, e.Message = a.Outcome, a.Message
+	e.After, e.AfterHash = current.Version, current.Hash
+	e.OrdersAfter = m.orders.Version
+	a.Sequence = m.trail.append(e)
+	return a
+}
+
+func (m *Machine) record(c *Change, a Answer) Answer { return m.recordEntry(m.entry(c), a) }
+
+// cut shortens s to at most limit bytes of valid UTF-8, which text in CBOR must be.
+func cut(s string, limit int) string {
+	return strings.ToValidUTF8(s[:min(len(s), limit)], "")
+}
--- /dev/null
+++ b/configstate/messages.go
@@ -0,0 +1,105 @@
+package configstate
+
+import (
+	"fmt"
+
+	"bramleymill/fleet"
+)
+
+// Action tells what a change does.
+type Action string
+
+// The actions of a change.
+const (
+	ApplyDocument  Action = "apply"    // replaces the class document
+	Rollback       Action = "rollback" // replaces it by the document of an older version
+	Drain          Action = "drain"    // adds a drain order for a node
+	Undrain        Action = "undrain"  // removes the drain order of a node
+	ReleaseSuspect Action = "release"  // allows a crash suspect to run again
+)
+
+// Change is one change requested by an operator.
+type Change struct {
+	ID       string `cbor:"1,keyasint" json:"id"` // unique; the same id may be sent again
+	Action   Action `cbor:"2,keyasint" json:"action"`
+	Operator string `cbor:"3,keyasint" json:"operator"`
+	Origin   string `cbor:"4,keyasint,omitempty" json:"origin"` // address that the request came from
+	Reason   string `cbor:"5,keyasint,omitempty" json:"reason,omitempty"`
+
+	Expected uint64 `cbor:"6,keyasint,omitempty" json:"expected"`           // version that the change replaces
+	Document []byte `cbor:"7,keyasint,omitempty" json:"document,omitempty"` // for ApplyDocument
+	Version  uint64 `cbor:"8,keyasint,omitempty" json:"version,omitempty"`  // for Rollback
+
+	Node        fleet.NodeID `cbor:"9,keyasint,omitempty" json:"node,omitempty"`     // for Drain and Undrain
+	Service     string       `cbor:"10,keyasint,omitempty" json:"service,omitempty"` // for ReleaseSuspect
+	Fingerprint uint64       `cbor:"11,keyasint,omitempty" json:"fingerprint,omitempty"`
+}
+
+// Outcome is the decision on a change.
+type Outcome string
+
+// The outcomes of a change.
+const (
+	Accepted Outcome = "accepted"
+	Conflict Outcome = "conflict"  // the expected version is not the current one
+	Invalid  Outcome = "invalid"   // Message tells what to correct
+	IDReused Outcome = "id_reused" // the change id belongs to a different change
+)
+
+// Answer is the reply to a change.
+type Answer struct {
+	Outcome Outcome `cbor:"1,keyasint" json:"outcome"`
+	// Version is the version of the document after the decision.
+	Version uint64 `cbor:"2,keyasint" json:"version"`
+	// OrdersVersion is the version of the orders after the decision.
+	OrdersVersion uint64 `cbor:"3,keyasint" json:"orders_version"`
+	Sequence      uint64 `cbor:"4,keyasint" json:"sequence"` // of the audit entry
+	Message       string `cbor:"5,keyasint,omitempty" json:"message,omitempty"`
+	// Document is the document of Version after a Conflict. It is empty in a
+	// repeated answer when that version is no longer kept.
+	Document []byte `cbor:"6,keyasint,omitempty" json:"document,omitempty"`
+	Repeated bool   `cbor:"7,keyasint,omitempty" json:"repeated,omitempty"` // the first answer, given again
+}
+
+// Bounds of a change. Changes over them are refused as Invalid; longer texts
+// are cut in the audit entry.
+const (
+	MaxDocumentBytes = 512 << 10 // fits a control message of 1 MiB with its framing
+	MaxIDBytes       = 128
+	MaxNameBytes     = 128
+	MaxReasonBytes   = 512
+	maxMessageBytes  = 1024
+	maxCommandBytes  = MaxDocumentBytes + 16<<10
+)
+
+// EncodeChange returns the command to propose for c.
+func EncodeChange(c Change) ([]byte, error) {
+	b, err := encoding.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("encode change: %w", err)
+	}
+	return b, nil
+}
+
+// DecodeAnswer decodes the result of a proposed change.
+func DecodeAnswer(result []byte) (Answer, error) {
+	var a Answer
+	if err := decoding.Unmarshal(result, &a); err != nil {
+		return Answer{}, fmt.Errorf("decode answer to change: %w", err)
+	}
+	if a.Outcome == "" {
+		return Answer{}, fmt.Errorf("decode answer to change: no outcome")
+	}
+	return a, nil
+}
+
+func decodeChange(command []byte) (Change, error) {
+	var c Change
+	if len(command) > maxCommandBytes {
+		return c, fmt.Errorf("the change has %d bytes; send at most %d", len(command), maxCommandBytes)
+	}
+	if err := decoding.Unmarshal(command, &c); err != nil {
+		return Change{}, fmt.Errorf("decode change: %w", err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/configstate/orders.go
@@ -0,0 +1,123 @@
+package configstate
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// Bounds of the orders.
+const (
+	MaxDrains = 4096
+	// MaxReleases bounds the releases that nodes receive; the oldest are dropped.
+	MaxReleases = 256
+)
+
+// Orders are the standing orders of operators. Nodes receive them with the
+// configuration. An Orders value is immutable.
+type Orders struct {
+	Version  uint64       `cbor:"1,keyasint" json:"version"`
+	Drains   []DrainOrder `cbor:"2,keyasint,omitempty" json:"drains"`
+	Releases []Release    `cbor:"3,keyasint,omitempty" json:"releases"`
+}
+
+// DrainOrder tells a node to drain until the order is removed.
+type DrainOrder struct {
+	Node     fleet.NodeID `cbor:"1,keyasint" json:"node"`
+	Version  uint64       `cbor:"2,keyasint" json:"version"` // of the orders that added it
+	Time     time.Time    `cbor:"3,keyasint" json:"time"`
+	Operator string       `cbor:"4,keyasint" json:"operator"`
+	Reason   string       `cbor:"5,keyasint,omitempty" json:"reason,omitempty"`
+}
+
+// Release allows the requests with a fingerprint to run again. A node acts on a
+// release once, when it first receives Version.
+type Release struct {
+	Service     string    `cbor:"1,keyasint" json:"service"`
+	Fingerprint uint64    `cbor:"2,keyasint" json:"fingerprint"`
+	Version     uint64    `cbor:"3,keyasint" json:"version"` // of the orders that added it
+	Time        time.Time `cbor:"4,keyasint" json:"time"`
+}
+
+// Drained reports whether there is a drain order for node.
+func (o *Orders) Drained(node fleet.NodeID) bool { return o.drainIndex(node) >= 0 }
+
+func (o *Orders) drainIndex(node fleet.NodeID) int {
+	return slices.IndexFunc(o.Drains, func(d DrainOrder) bool { return d.Node == node })
+}
+
+var namePattern = regexp.MustCompile(`^[a-z][a-z0-9-]{0,62}$`)
+
+// apply returns the orders after c. It returns o itself with a message when c
+// changes nothing, and an error when c is refused.
+func (o *Orders) apply(c *Change, at time.Time) (next *Orders, message string, err error) {
+	switch c.Action {
+	case Drain:
+		return o.drain(c, at)
+	case Undrain:
+		return o.undrain(c)
+	}
+	return o.release(c, at)
+}
+
+func (o *Orders) drain(c *Change, at time.Time) (*Orders, string, error) {
+	if !namePattern.MatchString(string(c.Node)) {
+		return o, "", fmt.Errorf("node %q is not a valid name; use the name shown by status", c.Node)
+	}
+	if o.Drained(c.Node) {
+		return o, "the node already has a drain order", nil
+	}
+	if len(o.Drains) >= MaxDrains {
+		return o, "", fmt.Errorf("there are %d drain orders; remove one with undrain first", MaxDrains)
+	}
+	order := DrainOrder{Node: c.Node, Version: o.Version + 1, Time: at, Operator: c.Operator, Reason: c.Reason}
+	return &Orders{
+		Version:  o.Version + 1,
+		Drains:   append(slices.Clone(o.Drains), order),
+		Releases: o.Releases,
+	}, "", nil
+}
+
+func (o *Orders) undrain(c *Change) (*Orders, string, error) {
+	i := o.drainIndex(c.Node)
+	if i < 0 {
+		return o, "the node has no drain order", nil
+	}
+	return &Orders{
+		Version:  o.Version + 1,
+		Drains:   slices.Delete(slices.Clone(o.Drains), i, i+1),
+		Releases: o.Releases,
+	}, "", nil
+}
+
+func (o *Orders) release(c *Change, at time.Time) (*Orders, string, error) {
+	if !namePattern.MatchString(c.Service) {
+		return o, "", fmt.Errorf("service %q is not a valid name; use the name shown by suspects", c.Service)
+	}
+	list := o.Releases
+	if len(list) >= MaxReleases {
+		list = list[len(list)-MaxReleases+1:]
+	}
+	entry := Release{Service: c.Service, Fingerprint: c.Fingerprint, Version: o.Version + 1, Time: at}
+	return &Orders{
+		Version:  o.Version + 1,
+		Drains:   o.Drains,
+		Releases: append(slices.Clone(list), entry),
+	}, "", nil
+}
+
+// subject names what c acts on in the audit trail.
+func (c *Change) subject() string {
+	switch c.Action {
+	case Rollback:
+		return fmt.Sprintf("version %d", c.Version)
+	case Drain, Undrain:
+		return cut(string(c.Node), MaxNameBytes)
+	case ReleaseSuspect:
+		return fmt.Sprintf("%s/%016x", cut(c.Service, MaxNameBytes), c.Fingerprint)
+	}
+	return ""
+}
--- /dev/null
+++ b/configstate/snapshot.go
@@ -0,0 +1,94 @@
+package configstate
+
+import (
+	"fmt"
+
+	"bramleymill/class"
+)
+
+// snapshotFormat is raised when the encoding of a snapshot changes.
+const snapshotFormat = 1
+
+type snapshot struct {
+	Format     int           `cbor:"1,keyasint"`
+	Now        int64         `cbor:"2,keyasint"`
+	Versions   []Version     `cbor:"3,keyasint"`
+	Orders     Orders        `cbor:"4,keyasint"`
+	Checkpoint Checkpoint    `cbor:"5,keyasint"`
+	Entries    []Entry       `cbor:"6,keyasint"`
+	Answers    []*keptAnswer `cbor:"7,keyasint"`
+}
+
+// Snapshot returns the encoded state. Equal states give equal bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	b, err := encoding.Marshal(snapshot{
+		Format: snapshotFormat, Now: m.now, Versions: m.docs.list, Orders: *m.orders,
+		Checkpoint: m.trail.trail.Checkpoint, Entries: m.trail.trail.Entries, Answers: m.answers.queue,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode configuration snapshot: %w", err)
+	}
+	return b, nil
+}
+
+// Restore replaces the state by a snapshot. The state is unchanged on error.
+func (m *Machine) Restore(data []byte) error {
+	var s snapshot
+	if err := decoding.Unmarshal(data, &s); err != nil {
+		return fmt.Errorf("decode configuration snapshot: %w", err)
+	}
+	if s.Format != snapshotFormat {
+		return fmt.Errorf("decode configuration snapshot: format %d, want %d", s.Format, snapshotFormat)
+	}
+	trail := Trail{Checkpoint: s.Checkpoint, Entries: s.Entries}
+	if err := trail.Verify(); err != nil {
+		return fmt.Errorf("decode configuration snapshot: %w", err)
+	}
+	if err := checkVersions(s.Versions); err != nil {
+		return fmt.Errorf("decode configuration snapshot: %w", err)
+	}
+	view := &View{Orders: &s.Orders}
+	if n := len(s.Versions); n > 0 {
+		current := s.Versions[n-1]
+		parsed, err := class.Parse(current.Document)
+		if err != nil {
+			return fmt.Errorf("decode configuration snapshot: document of version %d: %w", current.Version, err)
+		}
+		view.Version, view.Document, view.Set = current.Version, current.Document, class.NewSet(current.Version, parsed)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.install(&s, view.Orders)
+	m.publish(view)
+	return nil
+}
+
+// checkVersions refuses gaps, because versions are found by their position.
+func checkVersions(list []Version) error {
+	for i, v := range list {
+		if v.Version != list[0].Version+uint64(i) || v.Version == 0 {
+			return fmt.Errorf("version %d is out of order", v.Version)
+		}
+		if v.Hash != HashOf(v.Document) {
+			return fmt.Errorf("the document of version %d does not match its hash", v.Version)
+		}
+	}
+	return nil
+}
+
+func (m *Machine) install(s *snapshot, orders *Orders) {
+	m.reset()
+	m.now, m.orders = s.Now, orders
+	for _, v := range s.Versions {
+		m.docs.add(v)
+	}
+	m.trail.trail = Trail{Checkpoint: s.Checkpoint, Entries: s.Entries}
+	for i := range s.Entries {
+		m.trail.bytes += s.Entries[i].cost()
+	}
+	for _, k := range s.Answers {
+		m.answers.add(k)
+	}
+}
--- /dev/null
+++ b/configstate/trail.go
@@ -0,0 +1,142 @@
+package configstate
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Bounds of the audit trail. At 5,700 changes a day the entries of about 34
+// hours are kept.
+const (
+	MaxEntries    = 8192
+	MaxTrailBytes = 4 << 20
+	// entryBytes is counted for the fixed fields of an entry.
+	entryBytes = 320
+)
+
+// Entry records one change in the audit trail.
+type Entry struct {
+	Sequence uint64    `cbor:"1,keyasint" json:"sequence"` // from 1 without gaps
+	Time     time.Time `cbor:"2,keyasint" json:"time"`     // stamped into the log entry, UTC
+	ChangeID string    `cbor:"3,keyasint" json:"change_id"`
+	Action   Action    `cbor:"4,keyasint" json:"action"`
+	Operator string    `cbor:"5,keyasint" json:"operator"`
+	Origin   string    `cbor:"6,keyasint" json:"origin"`
+	Reason   string    `cbor:"7,keyasint" json:"reason,omitempty"`
+	Outcome  Outcome   `cbor:"8,keyasint" json:"outcome"`
+	Message  string    `cbor:"9,keyasint" json:"message,omitempty"`
+	Expected uint64    `cbor:"10,keyasint" json:"expected"`
+	Before   uint64    `cbor:"11,keyasint" json:"before"` // document version before the change
+	After    uint64    `cbor:"12,keyasint" json:"after"`
+	// BeforeHash, AfterHash and ProposedHash identify the documents; they are
+	// zero where there is none.
+	BeforeHash   Hash `cbor:"13,keyasint" json:"before_hash"`
+	AfterHash    Hash `cbor:"14,keyasint" json:"after_hash"`
+	ProposedHash Hash `cbor:"15,keyasint" json:"proposed_hash"`
+	// OrdersBefore and OrdersAfter are versions of the orders.
+	OrdersBefore uint64 `cbor:"16,keyasint" json:"orders_before"`
+	OrdersAfter  uint64 `cbor:"17,keyasint" json:"orders_after"`
+	Subject      string `cbor:"18,keyasint" json:"subject,omitempty"` // node, suspect or version acted on
+	Previous     Hash   `cbor:"19,keyasint" json:"previous"`          // Hash of the entry before
+	Hash         Hash   `cbor:"20,keyasint" json:"hash"`              // of all fields above
+}
+
+// Checkpoint identifies the entry before the first one of a trail. It is zero
+// when nothing was dropped.
+type Checkpoint struct {
+	Sequence uint64 `cbor:"1,keyasint" json:"sequence"`
+	Hash     Hash   `cbor:"2,keyasint" json:"hash"`
+}
+
+// Trail is a contiguous part of the audit trail.
+type Trail struct {
+	Checkpoint Checkpoint `json:"checkpoint"`
+	Entries    []Entry    `json:"entries"`
+}
+
+// ErrTrail is wrapped by the errors of Verify.
+var ErrTrail = errors.New("audit trail is not intact")
+
+// Verify recomputes the hash chain from the checkpoint to the last entry.
+func (t Trail) Verify() error {
+	at := t.Checkpoint
+	for i := range t.Entries {
+		e := &t.Entries[i]
+		if e.Sequence != at.Sequence+1 {
+			return fmt.Errorf("%w: entry %d follows entry %d", ErrTrail, e.Sequence, at.Sequence)
+		}
+		if e.Previous != at.Hash {
+			return fmt.Errorf("%w: entry %d does not continue the chain of entry %d", ErrTrail, e.Sequence, at.Sequence)
+		}
+		if e.Hash != e.contentHash() {
+			return fmt.Errorf("%w: the content of entry %d does not match its hash", ErrTrail, e.Sequence)
+		}
+		at = Checkpoint{Sequence: e.Sequence, Hash: e.Hash}
+	}
+	return nil
+}
+
+// Head returns the checkpoint that follows the last entry.
+func (t Trail) Head() Checkpoint {
+	if len(t.Entries) == 0 {
+		return t.Checkpoint
+	}
+	e := t.Entries[len(t.Entries)-1]
+	return Checkpoint{Sequence: e.Sequence, Hash: e.Hash}
+}
+
+func (e Entry) contentHash() Hash {
+	e.Hash = Hash{}
+	e.Time = e.Time.UTC()
+	return HashOf(mustEncode(e))
+}
+
+func (e *Entry) cost() int64 {
+	return entryBytes + int64(len(e.ChangeID)+len(e.Operator)+len(e.Origin)+len(e.Reason)+len(e.Message)+len(e.Subject))
+}
+
+// auditTrail is the bounded trail of a Machine.
+type auditTrail struct {
+	trail Trail
+	bytes int64
+}
+
+// append completes e with its place in the chain and returns its sequence number.
+func (a *auditTrail) append(e Entry) uint64 {
+	head := a.trail.Head()
+	e.Sequence, e.Previous = head.Sequence+1, head.Hash
+	e.Hash = e.contentHash()
+	a.trail.Entries = append(a.trail.Entries, e)
+	a.bytes += e.cost()
+	drop := 0
+	for len(a.trail.Entries)-drop > MaxEntries || a.bytes > MaxTrailBytes {
+		dropped := &a.trail.Entries[drop]
+		a.trail.Checkpoint = Checkpoint{Sequence: dropped.Sequence, Hash: dropped.Hash}
+		a.bytes -= dropped.cost()
+		drop++
+	}
+	// The array is replaced only when append runs out of room, so that dropping
+	// an entry costs no copy.
+	clear(a.trail.Entries[:drop])
+	a.trail.Entries = a.trail.Entries[drop:]
+	return e.Sequence
+}
+
+// after returns up to limit entries that follow the sequence number from, with
+// the checkpoint that precedes them.
+func (a *auditTrail) after(from uint64, limit int) Trail {
+	t := Trail{Checkpoint: a.trail.Checkpoint}
+	skip := 0
+	if from > t.Checkpoint.Sequence {
+		skip = int(min(from-t.Checkpoint.Sequence, uint64(len(a.trail.Entries))))
+	}
+	if skip > 0 {
+		e := &a.trail.Entries[skip-1]
+		t.Checkpoint = Checkpoint{Sequence: e.Sequence, Hash: e.Hash}
+	}
+	rest := a.trail.Entries[skip:]
+	t.Entries = slices.Clone(rest[:min(limit, len(rest))])
+	return t
+}
