--- a/explain/record.go
+++ b/explain/record.go
@@ -30,6 +30,7 @@
 	Age      time.Duration `cbor:"3,keyasint" json:"load_age_ns"` // negative: no load known
 	Cost     time.Duration `cbor:"4,keyasint" json:"cost_ns"`
 	Chosen   bool          `cbor:"5,keyasint,omitempty" json:"chosen"`
+	Ejected  bool          `cbor:"6,keyasint,omitempty" json:"ejected,omitempty"`
 }
 
 // Attempt is one attempt as seen by the entry node.
@@ -98,15 +99,15 @@
 // maxReason bounds the text of an error that is kept.
 const maxReason = 200
 
-// Finish records the end of the request. A nil err means that it was answered.
-func (r *Record) Finish(now time.Time, status int, err error) {
-	r.Duration, r.Status = now.Sub(r.start), status
-	if err == nil {
-		return
-	}
-	r.Kind = errkind.Of(err).Kind
-	r.Reason = err.Error()
+// Failed records that the request ended with an error.
+func (r *Record) Failed(k errkind.Kind, err error) {
+	r.Kind, r.Reason = k, err.Error()
 	if len(r.Reason) > maxReason {
 		r.Reason = r.Reason[:maxReason]
 	}
 }
+
+// End records the end of the request and the status that was passed on.
+func (r *Record) End(now time.Time, status int) {
+	r.Duration, r.Status = now.Sub(r.start), status
+}
--- a/explain/store.go
+++ b/explain/store.go
@@ -26,6 +26,7 @@
 	DrainStarted  EventKind = "drain_started"
 	Quarantined   EventKind = "quarantined"
 	ConfigApplied EventKind = "config_applied"
+	StateChanged  EventKind = "state_changed"
 )
 
 // Event is one event of the fleet as seen by a node.
--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -4,11 +4,11 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/explain"
-	"bramleymill/fleet"
 	"bramleymill/retry"
 )
 
@@ -143,7 +143,7 @@
 	return err
 }
 
-func (f *attempts) note(c, a *Call, r *race, start time, err error) {
+func (f *attempts) note(c, a *Call, r *race, start time.Time, err error) {
 	var kind errkind.Kind
 	lost := errors.Is(err, ErrLost)
 	if err != nil && !lost {
@@ -160,5 +160,3 @@
 		f.observer.Attempted(a, kind)
 	}
 }
-
-var _ = fleet.MaxDepth
--- a/filter/call.go
+++ b/filter/call.go
@@ -67,7 +67,8 @@
 	// an attempt. An error prevents the sending.
 	BeforeSend func(c *Call) error
 
-	tried *tried
+	tried  *tried
+	passes uint32 // times that the call went through the claims filter before
 	Trial
 }
 
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -1,31 +1,123 @@
 package filter
 
 import (
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"bramleymill/clock"
 	"bramleymill/errkind"
+	"bramleymill/explain"
 	"bramleymill/fleet"
+	"bramleymill/pick"
 )
 
-// Chooser chooses a backend server from what is known about the candidates.
-type Chooser interface {
-	// Choose returns no server if none of the candidates may be used.
-	Choose(c *Call, candidates []fleet.Server) (fleet.Server, bool)
-}
-
-type choose struct {
+// Choose is the filter that chooses the target of an attempt and learns from
+// how the attempt ended.
+type Choose struct {
 	next      Handler
 	directory Directory
-	chooser   Chooser
+	zone      string
+	clock     clock.Clock
+	events    *explain.Store
+
+	services sync.Map // name -> *pool
+	seeds    atomic.Uint64
+	random   sync.Pool
 }
 
-// NewChoose returns the filter that chooses the target of an attempt.
-func NewChoose(next Handler, d Directory, ch Chooser) Handler { return &choose{next, d, ch} }
+// pool is a balancer with the list of servers it was updated with.
+type pool struct {
+	balancer *pick.Balancer
+	mu       sync.Mutex
+	servers  atomic.Pointer[[]fleet.Server]
+}
 
-func (f *choose) Serve(c *Call) error {
-	s, ok := f.chooser.Choose(c, f.directory.Servers(c.Class.Service))
+// NewChoose returns the filter for a node in zone. The seed decides its random
+// choices.
+func NewChoose(next Handler, d Directory, zone string, k clock.Clock, seed uint64, events *explain.Store) *Choose {
+	f := &Choose{next: next, directory: d, zone: zone, clock: k, events: events}
+	f.random.New = func() any { return rand.New(rand.NewPCG(seed, f.seeds.Add(1))) }
+	return f
+}
+
+// Balancer returns the balancer of a service, brought up to date with the directory.
+func (f *Choose) Balancer(service string) *pick.Balancer {
+	found, ok := f.services.Load(service)
 	if !ok {
-		return errkind.New(errkind.NoBackendServer, "service %s has no backend server to try", c.Class.Service)
+		found, _ = f.services.LoadOrStore(service, &pool{balancer: pick.New(pick.Config{})})
+	}
+	p := found.(*pool)
+	servers := f.directory.Servers(service)
+	if known := p.servers.Load(); known == nil || !slices.Equal(*known, servers) {
+		f.update(p, servers)
+	}
+	return p.balancer
+}
+
+func (f *Choose) update(p *pool, servers []fleet.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := slices.Clone(servers)
+	p.balancer.Update(f.clock.Now(), kept, f.zone)
+	p.servers.Store(&kept)
+}
+
+// Serve chooses a target that the call has not tried yet.
+func (f *Choose) Serve(c *Call) error {
+	b := f.Balancer(c.Class.Service)
+	now := f.clock.Now()
+	exclude := c.tried.excluded()
+	rng := f.random.Get().(*rand.Rand)
+	e, kind := b.Pick(now, rng, &exclude)
+	f.random.Put(rng)
+	if e == nil {
+		return errkind.New(kind, "service %s has no backend server to try", c.Class.Service)
+	}
+	c.tried.add(e.Server.Node)
+	c.Target = e.Server
+	c.Meta.Target, c.Meta.Incarnation = e.Server.Node, e.Server.Incarnation
+	f.explain(c, b, e)
+	a := b.Started(e, now)
+	err := f.next.Serve(c)
+	b.Finished(a, f.clock.Now(), result(c, err))
+	return err
+}
+
+// explain records the servers of the pool as they were seen. Only the chosen one
+// is recorded of a pool that is too large.
+func (f *Choose) explain(c *Call, b *pick.Balancer, e *pick.Endpoint) {
+	now := f.clock.Now()
+	if b.Len() > explain.MaxCandidates {
+		c.Candidates = []explain.Candidate{{Node: e.Server.Node, Age: e.ReportAge(now), Chosen: true}}
+		return
+	}
+	views := b.Views(now)
+	c.Candidates = make([]explain.Candidate, 0, len(views))
+	for _, v := range views {
+		c.Candidates = append(c.Candidates, explain.Candidate{Node: v.Server.Node, InFlight: v.Outstanding,
+			Age: v.ReportAge, Cost: v.Cost, Ejected: v.Ejected, Chosen: v.Server.Node == e.Server.Node})
+	}
+}
+
+// result tells the balancer how an attempt ended. The time of the claim and the
+// time that the receiver takes for the body are no part of the duration.
+func result(c *Call, err error) pick.Result {
+	r := pick.Result{Outcome: pick.Succeeded, Report: c.Load}
+	if !c.SentAt.IsZero() && !c.HeadAt.IsZero() {
+		r.Duration = c.HeadAt.Sub(c.SentAt)
+	}
+	switch {
+	case err == nil && c.Status >= http.StatusInternalServerError:
+		r.Outcome = pick.Failed
+	case err == nil:
+	case c.SentAt.IsZero() || errors.Is(err, ErrLost):
+		r.Outcome = pick.Canceled
+	default:
+		r.Outcome = pick.OutcomeOf(errkind.Of(err).Kind)
 	}
-	c.Target = s
-	c.Meta.Target, c.Meta.Incarnation = s.Node, s.Incarnation
-	return f.next.Serve(c)
+	return r
 }
--- /dev/null
+++ b/filter/claims.go
@@ -0,0 +1,221 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bramleymill/claim"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+// Times of the claims filter.
+const (
+	// finishWait bounds how long the end of an answer waits until the answer is
+	// stored, so that the same key sent afterwards gets the stored answer.
+	finishWait = 250 * time.Millisecond
+	// finishTimeout bounds the attempts to store an ending. A claim without an
+	// ending becomes unknown.
+	finishTimeout = 10 * time.Second
+)
+
+// errReplay tells the claims filter that the key has a stored answer.
+var errReplay = errors.New("the key has a stored answer")
+
+type claims struct {
+	next   Handler
+	claims Claims
+}
+
+// NewClaims returns the filter that runs a request with an idempotency key at
+// most once: an attempt is sent only after the claims group has committed that
+// this attempt goes to this target.
+func NewClaims(next Handler, cl Claims) Handler { return &claims{next, cl} }
+
+func (f *claims) Serve(c *Call) error {
+	if c.Key == "" {
+		return f.next.Serve(c)
+	}
+	g := &grant{claims: f.claims, owner: c.Meta.RequestID + "/" + strconv.FormatUint(uint64(c.passes), 10)}
+	inner := *c
+	inner.BeforeSend = g.beforeSend
+	store := &storedAnswer{Answer: c.Answer, complete: g.answered}
+	inner.Answer = store
+	err := f.next.Serve(&inner)
+	c.tried = inner.tried
+	c.Record.ClaimID, c.Record.ClaimState = g.id, g.state
+	switch {
+	case errors.Is(err, errReplay):
+		return replay(c, g.answer)
+	case err == nil || g.id == "":
+		return err
+	}
+	ending := claim.Ambiguous
+	if errkind.Of(err).ProvedNotRun() {
+		ending = claim.Released
+	}
+	g.finish(ending, nil)
+	return err
+}
+
+// grant is the claim of one request.
+type grant struct {
+	claims  Claims
+	owner   string
+	id      string
+	attempt uint32 // the newest attempt that the claims group granted
+	state   string
+	answer  *claim.Answer // stored by an earlier request
+}
+
+// beforeSend asks for the attempt. The filter of attempts makes a further one
+// only after a positive refusal of the last, because the class is not idempotent.
+func (g *grant) beforeSend(c *Call) error {
+	r, err := g.ask(c)
+	if err != nil {
+		// Nothing was sent for the attempt that is asked for, and every earlier
+		// one was refused.
+		if errkind.Lookup(errkind.Of(err).Kind).Outcome == errkind.Rejected {
+			return err
+		}
+		return errkind.New(errkind.ClaimsUnavailable, "claim: %w", err)
+	}
+	g.state = r.State.String()
+	if r.State == claim.Granted {
+		g.id, g.attempt = r.ClaimID, r.Attempt
+		c.Meta.ClaimID, c.Meta.Attempt = r.ClaimID, r.Attempt
+		return nil
+	}
+	return g.refused(r)
+}
+
+func (g *grant) ask(c *Call) (claim.Result, error) {
+	if g.id != "" {
+		return g.claims.Reassign(c.Ctx, claim.ReassignRequest{ClaimID: g.id, Owner: g.owner, Refused: g.attempt,
+			Target: c.Target.Node, Incarnation: c.Target.Incarnation})
+	}
+	return g.claims.Begin(c.Ctx, claim.BeginRequest{Key: c.Class.Name + "/" + c.Key, Fingerprint: c.BodyHash, Owner: g.owner,
+		Target: c.Target.Node, Incarnation: c.Target.Incarnation, Remaining: c.Meta.Remaining})
+}
+
+func (g *grant) refused(r claim.Result) error {
+	switch r.State {
+	case claim.Finished:
+		if r.Answer == nil || r.Answer.Truncated {
+			return errkind.New(errkind.OutcomeUnknown, "the request with this key has finished, but its answer was too large to be kept")
+		}
+		g.answer = r.Answer
+		return errReplay
+	case claim.InProgress:
+		return errkind.New(errkind.InProgress, "a request with this key is in progress")
+	case claim.Mismatch:
+		return errkind.New(errkind.KeyReused, "the key was used with another request")
+	case claim.Full:
+		return errkind.New(errkind.ClaimStoreFull, "no room for another key")
+	case claim.Stale:
+		return errkind.New(errkind.ClaimsUnavailable, "the claim is no longer held; nothing was sent for it")
+	}
+	return errkind.New(errkind.OutcomeUnknown, "a request with this key may have run")
+}
+
+// answered stores the answer before its end is passed on.
+func (g *grant) answered(a *claim.Answer) { g.finish(claim.Answered, a) }
+
+// finish records the ending and waits for it for a bounded time. The caller may
+// have gone, so that its context does not end the recording.
+func (g *grant) finish(ending claim.Ending, a *claim.Answer) {
+	done := make(chan struct{})
+	request := claim.FinishRequest{ClaimID: g.id, Owner: g.owner, Attempt: g.attempt, Ending: ending, Answer: a}
+	go func() {
+		defer close(done)
+		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+		defer cancel()
+		// Without a recorded ending the claim becomes unknown after its deadline.
+		_, _ = g.claims.Finish(ctx, request)
+	}()
+	timer := time.NewTimer(finishWait)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	}
+}
+
+// replay gives the stored answer again.
+func replay(c *Call, a *claim.Answer) error {
+	h := http.Header(a.Header).Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	h.Set(fleet.HeaderReplayed, "true")
+	if err := c.Answer.Begin(Head{Status: a.Status, Header: h}); err != nil {
+		return err
+	}
+	if _, err := c.Answer.Write(a.Body); err != nil {
+		return errkind.New(errkind.CallerGone, "pass on the stored answer: %w", err)
+	}
+	return c.Answer.End(nil)
+}
+
+// storedAnswer keeps an answer back until it is complete and stored. An answer
+// above the bound is passed on as it comes, and only its end is recorded.
+type storedAnswer struct {
+	Answer
+	complete func(*claim.Answer)
+	head     Head
+	body     []byte
+	passing  bool
+}
+
+func (s *storedAnswer) Begin(head Head) error {
+	s.head = head
+	s.head.Header = head.Header.Clone()
+	return nil
+}
+
+func (s *storedAnswer) Write(p []byte) (int, error) {
+	if s.passing {
+		return s.Answer.Write(p)
+	}
+	if len(s.body)+len(p) <= claim.MaxAnswerBytes {
+		s.body = append(s.body, p...)
+		return len(p), nil
+	}
+	if err := s.pass(); err != nil {
+		return 0, err
+	}
+	return s.Answer.Write(p)
+}
+
+func (s *storedAnswer) pass() error {
+	s.passing = true
+	if err := s.Answer.Begin(s.head); err != nil {
+		return err
+	}
+	_, err := s.Answer.Write(s.body)
+	return err
+}
+
+func (s *storedAnswer) Flush() error {
+	if s.passing {
+		return s.Answer.Flush()
+	}
+	return nil
+}
+
+func (s *storedAnswer) End(trailer http.Header) error {
+	a := &claim.Answer{Status: s.head.Status, Truncated: s.passing}
+	if !s.passing {
+		a.Header, a.Body = s.head.Header, s.body
+	}
+	s.complete(a)
+	if !s.passing {
+		if err := s.pass(); err != nil {
+			return err
+		}
+	}
+	return s.Answer.End(trailer)
+}
--- /dev/null
+++ b/filter/crashguard.go
@@ -0,0 +1,159 @@
+package filter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/explain"
+	"bramleymill/fleet"
+	"bramleymill/suspect"
+)
+
+// reportWait bounds the time that a failed request waits for other nodes to
+// acknowledge its crash report.
+const reportWait = 200 * time.Millisecond
+
+// CrashPublisher tells other nodes about requests that crash backend servers.
+type CrashPublisher interface {
+	// ReportCrash returns when the nodes of the service have acknowledged the
+	// reports or ctx ends.
+	ReportCrash(ctx context.Context, reports []fleet.CrashReport)
+	// ReportClear passes on that a suspicion is over. It does not block.
+	ReportClear(c suspect.Clearance)
+}
+
+// Liveness knows the lives of the own backend server, counted from 1.
+type Liveness interface {
+	Life() uint64
+	// Died reports whether that life has ended. Just after a connection broke it
+	// waits for the evidence.
+	Died(ctx context.Context, life uint64) bool
+}
+
+// CrashGuard is the filter that records which requests are in flight at the
+// backend server and reports them when it dies.
+type CrashGuard struct {
+	next      Handler
+	node      fleet.NodeID
+	inc       fleet.Incarnation
+	service   string
+	suspects  *suspect.Table
+	publisher CrashPublisher
+	liveness  Liveness
+	events    *explain.Store
+	clock     clock.Clock
+
+	mu       sync.Mutex
+	inFlight map[*guarded]struct{}
+	reported map[uint64]chan struct{} // by life; closed when the report was made
+}
+
+// guarded is a request in flight at one life of the backend server.
+type guarded struct{ report fleet.CrashReport }
+
+// CrashGuardConfig holds what a CrashGuard needs.
+type CrashGuardConfig struct {
+	Node        fleet.NodeID
+	Incarnation fleet.Incarnation
+	Service     string
+	Suspects    *suspect.Table
+	Publisher   CrashPublisher
+	Liveness    Liveness
+	Events      *explain.Store
+	Clock       clock.Clock
+}
+
+// NewCrashGuard returns the filter.
+func NewCrashGuard(next Handler, c CrashGuardConfig) *CrashGuard {
+	return &CrashGuard{next: next, node: c.Node, inc: c.Incarnation, service: c.Service, suspects: c.Suspects,
+		publisher: c.Publisher, liveness: c.Liveness, events: c.Events, clock: c.Clock,
+		inFlight: map[*guarded]struct{}{}, reported: map[uint64]chan struct{}{}}
+}
+
+// Serve refuses a suspect request that is not confined: its entry node may not
+// have heard of the suspicion, because reports go to the nodes of the service
+// first.
+func (f *CrashGuard) Serve(c *Call) error {
+	key := suspect.Key{Service: f.service, Fingerprint: c.Meta.Fingerprint}
+	switch v := f.suspects.Check(f.clock.Now(), key); {
+	case v == suspect.Refuse:
+		return errkind.New(errkind.CrashSuspect, "the request crashed %s servers before", f.service)
+	case v == suspect.Suspect && !c.Meta.Confined:
+		return errkind.New(errkind.CrashSuspect, "the request is suspected of crashing a %s server and is not confined", f.service)
+	}
+	g := f.enter(c)
+	defer f.leave(g)
+	start := f.clock.Now()
+	err := f.next.Serve(c)
+	if err == nil {
+		if clearance, ok := f.suspects.Finished(f.clock.Now(), key, start); ok {
+			f.publisher.ReportClear(clearance)
+		}
+		return nil
+	}
+	if errkind.Of(err).Kind == errkind.ConnectionLost && f.liveness.Died(c.Ctx, g.report.Life) {
+		f.Report(g.report.Life)
+	}
+	return err
+}
+
+func (f *CrashGuard) enter(c *Call) *guarded {
+	g := &guarded{fleet.CrashReport{Service: f.service, Fingerprint: c.Meta.Fingerprint, Node: f.node, Incarnation: f.inc,
+		Life: f.liveness.Life(), Confined: c.Meta.Confined, Class: c.Meta.Class, Path: c.Request.URL.Path}}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inFlight[g] = struct{}{}
+	return g
+}
+
+func (f *CrashGuard) leave(g *guarded) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.inFlight, g)
+}
+
+// Report reports the requests that were in flight when a life ended, once for
+// each life, and returns when the report was made. No failed request may be
+// answered before, so that a caller that sends it again meets the suspicion.
+func (f *CrashGuard) Report(life uint64) {
+	f.mu.Lock()
+	if done, ok := f.reported[life]; ok {
+		f.mu.Unlock()
+		<-done
+		return
+	}
+	done := make(chan struct{})
+	f.reported[life] = done
+	delete(f.reported, life-keptLives)
+	blamed := f.blame(life)
+	f.mu.Unlock()
+	defer close(done)
+	for _, r := range blamed {
+		f.suspects.Report(f.clock.Now(), r)
+	}
+	f.events.AddEvent(f.clock.Now(), explain.CrashDetected, f.node, f.service, "the backend server died")
+	if len(blamed) > 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), reportWait)
+		defer cancel()
+		f.publisher.ReportCrash(ctx, blamed)
+	}
+}
+
+// keptLives is the number of ended lives whose report is remembered.
+const keptLives = 16
+
+// blame returns the reports of the requests in flight in life. The caller holds mu.
+func (f *CrashGuard) blame(life uint64) []fleet.CrashReport {
+	var found []fleet.CrashReport
+	seen := map[uint64]bool{}
+	for g := range f.inFlight {
+		if g.report.Life == life && !(seen[g.report.Fingerprint] && !g.report.Confined) {
+			seen[g.report.Fingerprint] = true
+			found = append(found, g.report)
+		}
+	}
+	return suspect.Blame(found)
+}
--- a/filter/forward.go
+++ b/filter/forward.go
@@ -21,6 +21,7 @@
 }
 
 func (f *forward) Serve(c *Call) error {
+	c.Meta.Remaining = c.Deadline.Sub(f.clock.Now())
 	if c.BeforeSend != nil {
 		if err := c.BeforeSend(c); err != nil {
 			return err
@@ -32,6 +33,7 @@
 	if c.Meta.Remaining <= 0 {
 		return errkind.New(errkind.DeadlineBeforeRun, "the deadline passed before the attempt was sent")
 	}
+	c.SentAt = f.clock.Now()
 	if c.Target.Node == f.self {
 		c.Local = true
 		return f.local.Serve(c)
--- a/filter/interface.go
+++ b/filter/interface.go
@@ -30,3 +30,9 @@
 	Reassign(ctx context.Context, r claim.ReassignRequest) (claim.Result, error)
 	Finish(ctx context.Context, r claim.FinishRequest) (claim.Result, error)
 }
+
+// Locks reaches the fleet-wide locks that the claims group holds.
+type Locks interface {
+	Lock(ctx context.Context, r claim.LockRequest) (claim.Result, error)
+	Unlock(ctx context.Context, r claim.UnlockRequest) (claim.Result, error)
+}
--- a/filter/peercheck.go
+++ b/filter/peercheck.go
@@ -7,20 +7,18 @@
 )
 
 type peerCheck struct {
-	next    Handler
-	self    fleet.NodeID
-	inc     fleet.Incarnation
-	service string
-	config  Configuration
-	clock   clock.Clock
+	next  Handler
+	self  fleet.NodeID
+	inc   fleet.Incarnation
+	clock clock.Clock
 }
 
 // NewPeerCheck returns the filter that refuses attempts that are addressed to
-// another node, to an earlier incarnation of this node, to another service, or
-// that arrive without time left. An attempt of an earlier incarnation may be a
+// another node or to an earlier incarnation of this node, or that arrive without
+// time left. An attempt of an earlier incarnation may be a
 // duplicate of one that this node has forgotten.
-func NewPeerCheck(next Handler, self fleet.NodeID, inc fleet.Incarnation, service string, config Configuration, k clock.Clock) Handler {
-	return &peerCheck{next, self, inc, service, config, k}
+func NewPeerCheck(next Handler, self fleet.NodeID, inc fleet.Incarnation, k clock.Clock) Handler {
+	return &peerCheck{next, self, inc, k}
 }
 
 func (f *peerCheck) Serve(c *Call) error {
--- /dev/null
+++ b/filter/race.go
@@ -0,0 +1,126 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// race lets one attempt of a request answer. The first attempt that begins an
+// answer wins, the others are cancelled and their bytes are discarded.
+type race struct {
+	answer Answer
+
+	mu      sync.Mutex
+	winner  uint32 // number of the attempt that has begun; zero: none
+	running map[uint32]context.CancelCauseFunc
+}
+
+func (r *race) enter(number uint32, cancel context.CancelCauseFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running == nil {
+		r.running = make(map[uint32]context.CancelCauseFunc, 1)
+	}
+	r.running[number] = cancel
+	if r.winner != 0 {
+		cancel(ErrLost)
+	}
+}
+
+// open reports whether no attempt has begun to answer.
+func (r *race) open() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.winner == 0
+}
+
+func (r *race) win(number uint32) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.winner != 0 {
+		return false
+	}
+	r.winner = number
+	for n, cancel := range r.running {
+		if n != number {
+			cancel(ErrLost)
+		}
+	}
+	return true
+}
+
+// lane is the Answer of one attempt of a race.
+type lane struct {
+	race   *race
+	number uint32
+	won    bool
+}
+
+// Informational holds the lock, so that it cannot overlap the answer of another
+// attempt.
+func (l *lane) Informational(status int, h http.Header) {
+	l.race.mu.Lock()
+	defer l.race.mu.Unlock()
+	if l.race.winner == 0 {
+		l.race.answer.Informational(status, h)
+	}
+}
+
+func (l *lane) Begin(head Head) error {
+	if !l.race.win(l.number) {
+		return ErrLost
+	}
+	l.won = true
+	return l.race.answer.Begin(head)
+}
+
+func (l *lane) Write(p []byte) (int, error) {
+	if !l.won {
+		return 0, ErrLost
+	}
+	return l.race.answer.Write(p)
+}
+
+func (l *lane) Flush() error {
+	if !l.won {
+		return ErrLost
+	}
+	return l.race.answer.Flush()
+}
+
+func (l *lane) End(trailer http.Header) error {
+	if !l.won {
+		return ErrLost
+	}
+	return l.race.answer.End(trailer)
+}
+
+var errNoHedge = errors.New("no hedge was sent")
+
+// hedge is a second attempt that starts unless it is stopped before.
+type hedge struct {
+	timer *time.Timer
+	done  chan struct{}
+	err   error
+}
+
+func newHedge(delay time.Duration, run func() error) *hedge {
+	h := &hedge{done: make(chan struct{})}
+	h.timer = time.AfterFunc(delay, func() {
+		defer close(h.done)
+		h.err = run()
+	})
+	return h
+}
+
+// stop reports whether the hedge will never start.
+func (h *hedge) stop() bool { return h.timer.Stop() }
+
+// wait returns the error of a hedge that was not stopped.
+func (h *hedge) wait() error {
+	<-h.done
+	return h.err
+}
--- a/filter/requestid.go
+++ b/filter/requestid.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 
 	"bramleymill/clock"
-	"bramleymill/explain"
 	"bramleymill/fleet"
 )
 
@@ -35,7 +34,7 @@
 	c.Meta.RequestID = string(id)
 	c.Meta.Entry = f.node
 	c.Started = f.clock.Now()
-	c.Record = explain.NewRecord(explain.Entry, c.Meta.RequestID, c.Started)
+	c.Record.RequestID = c.Meta.RequestID
 	if sent := c.Request.Header.Get(fleet.HeaderRequestID); validCallerID(sent) {
 		c.Record.CallerID = sent
 	}
--- /dev/null
+++ b/filter/suspects.go
@@ -0,0 +1,101 @@
+package filter
+
+import (
+	"context"
+	"time"
+
+	"bramleymill/claim"
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/suspect"
+)
+
+// Times of the lock for confined attempts.
+const (
+	lockPoll  = 25 * time.Millisecond // between two requests for a lock that is held
+	lockGrace = time.Second           // lease beyond the deadline of the confined attempt
+	// unlockTimeout bounds the release; the lease ends by itself.
+	unlockTimeout = 2 * time.Second
+)
+
+type suspects struct {
+	next  Handler
+	table *suspect.Table
+	locks Locks
+	clock clock.Clock
+}
+
+// NewSuspects returns the filter that contains requests that may crash backend
+// servers: a suspect runs alone in the fleet, in one attempt, and a request that
+// has crashed servers repeatedly is refused.
+func NewSuspects(next Handler, t *suspect.Table, l Locks, k clock.Clock) Handler {
+	return &suspects{next, t, l, k}
+}
+
+func (f *suspects) Serve(c *Call) error {
+	key := suspect.Key{Service: c.Class.Service, Fingerprint: c.Meta.Fingerprint}
+	switch f.table.Check(f.clock.Now(), key) {
+	case suspect.Refuse:
+		return errkind.New(errkind.CrashSuspect, "the request crashed %s servers before", key.Service)
+	case suspect.Suspect:
+		return f.confined(c, key)
+	}
+	err := f.next.Serve(c)
+	if err == nil || errkind.Of(err).Kind != errkind.CrashSuspect || f.table.Check(f.clock.Now(), key) == suspect.Refuse {
+		return err
+	}
+	// The server node knows of a suspicion that has not reached this node.
+	return f.confined(c, key)
+}
+
+// confined runs the single attempt under the lock of the service.
+func (f *suspects) confined(c *Call, key suspect.Key) error {
+	c.Record.Suspect = true
+	lock, err := f.lock(c, key)
+	if err != nil {
+		return err
+	}
+	defer func() { go f.unlock(lock) }()
+	if f.table.Check(f.clock.Now(), key) == suspect.Refuse {
+		return errkind.New(errkind.CrashSuspect, "the request crashed %s servers before", key.Service)
+	}
+	c.Meta.Confined, c.Record.Confined = true, true
+	c.passes++
+	return f.next.Serve(c)
+}
+
+func (f *suspects) lock(c *Call, key suspect.Key) (claim.UnlockRequest, error) {
+	request := claim.LockRequest{Key: "suspect/" + key.Service, Owner: c.Meta.RequestID,
+		Lease: c.Deadline.Sub(f.clock.Now()) + lockGrace}
+	for {
+		r, err := f.locks.Lock(c.Ctx, request)
+		switch {
+		case err != nil:
+			return claim.UnlockRequest{}, errkind.New(errkind.ClaimsUnavailable, "lock for a confined attempt: %w", err)
+		case r.State == claim.Granted:
+			return claim.UnlockRequest{ClaimID: r.ClaimID, Owner: request.Owner}, nil
+		case r.State != claim.InProgress:
+			return claim.UnlockRequest{}, errkind.New(errkind.ClaimsUnavailable, "lock for a confined attempt: %s", r.State)
+		}
+		if !sleep(c.Ctx, lockPoll) {
+			return claim.UnlockRequest{}, errkind.New(errkind.DeadlineBeforeRun, "another suspect request held the lock of %s until the deadline", key.Service)
+		}
+	}
+}
+
+func (f *suspects) unlock(r claim.UnlockRequest) {
+	ctx, cancel := context.WithTimeout(context.Background(), unlockTimeout)
+	defer cancel()
+	_, _ = f.locks.Unlock(ctx, r) // the lease ends by itself
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/proxy/backend.go
@@ -0,0 +1,106 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/filter"
+	"bramleymill/fleet"
+)
+
+// Connections to the backend server beyond those that carry requests: the one
+// that is watched and the one for health checks.
+const spareConnections = 2
+
+// backendExpectTimeout is the time after which the body is sent to a backend
+// server that does not answer Expect: 100-continue.
+const backendExpectTimeout = time.Second
+
+// backend dispatches to the backend server beside the node.
+type backend struct {
+	node      fleet.NodeID
+	address   string
+	transport *http.Transport
+	tokens    *tokens
+	monitor   *monitor
+	clock     clock.Clock
+}
+
+func newBackend(c *Config, t *tokens, m *monitor) *backend {
+	connections := max(1, c.Backend.Connections-spareConnections)
+	b := &backend{node: c.Node, address: c.Backend.Address, tokens: t, monitor: m, clock: c.Clock}
+	b.transport = &http.Transport{
+		DialContext:            dialCounted,
+		MaxConnsPerHost:        connections,
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    connections, // kept warm until the backend server closes them
+		ExpectContinueTimeout:  backendExpectTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaders,
+		DisableCompression:     true,
+	}
+	return b
+}
+
+func dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	raw, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: raw}, nil
+}
+
+// Dispatch passes the call to the backend server and its answer on.
+func (b *backend) Dispatch(c *filter.Call) error {
+	token := b.tokens.issue(&filter.Parent{
+		RequestID: c.Meta.RequestID, Deadline: c.Deadline, Depth: c.Meta.Depth, Attempts: c.Attempts,
+	})
+	defer b.tokens.revoke(token)
+	for try := 1; ; try++ {
+		x := &exchange{call: c, scheme: "http", host: b.address, header: b.header(c, token), expect: c.Body.Expect}
+		resp, written, err := x.roundTrip(b.transport)
+		switch {
+		case err == nil:
+			return b.receive(c, resp)
+		case written:
+			return lost(c, "connection to the backend server broke", err)
+		case x.conn == nil || try == maxUnsentRetries:
+			b.monitor.check()
+			return notSent(c, errkind.BackendDown, err)
+		}
+	}
+}
+
+func (b *backend) header(c *filter.Call, token string) http.Header {
+	h := endToEnd(c.Request.Header)
+	h[fleet.HeaderCall] = []string{token}
+	h[fleet.HeaderRequestID] = []string{c.Meta.RequestID}
+	left := max(0, c.Deadline.Sub(b.clock.Now()).Milliseconds())
+	h[fleet.HeaderDeadlineMillis] = []string{strconv.FormatInt(left, 10)}
+	return h
+}
+
+func (b *backend) receive(c *filter.Call, resp *http.Response) error {
+	c.HeadAt = b.clock.Now()
+	if b.monitor.answered(resp) && c.Meta.Idempotent {
+		// Another server may run it. A non-idempotent request gets the answer
+		// itself, because the answer does not prove that nothing ran.
+		_ = resp.Body.Close()
+		c.HeadAt = time.Time{}
+		return errkind.New(errkind.Draining, "the backend server is draining")
+	}
+	life := b.monitor.Life()
+	return relay(c, resp, endToEnd(resp.Header), func() error {
+		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && b.monitor.Died(c.Ctx, life) {
+			return errkind.New(errkind.ConnectionLost, "the backend server died before the end of an answer without a length")
+		}
+		return nil
+	})
+}
+
+func (b *backend) close() { b.transport.CloseIdleConnections() }
--- /dev/null
+++ b/proxy/cluster_test.go
@@ -0,0 +1,278 @@
+package proxy
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"fmt"
+	"io"
+	"log"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleymill/claim"
+	"bramleymill/class"
+	"bramleymill/clock"
+	"bramleymill/fleet"
+	"bramleymill/settings"
+	"bramleymill/strictjson"
+	"bramleymill/suspect"
+)
+
+const testClasses = `{"classes":[
+ {"name":"browse","service":"shop","match":{"methods":["GET","HEAD","PUT","OPTIONS"],"path_prefix":"/"},"idempotent":true,"latency_target":"1s","deadline":"20s","urgency":"normal"},
+ {"name":"order","service":"shop","match":{"methods":["POST"],"path_prefix":"/"},"idempotent":false,"latency_target":"1s","deadline":"20s","urgency":"high","key":"optional"},
+ {"name":"check","service":"shop","match":{"methods":["GET","POST"],"path_prefix":"/check"},"idempotent":false,"internal_only":true,"latency_target":"1s","deadline":"20s","urgency":"critical"}]}`
+
+// authority signs the certificates of test nodes.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+var testAuthority = sync.OnceValue(func() *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		panic(err)
+	}
+	t := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
+	if err != nil {
+		panic(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		panic(err)
+	}
+	return &authority{cert, key}
+})
+
+func (a *authority) config(t testing.TB, name string) *tls.Config {
+	t.Helper()
+	template := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &a.key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(a.cert)
+	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: a.key}},
+		RootCAs: roots, ClientCAs: roots, ClientAuth: tls.RequireAndVerifyClientCert, ServerName: "127.0.0.1", NextProtos: []string{"http/1.1"}}
+}
+
+// cluster is a set of nodes that share a directory, a configuration, claims and
+// a clock.
+type cluster struct {
+	t       testing.TB
+	clock   *clock.Manual
+	classes string
+	claims  *fakeClaims
+	mu      sync.Mutex
+	nodes   []*node
+}
+
+type node struct {
+	*Proxy
+	name    fleet.NodeID
+	cluster *cluster
+	caller  *httptest.Server
+	service *httptest.Server
+	peer    *httptest.Server
+	backend *httptest.Server
+}
+
+func newCluster(t testing.TB) *cluster {
+	return &cluster{t: t, clock: clock.NewManual(time.Now()), classes: testClasses, claims: newFakeClaims()}
+}
+
+// node adds a node. A nil handler gives one without a backend server.
+func (c *cluster) node(name string, h http.Handler, change ...func(*Config)) *node {
+	c.t.Helper()
+	n := &node{name: fleet.NodeID(name), cluster: c}
+	tlsConfig := testAuthority().config(c.t, name)
+	config := Config{Node: n.name, Incarnation: 7, Zone: "a", Directory: c, Configuration: c, Claims: c.claims, Locks: c.claims,
+		Crashes: (*crashNet)(n), ClientTLS: tlsConfig, Clock: c.clock, Seed: 1, ServiceToken: "service-secret"}
+	if h != nil {
+		n.backend = quiet(httptest.NewUnstartedServer(h))
+		n.backend.Start()
+		config.Backend = &settings.Backend{Service: "shop", Address: n.backend.Listener.Addr().String(), Slots: 10, Connections: 32,
+			QueueLength: 20, HealthPath: "/health", CheckEvery: strictjson.Duration(time.Second)}
+	}
+	for _, f := range change {
+		f(&config)
+	}
+	p, err := New(config)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n.Proxy = p
+	n.caller = quiet(httptest.NewUnstartedServer(p.Caller()))
+	n.caller.Start()
+	n.service = quiet(httptest.NewUnstartedServer(p.Service()))
+	n.service.Start()
+	n.peer = quiet(httptest.NewUnstartedServer(p.Peer()))
+	n.peer.TLS = tlsConfig.Clone()
+	n.peer.StartTLS()
+	c.mu.Lock()
+	c.nodes = append(c.nodes, n)
+	c.mu.Unlock()
+	c.t.Cleanup(n.stop)
+	if config.Backend != nil {
+		n.await(fleet.Ready)
+	}
+	return n
+}
+
+// quiet keeps the messages about aborted connections out of the test output.
+func quiet(s *httptest.Server) *httptest.Server {
+	s.Config.ErrorLog = log.New(io.Discard, "", 0)
+	return s
+}
+
+func (n *node) stop() {
+	n.Close()
+	for _, s := range []*httptest.Server{n.caller, n.service, n.peer, n.backend} {
+		if s != nil {
+			s.CloseClientConnections()
+			s.Close()
+		}
+	}
+}
+
+// await blocks until the node announces a state.
+func (n *node) await(s fleet.ServerState) {
+	n.cluster.t.Helper()
+	for n.State() != s {
+		if n.cluster.t.Context().Err() != nil {
+			n.cluster.t.Fatalf("node %s did not become %s", n.name, s)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (c *cluster) Servers(service string) []fleet.Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []fleet.Server
+	for _, n := range c.nodes {
+		if n.config.Backend != nil && n.config.Backend.Service == service {
+			out = append(out, n.announcement())
+		}
+	}
+	return out
+}
+
+func (n *node) announcement() fleet.Server {
+	return fleet.Server{Node: n.name, Incarnation: n.config.Incarnation, Service: "shop", Zone: "a",
+		PeerAddress: n.peer.Listener.Addr().String(), State: fleet.Ready, Slots: 10}
+}
+
+func (c *cluster) Current() *class.Set {
+	d, err := class.Parse([]byte(c.classes))
+	if err != nil {
+		panic(err)
+	}
+	return class.NewSet(3, d)
+}
+
+func (c *cluster) Confirmed() time.Duration { return 0 }
+
+// crashNet delivers crash reports to every node of the cluster.
+type crashNet node
+
+func (n *crashNet) ReportCrash(_ context.Context, reports []fleet.CrashReport) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	for _, other := range n.cluster.nodes {
+		other.ReceiveCrash(reports)
+	}
+}
+
+func (n *crashNet) ReportClear(cl suspect.Clearance) {
+	n.cluster.mu.Lock()
+	defer n.cluster.mu.Unlock()
+	for _, other := range n.cluster.nodes {
+		other.ReceiveClear(cl)
+	}
+}
+
+// fakeClaims runs the real state machine in memory.
+type fakeClaims struct {
+	*claim.Client
+	machine *claim.Machine
+	mu      sync.Mutex
+	index   uint64
+	now     time.Time
+	fail    func() error // after a command was applied
+}
+
+func newFakeClaims() *fakeClaims {
+	f := &fakeClaims{machine: claim.New(), now: time.Unix(1000, 0)}
+	f.Client = claim.NewClient(f)
+	return f
+}
+
+func (f *fakeClaims) Propose(_ context.Context, command []byte) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.index++
+	out := f.machine.Apply(f.index, f.now, command)
+	if f.fail != nil {
+		if err := f.fail(); err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+// request sends a request and returns the answer with its body read.
+func request(t testing.TB, method, url string, body io.Reader, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, url, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Add(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp, string(b), err
+}
+
+// expect sends a request and checks status, kind and body of the answer.
+func expect(t testing.TB, status int, kind, body string, method, url string, header ...string) *http.Response {
+	t.Helper()
+	resp, text, err := request(t, method, url, strings.NewReader("payload"), header...)
+	if err != nil {
+		t.Fatalf("%s %s: %v", method, url, err)
+	}
+	if resp.StatusCode != status || resp.Header.Get(fleet.HeaderKind) != kind || body != "" && text != body {
+		t.Fatalf("%s %s: got %d kind %q body %q, want %d kind %q body %q",
+			method, url, resp.StatusCode, resp.Header.Get(fleet.HeaderKind), text, status, kind, body)
+	}
+	return resp
+}
+
+func answer(text string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = fmt.Fprint(w, text)
+	})
+}
--- /dev/null
+++ b/proxy/config.go
@@ -0,0 +1,96 @@
+package proxy
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log/slog"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/explain"
+	"bramleymill/filter"
+	"bramleymill/fleet"
+	"bramleymill/settings"
+	"bramleymill/suspect"
+)
+
+// Crashes publishes what this node learns about requests that crash backend
+// servers.
+type Crashes interface {
+	// ReportCrash returns when the nodes of the service have acknowledged the
+	// reports or ctx ends, which is after 200 ms.
+	ReportCrash(ctx context.Context, reports []fleet.CrashReport)
+	// ReportClear passes on that a suspicion is over. It does not block.
+	ReportClear(c suspect.Clearance)
+}
+
+// Metrics receives the measurements of the request path. An empty kind means
+// that a backend server answered.
+type Metrics interface {
+	Finished(class string, kind errkind.Kind, status int, d time.Duration)
+	Attempted(class string, target fleet.NodeID, kind errkind.Kind, hedge bool, d time.Duration)
+	Probed(ok bool)
+}
+
+// Config holds what a Proxy needs.
+type Config struct {
+	Node         fleet.NodeID
+	Incarnation  fleet.Incarnation
+	Zone         string
+	Backend      *settings.Backend // nil: the node has no backend server
+	ServiceToken string            // content of the service token file; empty: none
+
+	Directory     filter.Directory
+	Configuration filter.Configuration
+	Claims        filter.Claims
+	Locks         filter.Locks
+	Crashes       Crashes
+	Suspects      *suspect.Table // nil: a new one
+	Metrics       Metrics        // nil: none
+	// StateChanged is called with each new state of the backend server, which
+	// the node announces. It must not block. It may be nil.
+	StateChanged func(fleet.ServerState)
+
+	ClientTLS *tls.Config // for connections to other nodes
+	Clock     clock.Clock // nil: the system's
+	Seed      uint64
+	Log       *slog.Logger // nil: discarded
+	Records   int          // request records kept; zero: explain.DefaultRecords
+	Events    int          // events kept; zero: explain.DefaultEvents
+}
+
+func (c *Config) setDefaults() error {
+	if c.Node == "" || c.Directory == nil || c.Configuration == nil || c.Claims == nil || c.Locks == nil || c.Crashes == nil || c.ClientTLS == nil {
+		return errors.New("proxy: node, directory, configuration, claims, locks, crashes and client TLS are required")
+	}
+	if c.Suspects == nil {
+		c.Suspects = suspect.New(suspect.Config{})
+	}
+	if c.Metrics == nil {
+		c.Metrics = noMetrics{}
+	}
+	if c.StateChanged == nil {
+		c.StateChanged = func(fleet.ServerState) {}
+	}
+	if c.Clock == nil {
+		c.Clock = clock.System{}
+	}
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
+	if c.Records == 0 {
+		c.Records = explain.DefaultRecords
+	}
+	if c.Events == 0 {
+		c.Events = explain.DefaultEvents
+	}
+	return nil
+}
+
+type noMetrics struct{}
+
+func (noMetrics) Finished(string, errkind.Kind, int, time.Duration)                 {}
+func (noMetrics) Attempted(string, fleet.NodeID, errkind.Kind, bool, time.Duration) {}
+func (noMetrics) Probed(bool)                                                       {}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -163,8 +163,9 @@
 }
 
 // relay passes the answer on. An answer that ends early is an error, so that it
-// is never taken for complete.
-func relay(c *filter.Call, resp *http.Response, h http.Header) error {
+// is never taken for complete. atEnd may find such an early end that the
+// protocol does not show.
+func relay(c *filter.Call, resp *http.Response, h http.Header, atEnd func() error) error {
 	defer func() { _ = resp.Body.Close() }()
 	head := filter.Head{Status: resp.StatusCode, Header: h, Trailer: endToEndTrailer(resp.Trailer)}
 	if n := resp.Header["Content-Length"]; n != nil {
@@ -178,6 +179,9 @@
 	if err := copyBody(c, resp.Body); err != nil {
 		return err
 	}
+	if err := atEnd(); err != nil {
+		return err
+	}
 	return c.Answer.End(endToEndTrailer(resp.Trailer))
 }
 
@@ -209,6 +213,8 @@
 		return errkind.New(errkind.DeadlineExceeded, "%s: %w", what, err)
 	case errors.Is(cause, filter.ErrLost):
 		return cause
+	case errors.Is(cause, errCutOff):
+		return errkind.New(errkind.OutcomeUnknown, "%s: %w", what, cause)
 	default:
 		return errkind.New(errkind.CallerGone, "%s: %w", what, err)
 	}
--- /dev/null
+++ b/proxy/handlers.go
@@ -0,0 +1,207 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/explain"
+	"bramleymill/filter"
+	"bramleymill/fleet"
+	"bramleymill/retry"
+)
+
+// Caller returns the handler of the listener for callers.
+func (p *Proxy) Caller() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.serveEntry(w, r, &filter.Call{Origin: filter.FromCaller})
+	})
+}
+
+// Service returns the handler of the listener for calls of the own backend
+// server. A call that carries the token of a request in flight, or the service
+// token, is proved internal.
+func (p *Proxy) Service() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := &filter.Call{Origin: filter.FromService}
+		token := r.Header.Get(fleet.HeaderCall)
+		c.Parent = p.tokens.parent(token)
+		c.Meta.Internal = c.Parent != nil || sameToken(token, p.config.ServiceToken)
+		p.serveEntry(w, r, c)
+	})
+}
+
+func (p *Proxy) serveEntry(w http.ResponseWriter, r *http.Request, c *filter.Call) {
+	writer := filter.NewWriter(w, func(h http.Header) {
+		h.Set(fleet.HeaderRequestID, c.Meta.RequestID)
+	})
+	c.Ctx, c.Request, c.Answer = r.Context(), r, writer
+	c.Record = explain.NewRecord(explain.Entry, "", p.config.Clock.Now())
+	defer p.finishEntry(c, writer)
+	task := p.work.begin(c.Parent != nil)
+	if task == nil {
+		p.fail(c, writer, errkind.New(errkind.Draining, "node %s is draining", p.config.Node))
+		return
+	}
+	defer task.end()
+	c.Ctx = task.bind(c.Ctx)
+	task.describe(c)
+	if err := p.entry.Serve(c); err != nil {
+		p.fail(c, writer, err)
+	}
+}
+
+// finishEntry records the end of the request, also when its connection is aborted.
+func (p *Proxy) finishEntry(c *filter.Call, w *filter.Writer) {
+	now := p.config.Clock.Now()
+	c.Record.End(now, w.Status())
+	p.store.Add(c.Record)
+	p.config.Metrics.Finished(c.Meta.Class, c.Record.Kind, w.Status(), c.Record.Duration)
+}
+
+// fail answers with the error of a chain. If an answer has begun, the connection
+// is aborted, so that the part that was passed on is not taken for the whole.
+func (p *Proxy) fail(c *filter.Call, w *filter.Writer, err error) {
+	e := errkind.Of(err)
+	c.Record.Failed(e.Kind, err)
+	if w.Started() {
+		panic(http.ErrAbortHandler)
+	}
+	if errors.Is(err, filter.ErrLost) {
+		return
+	}
+	_ = writeError(w, c.Meta.RequestID, e, c.Origin == filter.FromPeer) // the receiver may have gone
+}
+
+type errorBody struct {
+	Kind      errkind.Kind    `json:"kind"`
+	Outcome   errkind.Outcome `json:"outcome"`
+	RequestID string          `json:"request_id,omitempty"`
+	Reason    string          `json:"reason,omitempty"` // for nodes only: it may name addresses
+}
+
+func writeError(w filter.Answer, id string, e *errkind.Error, withReason bool) error {
+	a := errkind.Lookup(e.Kind)
+	body := errorBody{Kind: e.Kind, Outcome: a.Outcome, RequestID: id}
+	if withReason {
+		body.Reason = e.Error()
+	}
+	text, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	h := http.Header{}
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	h.Set(fleet.HeaderKind, string(e.Kind))
+	h.Set(fleet.HeaderOutcome, string(a.Outcome))
+	if a.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((a.RetryAfter+time.Second-1)/time.Second)))
+	}
+	if err := w.Begin(filter.Head{Status: a.Status, Header: h}); err != nil {
+		return err
+	}
+	if _, err := w.Write(text); err != nil {
+		return err
+	}
+	return w.End(nil)
+}
+
+// Peer returns the handler of the listener for other nodes. Its connections
+// must be authenticated by mutual TLS.
+func (p *Proxy) Peer() http.Handler { return http.HandlerFunc(p.servePeer) }
+
+func (p *Proxy) servePeer(w http.ResponseWriter, r *http.Request) {
+	c := &filter.Call{Origin: filter.FromPeer, Request: r, Started: p.config.Clock.Now()}
+	writer := filter.NewWriter(w, func(h http.Header) { p.addReport(h, c) })
+	c.Answer = writer
+	c.Record = explain.NewRecord(explain.ServerSide, "", c.Started)
+	err := p.acceptPeer(c)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(r.Context(), c.Meta.Remaining)
+		defer cancel()
+		c.Ctx = ctx
+		err = p.serveAttempt(c)
+	}
+	defer func() {
+		c.Record.End(p.config.Clock.Now(), writer.Status())
+		p.store.Add(c.Record)
+	}()
+	if err != nil {
+		p.fail(c, writer, err)
+	}
+}
+
+func (p *Proxy) serveAttempt(c *filter.Call) error {
+	if p.server == nil {
+		return errkind.New(errkind.StaleTarget, "node %s has no backend server", p.config.Node)
+	}
+	task := p.work.begin(true) // the gate refuses while the node drains
+	defer task.end()
+	c.Ctx = task.bind(c.Ctx)
+	task.describe(c)
+	return p.server.Serve(c)
+}
+
+// acceptPeer decodes and checks the metadata of a forwarded call.
+func (p *Proxy) acceptPeer(c *filter.Call) error {
+	r := c.Request
+	name, err := peerName(r.TLS)
+	if err != nil {
+		return errkind.New(errkind.Unauthorized, "%w", err)
+	}
+	meta, err := decodeMeta(r.Header.Get(fleet.HeaderCallMeta))
+	if err != nil {
+		return errkind.New(errkind.BadRequest, "%s: %w", fleet.HeaderCallMeta, err)
+	}
+	if meta.Entry != name {
+		return errkind.New(errkind.Unauthorized, "call of entry node %q came from %q", meta.Entry, name)
+	}
+	c.Meta = *meta
+	c.Deadline = c.Started.Add(meta.Remaining)
+	c.Attempts = retry.NewAttempts(meta.AttemptsLeft)
+	c.Body = filter.NewBody(r)
+	c.Body.Expect = r.Header.Get(headerExpect) != ""
+	rec := c.Record
+	rec.RequestID, rec.Class, rec.ConfigVersion, rec.Depth = meta.RequestID, meta.Class, meta.ConfigVersion, meta.Depth
+	rec.AttemptNumber, rec.ClaimID, rec.Confined = meta.Attempt, meta.ClaimID, meta.Confined
+	return nil
+}
+
+// Bounds of the values that a CallMeta may hold.
+const (
+	maxRequestID    = 160
+	maxRemaining    = time.Hour
+	maxAttemptsLeft = 64
+)
+
+var errMeta = errors.New("a value is out of bounds")
+
+func decodeMeta(header string) (*fleet.CallMeta, error) {
+	var m fleet.CallMeta
+	if err := fleet.DecodeHeader(header, &m); err != nil {
+		return nil, err
+	}
+	if m.RequestID == "" || len(m.RequestID) > maxRequestID || m.Attempt == 0 || m.AttemptsLeft > maxAttemptsLeft || m.Remaining > maxRemaining {
+		return nil, errMeta
+	}
+	return &m, nil
+}
+
+// addReport adds what a server node states with each answer and refusal.
+func (p *Proxy) addReport(h http.Header, c *filter.Call) {
+	report := p.LoadReport()
+	if c.Admitted && report.InFlight > 0 {
+		report.InFlight-- // this request is about to end
+	}
+	if v, err := fleet.EncodeHeader(&report); err == nil {
+		h[fleet.HeaderLoad] = []string{v}
+	}
+	if c.Attempts != nil {
+		h[headerAttemptsLeft] = []string{strconv.FormatUint(uint64(c.Attempts.Left()), 10)}
+	}
+}
--- /dev/null
+++ b/proxy/health.go
@@ -0,0 +1,160 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"bramleymill/probe"
+)
+
+// Limits of a health check.
+const (
+	healthTimeout  = time.Second
+	maxHealthBytes = 512
+	healthRetry    = 50 * time.Millisecond // while the budget refuses a wanted check
+)
+
+// health checks the health endpoint of the backend server within the measuring
+// budget. It decides when a server that has appeared is ready, and confirms or
+// contradicts hints at draining. The endpoint may lag or mislead, so that
+// nothing else depends on it. With a budget of zero there are no checks and a
+// server that accepts connections is ready.
+type health struct {
+	config  *Config
+	monitor *monitor
+	hints   *drainHints
+	changed func()
+	budget  *probe.Budget
+	client  *http.Client
+	wake    chan struct{}
+
+	mu     sync.Mutex
+	passed bool // the current life was found ready
+	urgent bool // a check is wanted although answers are recent
+}
+
+func newHealth(c *Config, m *monitor, h *drainHints, changed func()) *health {
+	return &health{config: c, monitor: m, hints: h, changed: changed,
+		budget: probe.NewBudget(c.Clock.Now(), limits(c)),
+		client: &http.Client{Timeout: healthTimeout, Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}},
+		wake:   make(chan struct{}, 1)}
+}
+
+func limits(c *Config) probe.Limits {
+	set := c.Configuration.Current()
+	if set == nil {
+		return probe.Limits{}
+	}
+	return probe.Limits{ProbesPerSecond: set.ProbesPerSecond(c.Backend.Service), BytesPerSecond: set.MeasuringBytesPerSecond()}
+}
+
+// restart forgets what was found, because the backend server died or appeared.
+func (h *health) restart() {
+	h.mu.Lock()
+	h.passed = false
+	h.mu.Unlock()
+	h.soon()
+}
+
+// soon asks for a check.
+func (h *health) soon() {
+	h.mu.Lock()
+	h.urgent = true
+	h.mu.Unlock()
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// ready reports whether the backend server may get work.
+func (h *health) ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.passed || limits(h.config).ProbesPerSecond == 0
+}
+
+func (h *health) run(ctx context.Context) {
+	for {
+		delay := h.config.Backend.CheckEvery.Std()
+		if h.step(ctx) {
+			delay = healthRetry
+		}
+		t := time.NewTimer(delay)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-h.wake:
+			t.Stop()
+		case <-t.C:
+		}
+	}
+}
+
+// step makes a check if one is wanted and allowed. It reports whether a wanted
+// check was refused by the budget.
+func (h *health) step(ctx context.Context) bool {
+	defer h.changed()
+	if !h.monitor.Alive() {
+		return false
+	}
+	now := h.config.Clock.Now()
+	l := limits(h.config)
+	h.budget.SetLimits(now, l)
+	if l.ProbesPerSecond == 0 {
+		h.hints.healthUnknown()
+		return false
+	}
+	if !h.wanted(now) {
+		return false
+	}
+	if !h.budget.Probe(now) {
+		return true
+	}
+	h.check(ctx)
+	return false
+}
+
+func (h *health) wanted(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.urgent || !h.passed || h.hints.draining() ||
+		probe.Config{}.WithDefaults().ServerWanted(now, h.hints.lastAnswer())
+}
+
+func (h *health) check(ctx context.Context) {
+	h.mu.Lock()
+	h.urgent = false
+	h.mu.Unlock()
+	status, text, err := h.get(ctx)
+	h.config.Metrics.Probed(err == nil && status < http.StatusInternalServerError)
+	if err != nil {
+		return // a late answer says nothing; the watched connection tells of a death
+	}
+	draining := status == http.StatusServiceUnavailable && strings.Contains(strings.ToLower(text), "draining")
+	h.hints.healthy(draining)
+	if status < http.StatusInternalServerError {
+		h.mu.Lock()
+		h.passed = true
+		h.mu.Unlock()
+	}
+}
+
+func (h *health) get(ctx context.Context) (status int, text string, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.config.Backend.Address+h.config.Backend.HealthPath, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxHealthBytes))
+	return resp.StatusCode, string(b), err
+}
--- /dev/null
+++ b/proxy/local.go
@@ -0,0 +1,145 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bramleymill/admit"
+	"bramleymill/errkind"
+	"bramleymill/explain"
+	"bramleymill/filter"
+	"bramleymill/fleet"
+)
+
+// localServer controls the state of the backend server beside the node.
+type localServer struct {
+	config  *Config
+	store   *explain.Store
+	gate    *admit.Gate
+	backend *backend
+	monitor *monitor
+	hints   *drainHints
+	health  *health
+	guard   *filter.CrashGuard
+
+	mu      sync.Mutex
+	current fleet.ServerState
+	drained bool // the node drains; final
+	ordered bool // an operator drains the backend server
+	wasUp   bool
+}
+
+func newLocalServer(p *Proxy) *localServer {
+	c := &p.config
+	l := &localServer{config: c, store: p.store, current: fleet.Starting}
+	l.gate = admit.NewGate(admit.Config{Slots: c.Backend.Slots, Connections: c.Backend.Connections,
+		SpareConnections: spareConnections, QueueLength: c.Backend.QueueLength}, c.Clock)
+	l.gate.Refuse(errkind.BackendDown)
+	l.hints = newDrainHints(c.Clock, l.held)
+	l.monitor = newMonitor(c.Backend.Address, l.hints, l.aliveChanged, func(life uint64) { l.guard.Report(life) })
+	l.health = newHealth(c, l.monitor, l.hints, l.refresh)
+	l.backend = newBackend(c, p.tokens, l.monitor)
+	return l
+}
+
+func (l *localServer) start(ctx context.Context, done *sync.WaitGroup) {
+	done.Add(2)
+	go func() { defer done.Done(); l.monitor.run(ctx) }()
+	go func() { defer done.Done(); l.health.run(ctx) }()
+}
+
+// aliveChanged is called when the backend server appears or dies.
+func (l *localServer) aliveChanged() {
+	l.health.restart()
+	l.refresh()
+}
+
+// held is called when hints stop new work for a while.
+func (l *localServer) held() {
+	l.health.soon()
+	l.refresh()
+	time.AfterFunc(hintHold+time.Millisecond, l.refresh)
+}
+
+func (l *localServer) state() fleet.ServerState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current
+}
+
+// refresh derives the state from what is known and applies it.
+func (l *localServer) refresh() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := l.derive()
+	if next == l.current {
+		return
+	}
+	before := l.current
+	l.current = next
+	l.apply(next)
+	l.record(before, next)
+	l.config.StateChanged(next)
+}
+
+func (l *localServer) derive() fleet.ServerState {
+	alive := l.monitor.Alive()
+	l.wasUp = l.wasUp || alive
+	switch {
+	case l.drained || l.ordered:
+		return fleet.Draining
+	case !alive && l.wasUp:
+		return fleet.Down
+	case !alive:
+		return fleet.Starting
+	case l.hints.draining():
+		return fleet.Draining
+	case !l.health.ready():
+		return fleet.Starting
+	}
+	return fleet.Ready
+}
+
+func (l *localServer) apply(s fleet.ServerState) {
+	if l.drained {
+		return // Gate.Drain decides
+	}
+	l.gate.Open() // ends what an earlier state has set
+	switch s {
+	case fleet.Draining:
+		l.gate.Refuse(errkind.Draining)
+	case fleet.Starting, fleet.Down:
+		l.gate.Refuse(errkind.BackendDown)
+	}
+}
+
+func (l *localServer) record(before, next fleet.ServerState) {
+	kind, reason := explain.StateChanged, "from "+before.String()+" to "+next.String()
+	switch {
+	case next == fleet.Ready:
+		kind = explain.BackendUp
+	case next == fleet.Draining:
+		kind = explain.DrainStarted
+	}
+	l.store.AddEvent(l.config.Clock.Now(), kind, l.config.Node, l.config.Backend.Service, reason)
+	l.config.Log.Info("backend server state", "service", l.config.Backend.Service, "from", before, "to", next)
+}
+
+// order starts or ends a drain of the backend server by an operator.
+func (l *localServer) order(drain bool) {
+	l.mu.Lock()
+	l.ordered = drain
+	l.mu.Unlock()
+	l.refresh()
+}
+
+// drain starts the drain of the node.
+func (l *localServer) drain() <-chan struct{} {
+	l.mu.Lock()
+	l.drained = true
+	l.mu.Unlock()
+	done := l.gate.Drain()
+	l.refresh()
+	return done
+}
--- /dev/null
+++ b/proxy/path_test.go
@@ -0,0 +1,36 @@
+package proxy
+
+import (
+	"strings"
+	"testing"
+
+	"bramleymill/fleet"
+)
+
+// Guards against a break anywhere on the path from the caller through an entry
+// node and a server node to the backend server and back.
+func TestForwardedCall(t *testing.T) {
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	c.node("server", answer("hello"))
+	resp := expect(t, 200, "", "hello", "GET", entry.caller.URL+"/x")
+	if id := resp.Header.Get(fleet.HeaderRequestID); !strings.HasPrefix(id, "entry.7.") {
+		t.Errorf("request id %q does not name the entry node", id)
+	}
+	if by := resp.Header.Get(fleet.HeaderServedBy); by != "server" {
+		t.Errorf("served by %q", by)
+	}
+	if resp.Header.Get(fleet.HeaderLoad) != "" {
+		t.Error("the load report reached the caller")
+	}
+}
+
+// Guards against a call that takes the network although the entry node itself
+// is the target.
+func TestLocalCall(t *testing.T) {
+	c := newCluster(t)
+	n := c.node("only", answer("hello"))
+	n.peer.Close()
+	expect(t, 200, "", "hello", "POST", n.caller.URL+"/x", fleet.HeaderIdempotencyKey, "k1")
+	expect(t, 200, "", "hello", "POST", n.caller.URL+"/x")
+}
--- /dev/null
+++ b/proxy/proxy.go
@@ -0,0 +1,174 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleymill/admit"
+	"bramleymill/errkind"
+	"bramleymill/explain"
+	"bramleymill/filter"
+	"bramleymill/fleet"
+	"bramleymill/pick"
+	"bramleymill/retry"
+	"bramleymill/suspect"
+)
+
+// Proxy is the request path of one node. Its methods are safe for concurrent use.
+type Proxy struct {
+	config  Config
+	store   *explain.Store
+	choose  *filter.Choose
+	entry   filter.Handler
+	server  filter.Handler // nil without a backend server
+	remote  *remote
+	tokens  *tokens
+	local   *localServer // nil without a backend server
+	work    work
+	reports atomic.Uint64 // sequence of load reports
+
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// New returns a Proxy that begins to watch its backend server. Close ends it.
+func New(c Config) (*Proxy, error) {
+	if err := c.setDefaults(); err != nil {
+		return nil, err
+	}
+	p := &Proxy{config: c, tokens: newTokens(), store: explain.NewStore(c.Node, c.Records, c.Events)}
+	p.work.init()
+	p.remote = newRemote(c.ClientTLS, c.Clock)
+	if c.Backend != nil {
+		p.local = newLocalServer(p)
+		p.server = p.serverChain()
+	}
+	p.entry = p.entryChain()
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	if p.local != nil {
+		p.local.start(ctx, &p.done)
+	}
+	return p, nil
+}
+
+func (p *Proxy) entryChain() filter.Handler {
+	c, k := &p.config, p.config.Clock
+	var h filter.Handler = filter.NewForward(p.remote, filter.HandlerFunc(p.serveLocal), c.Node, k)
+	p.choose = filter.NewChoose(h, c.Directory, c.Zone, k, c.Seed, p.store)
+	h = filter.NewAttempts(p.choose, k, p)
+	h = filter.NewClaims(h, c.Claims)
+	h = filter.NewSuspects(h, c.Suspects, c.Locks, k)
+	h = filter.NewBodyFilter(h, k)
+	h = filter.NewDeadline(h, k, retry.DefaultAttempts)
+	h = filter.NewInternalOnly(h)
+	h = filter.NewConfirmed(h, c.Configuration)
+	h = filter.NewClassify(h, c.Configuration)
+	return filter.NewRequestID(h, c.Node, c.Incarnation, k)
+}
+
+func (p *Proxy) serverChain() filter.Handler {
+	c, k, l := &p.config, p.config.Clock, p.local
+	var h filter.Handler = filter.NewDispatch(l.backend, k)
+	l.guard = filter.NewCrashGuard(h, filter.CrashGuardConfig{Node: c.Node, Incarnation: c.Incarnation,
+		Service: c.Backend.Service, Suspects: c.Suspects, Publisher: c.Crashes, Liveness: l.monitor, Events: p.store, Clock: k})
+	h = filter.NewAdmission(l.guard, l.gate, k)
+	h = filter.NewDuplicates(h, k)
+	return filter.NewPeerCheck(h, c.Node, c.Incarnation, k)
+}
+
+// serveLocal runs the server chain for an attempt whose target is this node.
+func (p *Proxy) serveLocal(c *filter.Call) error {
+	if p.server == nil {
+		return errkind.New(errkind.StaleTarget, "node %s has no backend server", p.config.Node)
+	}
+	err := p.server.Serve(c)
+	report := p.LoadReport()
+	c.Load = &report
+	return err
+}
+
+// Attempted passes the end of an attempt on to the metrics.
+func (p *Proxy) Attempted(c *filter.Call, kind errkind.Kind) {
+	var d time.Duration
+	if !c.SentAt.IsZero() {
+		d = p.config.Clock.Now().Sub(c.SentAt)
+	}
+	p.config.Metrics.Attempted(c.Meta.Class, c.Target.Node, kind, c.Meta.Hedge, d)
+}
+
+// LoadReport returns the load of the backend server as this node counts it.
+func (p *Proxy) LoadReport() fleet.LoadReport {
+	r := fleet.LoadReport{Incarnation: p.config.Incarnation, Sequence: p.reports.Add(1)}
+	if set := p.config.Configuration.Current(); set != nil {
+		r.ConfigVersion = set.Version
+	}
+	if p.local != nil {
+		load := p.local.gate.Load()
+		r.InFlight, r.Queued, r.Slots, r.ServiceTime = load.InFlight, load.Queued, load.Slots, load.ServiceTime
+		r.Draining = p.State() == fleet.Draining
+	}
+	return r
+}
+
+// ObserveLoad records a load report that came with a message.
+func (p *Proxy) ObserveLoad(service string, node fleet.NodeID, r *fleet.LoadReport) {
+	p.choose.Balancer(service).Observe(node, p.config.Clock.Now(), r)
+}
+
+// Views returns how this node sees the servers of a service.
+func (p *Proxy) Views(service string) []pick.View {
+	return p.choose.Balancer(service).Views(p.config.Clock.Now())
+}
+
+// State returns the state of the backend server that the node announces.
+func (p *Proxy) State() fleet.ServerState {
+	if p.local == nil {
+		return fleet.Ready
+	}
+	return p.local.state()
+}
+
+// Admission returns the load of the backend server's queue and slots.
+func (p *Proxy) Admission() admit.Load {
+	if p.local == nil {
+		return admit.Load{}
+	}
+	return p.local.gate.Load()
+}
+
+// Explain returns the records of requests and events.
+func (p *Proxy) Explain() *explain.Store { return p.store }
+
+// Suspects returns the table of requests that crash backend servers.
+func (p *Proxy) Suspects() *suspect.Table { return p.config.Suspects }
+
+// ReceiveCrash merges crash reports of another node and returns those that were new.
+func (p *Proxy) ReceiveCrash(reports []fleet.CrashReport) (fresh []fleet.CrashReport) {
+	now := p.config.Clock.Now()
+	for _, r := range reports {
+		if p.config.Suspects.Report(now, r) {
+			fresh = append(fresh, r)
+			p.store.AddEvent(now, explain.CrashDetected, r.Node, r.Service, "reported by the server's node for class "+r.Class)
+		}
+	}
+	return fresh
+}
+
+// ReceiveClear merges a clearance of another node and tells whether it was new.
+func (p *Proxy) ReceiveClear(c suspect.Clearance) bool {
+	return p.config.Suspects.Clear(p.config.Clock.Now(), c)
+}
+
+// Close ends the watching of the backend server and closes idle connections. It
+// does not wait for requests; see Drain.
+func (p *Proxy) Close() {
+	p.cancel()
+	p.done.Wait()
+	p.remote.close()
+	if p.local != nil {
+		p.local.backend.close()
+	}
+}
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"sync"
 	"time"
 
+	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/filter"
 	"bramleymill/fleet"
@@ -32,12 +34,13 @@
 // remote sends attempts to other nodes over mutual TLS.
 type remote struct {
 	transport *http.Transport
-	clientTLS func(server fleet.NodeID) *tls.Config
+	clientTLS *tls.Config
+	clock     clock.Clock
 	addresses sync.Map // pool name -> peer address
 }
 
-func newRemote(clientTLS func(fleet.NodeID) *tls.Config) *remote {
-	r := &remote{clientTLS: clientTLS}
+func newRemote(clientTLS *tls.Config, k clock.Clock) *remote {
+	r := &remote{clientTLS: clientTLS, clock: k}
 	r.transport = &http.Transport{
 		DialTLSContext:         r.dial,
 		MaxIdleConnsPerHost:    maxIdlePerPeer,
@@ -74,14 +77,35 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := tls.Client(raw, r.clientTLS(fleet.NodeID(node)))
-	if err := conn.HandshakeContext(ctx); err != nil {
+	conn := tls.Client(raw, r.clientTLS)
+	if err := r.handshake(ctx, conn, fleet.NodeID(node)); err != nil {
 		_ = raw.Close()
 		return nil, err
 	}
 	return &countedConn{Conn: conn}, nil
 }
 
+// handshake checks that the peer is the expected node.
+func (r *remote) handshake(ctx context.Context, conn *tls.Conn, node fleet.NodeID) error {
+	if err := conn.HandshakeContext(ctx); err != nil {
+		return err
+	}
+	state := conn.ConnectionState()
+	name, err := peerName(&state)
+	if err == nil && name != node {
+		err = fmt.Errorf("the peer is %s, expected %s", name, node)
+	}
+	return err
+}
+
+// peerName returns the node name in the verified certificate of a peer.
+func peerName(cs *tls.ConnectionState) (fleet.NodeID, error) {
+	if cs == nil || len(cs.PeerCertificates) == 0 || cs.PeerCertificates[0].Subject.CommonName == "" {
+		return "", errors.New("the peer has no certificate with a name")
+	}
+	return fleet.NodeID(cs.PeerCertificates[0].Subject.CommonName), nil
+}
+
 // Serve sends one attempt and passes its answer on.
 func (r *remote) Serve(c *filter.Call) error {
 	lent := c.Attempts.Lend()
@@ -117,8 +141,10 @@
 }
 
 func (r *remote) receive(c *filter.Call, resp *http.Response, lent uint32) error {
+	c.HeadAt = r.clock.Now()
 	c.Load = decodeLoad(resp.Header)
 	if err := refusal(resp); err != nil {
+		c.HeadAt = time.Time{}
 		return err
 	}
 	if left, err := strconv.ParseUint(resp.Header.Get(headerAttemptsLeft), 10, 32); err == nil {
@@ -126,7 +152,7 @@
 	}
 	h := endToEnd(resp.Header)
 	h[fleet.HeaderServedBy] = []string{string(c.Target.Node)}
-	return relay(c, resp, h)
+	return relay(c, resp, h, func() error { return nil })
 }
 
 func decodeLoad(h http.Header) *fleet.LoadReport {
--- /dev/null
+++ b/proxy/tokens.go
@@ -0,0 +1,50 @@
+package proxy
+
+import (
+	"crypto/rand"
+	"crypto/subtle"
+	"encoding/hex"
+	"sync"
+
+	"bramleymill/filter"
+)
+
+// tokenBytes is the size of a call token.
+const tokenBytes = 16
+
+// tokens maps the call tokens of the requests in flight at the backend server to
+// the limits that calls made for them inherit.
+type tokens struct {
+	mu       sync.RWMutex
+	inFlight map[string]*filter.Parent
+}
+
+func newTokens() *tokens { return &tokens{inFlight: map[string]*filter.Parent{}} }
+
+// issue returns a new token, which proves calls of the backend server until revoke.
+func (t *tokens) issue(p *filter.Parent) string {
+	var b [tokenBytes]byte
+	_, _ = rand.Read(b[:]) // never fails
+	token := hex.EncodeToString(b[:])
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inFlight[token] = p
+	return token
+}
+
+func (t *tokens) revoke(token string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.inFlight, token)
+}
+
+// parent returns the request in flight that a token belongs to, or nil.
+func (t *tokens) parent(token string) *filter.Parent {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.inFlight[token]
+}
+
+func sameToken(a, b string) bool {
+	return a != "" && subtle.ConstantTimeCompare([]byte(a), []byte(b)) == 1
+}
