--- /dev/null
+++ b/raft/actions.go
@@ -0,0 +1,116 @@
+package raft
+
+// Actions returns what is to be done, in the order in which it is to be done.
+func (n *Node) Actions() []Action {
+	if n.lead.unsent {
+		n.replicateAll()
+	}
+	var out []Action
+	if !n.hardDirty {
+		out = n.early
+	} else {
+		n.queued = append(n.early, n.queued...)
+	}
+	n.early = nil
+	if n.restore != nil {
+		n.restore.HardState = n.hard
+		out = append(out, *n.restore)
+	}
+	if p, ok := n.persist(); ok {
+		out = append(out, p)
+	}
+	out = append(out, n.queued...)
+	n.queued = nil
+	if n.commit > n.applied && n.restore == nil {
+		out = append(out, Apply{n.log.slice(n.applied+1, n.commit)})
+		n.applied = n.commit
+	}
+	return out
+}
+
+func (n *Node) persist() (Persist, bool) {
+	p := Persist{Entries: n.log.slice(n.stable+1, n.log.lastIndex())}
+	if n.hardDirty {
+		h := n.hard
+		p.HardState = &h
+	}
+	return p, n.hardDirty || len(p.Entries) > 0
+}
+
+// Persisted reports that p is durable.
+func (n *Node) Persisted(p Persist) {
+	if p.HardState != nil && *p.HardState == n.hard {
+		n.hardDirty = false
+	}
+	if len(p.Entries) == 0 {
+		return
+	}
+	last := p.Entries[len(p.Entries)-1]
+	if t, ok := n.log.term(last.Index); ok && t == last.Term && last.Index > n.stable {
+		n.stable = last.Index
+	}
+	if n.role == Leader {
+		n.advanceCommit()
+	}
+}
+
+// Restored reports that r is durable.
+func (n *Node) Restored(r Restore) {
+	if n.restore == nil || n.restore.Meta.Index != r.Meta.Index {
+		return
+	}
+	n.restore = nil
+	n.snapshot = r.Meta
+	if r.HardState == n.hard {
+		n.hardDirty = false
+	}
+}
+
+// Compact reports that the snapshot m is durable and drops entries that it
+// covers. The newest of them stay, up to keep entries and keepBytes, and spare a
+// replica that is slightly behind the transfer of a snapshot.
+func (n *Node) Compact(m SnapshotMeta, keep uint64, keepBytes int) {
+	if m.Index <= n.snapshot.Index || m.Index > min(n.applied, n.stable) {
+		return
+	}
+	n.snapshot = m
+	first := m.Index
+	for size := 0; first > n.log.baseIndex && m.Index-first < keep; first-- {
+		if size += n.log.at(first).size(); size > keepBytes {
+			break
+		}
+	}
+	n.log.compact(first)
+	n.trimConfigurations(m.Index)
+}
+
+// Remaining returns the base of the log and its durable entries, as needed to
+// write a compacted log file.
+func (n *Node) Remaining() (SnapshotMeta, []Entry) {
+	base := SnapshotMeta{Index: n.log.baseIndex, Term: n.log.baseTerm, Time: n.log.baseTime}
+	return base, n.log.slice(n.log.baseIndex+1, n.stable)
+}
+
+// HardState returns the hard state, which may be newer than the durable one.
+func (n *Node) HardState() HardState { return n.hard }
+
+// Status describes a node.
+type Status struct {
+	ID            ID
+	Role          Role
+	Leader        ID
+	Term          uint64
+	Commit        uint64
+	LastIndex     uint64
+	LogBytes      int
+	Snapshot      SnapshotMeta
+	Configuration Configuration
+}
+
+// Status returns the current state. Its slices must not be modified.
+func (n *Node) Status() Status {
+	return Status{
+		ID: n.id, Role: n.role, Leader: n.leader, Term: n.hard.Term, Commit: n.commit,
+		LastIndex: n.log.lastIndex(), LogBytes: n.log.bytes, Snapshot: n.snapshot, Configuration: n.conf,
+	}
+}
--- /dev/null
+++ b/raft/election.go
@@ -0,0 +1,142 @@
+package raft
+
+import "time"
+
+// leaseHolds reports whether a leader may still rely on this replica, so that
+// it must not help another candidate.
+func (n *Node) leaseHolds() bool {
+	if n.role == Leader {
+		return true // the leader steps down by itself when it loses its majority
+	}
+	return n.now.Mono < n.heardAt+n.timing.ElectionMin
+}
+
+func (n *Node) startPreVote() {
+	n.role, n.leader, n.preVoting = Candidate, ID{}, true
+	n.votes = map[ID]bool{n.id: true}
+	n.requestVotes(Message{Kind: PreVote, Term: n.hard.Term + 1})
+	if n.wonVotes() {
+		n.startElection(false)
+	}
+}
+
+func (n *Node) startElection(transfer bool) {
+	n.role, n.leader, n.preVoting = Candidate, ID{}, false
+	n.setHard(n.hard.Term+1, n.id)
+	n.resetElectionTimer()
+	n.votes = map[ID]bool{n.id: true}
+	n.requestVotes(Message{Kind: Vote, Transfer: transfer})
+	if n.wonVotes() {
+		n.becomeLeader()
+	}
+}
+
+func (n *Node) requestVotes(m Message) {
+	m.Index, m.LogTerm = n.log.lastIndex(), n.log.lastTerm()
+	for _, v := range n.conf.Voters {
+		if v.ID != n.id {
+			m.To = v.ID
+			n.send(m)
+		}
+	}
+}
+
+func (n *Node) wonVotes() bool {
+	won := 0
+	for _, v := range n.conf.Voters {
+		if n.votes[v.ID] {
+			won++
+		}
+	}
+	return won > len(n.conf.Voters)/2
+}
+
+// upToDate reports whether a candidate's log holds everything that may be
+// committed according to the own log.
+func (n *Node) upToDate(m Message) bool {
+	if m.LogTerm != n.log.lastTerm() {
+		return m.LogTerm > n.log.lastTerm()
+	}
+	return m.Index >= n.log.lastIndex()
+}
+
+func (n *Node) onPreVote(m Message) {
+	reply := Message{Kind: PreVoteReply, To: m.From, Term: m.Term}
+	if m.Term <= n.hard.Term || n.leaseHolds() || !n.upToDate(m) {
+		reply.Refused, reply.Term = true, n.hard.Term
+	}
+	n.send(reply)
+}
+
+func (n *Node) onPreVoteReply(m Message) {
+	if n.role != Candidate || !n.preVoting || m.Refused || m.Term != n.hard.Term+1 {
+		return
+	}
+	n.votes[m.From] = true
+	if n.wonVotes() {
+		n.startElection(false)
+	}
+}
+
+func (n *Node) onVote(m Message) {
+	reply := Message{Kind: VoteReply, To: m.From}
+	canVote := n.hard.Vote == m.From || (n.hard.Vote == ID{} && n.leader == ID{})
+	if canVote && n.upToDate(m) {
+		if n.hard.Vote != m.From {
+			n.setHard(n.hard.Term, m.From)
+		}
+		n.resetElectionTimer()
+	} else {
+		reply.Refused = true
+	}
+	n.send(reply)
+}
+
+func (n *Node) onVoteReply(m Message) {
+	if n.role != Candidate || n.preVoting || m.Refused {
+		return
+	}
+	n.votes[m.From] = true
+	if n.wonVotes() {
+		n.becomeLeader()
+	}
+}
+
+func (n *Node) onTimeoutNow(m Message) {
+	if n.role != Leader && n.leader == m.From && n.conf.IsVoter(n.id) {
+		n.startElection(true)
+	}
+}
+
+// leadership is the state of a leader. Its zero value is that of other roles.
+type leadership struct {
+	progress  map[ID]*progress
+	termStart uint64 // index of the Empty entry of the term
+
+	round       uint64                   // newest confirmation round
+	roundStarts map[uint64]time.Duration // of the rounds not yet confirmed
+	confirmed   uint64                   // newest round that a majority acknowledged
+	confirmedAt time.Duration            // start of that round
+	nextRound   time.Duration            // time of the next periodic round
+	electedAt   time.Duration
+
+	unsent bool // new entries wait for replicateAll
+
+	commitMark     uint64 // commit index at the newest periodic round
+	prevCommitMark uint64 // commit index one periodic round earlier
+
+	transferee    ID
+	transferUntil time.Duration
+	leaseGivenUp  bool // a TimeoutNow that was sent may still start an election
+}
+
+func (n *Node) becomeLeader() {
+	n.role, n.leader, n.preVoting, n.votes = Leader, n.id, false, nil
+	n.lead = leadership{
+		progress: map[ID]*progress{}, roundStarts: map[uint64]time.Duration{},
+		electedAt: n.now.Mono, termStart: n.log.lastIndex() + 1,
+	}
+	n.syncProgress()
+	n.propose(Entry{Kind: Empty})
+	n.startRound()
+}
--- /dev/null
+++ b/raft/follower.go
@@ -0,0 +1,132 @@
+package raft
+
+// incomingChunk collects a snapshot.
+type incomingChunk struct {
+	meta SnapshotMeta
+	data []byte
+}
+
+// hear records a message of the current leader.
+func (n *Node) hear(m Message) {
+	if n.role != Follower || n.leader != m.From {
+		n.becomeFollower(m.Term, m.From)
+	}
+	n.heardAt = n.now.Mono
+	n.resetElectionTimer()
+}
+
+func (n *Node) onHeartbeat(m Message) {
+	n.hear(m)
+	n.commitTo(min(m.Commit, n.log.lastIndex()))
+	// The reply promises nothing about entries. It need not wait for them to be
+	// durable, so that confirmation continues while a disk is full.
+	n.sendEarly(Message{Kind: HeartbeatReply, To: m.From, Round: m.Round})
+}
+
+func (n *Node) onAppend(m Message) {
+	n.hear(m)
+	if m.Index < n.commit { // the committed prefix matches every leader's log
+		known := min(n.commit-m.Index, uint64(len(m.Entries)))
+		m.Entries = m.Entries[known:]
+		m.Index = n.commit
+		m.LogTerm, _ = n.log.term(n.commit)
+	}
+	if t, ok := n.log.term(m.Index); !ok || t != m.LogTerm {
+		n.refuseAppend(m)
+		return
+	}
+	n.storeEntries(m.Entries)
+	last := m.Index + uint64(len(m.Entries))
+	n.commitTo(min(m.Commit, last))
+	n.send(Message{Kind: AppendReply, To: m.From, Index: last})
+}
+
+// refuseAppend names the last own entry that may match the leader's log.
+func (n *Node) refuseAppend(m Message) {
+	hint := n.log.lastIndexAtOrBelow(m.Index, m.LogTerm)
+	term, _ := n.log.term(hint)
+	n.send(Message{Kind: AppendReply, To: m.From, Refused: true, Probed: m.Index, Index: hint, LogTerm: term})
+}
+
+// storeEntries appends what is new and replaces the own entries from the first
+// conflict on. Entries that match are kept, because a delayed Append must not
+// remove what a later one has added and this replica has acknowledged.
+func (n *Node) storeEntries(entries []Entry) {
+	for i, e := range entries {
+		t, ok := n.log.term(e.Index)
+		if ok && t == e.Term {
+			continue
+		}
+		if ok {
+			n.truncate(e.Index)
+		}
+		n.appendEntries(entries[i:]...)
+		return
+	}
+}
+
+func (n *Node) truncate(index uint64) {
+	n.log.truncate(index)
+	n.stable = min(n.stable, index-1)
+	for len(n.confs) > 1 && n.confs[len(n.confs)-1].index >= index {
+		n.confs = n.confs[:len(n.confs)-1]
+	}
+	n.useConfiguration()
+}
+
+func (n *Node) commitTo(index uint64) {
+	if index > n.commit {
+		n.commit = index
+	}
+}
+
+// Observe tells a replica that the leader has committed the entry at index with
+// the given term, so that a read need not wait for the next heartbeat.
+func (n *Node) Observe(index, term uint64) {
+	if t, ok := n.log.term(index); ok && t == term {
+		n.commitTo(index)
+	}
+}
+
+func (n *Node) onSnapshotChunk(m Message) {
+	n.hear(m)
+	if m.Chunk == nil {
+		return
+	}
+	meta := m.Chunk.Meta
+	if t, ok := n.log.term(meta.Index); meta.Index <= n.commit || (ok && t == meta.Term) {
+		n.incoming = nil
+		n.commitTo(meta.Index)
+		n.send(Message{Kind: AppendReply, To: m.From, Index: max(n.commit, meta.Index)})
+		return
+	}
+	if n.collect(m.Chunk) {
+		n.installSnapshot()
+		n.send(Message{Kind: AppendReply, To: m.From, Index: meta.Index})
+		return
+	}
+	n.send(Message{Kind: SnapshotReply, To: m.From, Index: meta.Index, Probed: uint64(len(n.incoming.data))})
+}
+
+// collect adds a chunk and reports whether the snapshot is complete.
+func (n *Node) collect(c *Chunk) bool {
+	in := n.incoming
+	if in == nil || in.meta.Index != c.Meta.Index || in.meta.Term != c.Meta.Term {
+		in = &incomingChunk{meta: c.Meta}
+		n.incoming = in
+	}
+	if c.Offset == uint64(len(in.data)) {
+		in.data = append(in.data, c.Data...)
+	}
+	return uint64(len(in.data)) == c.Total
+}
+
+func (n *Node) installSnapshot() {
+	in := n.incoming
+	n.incoming = nil
+	n.log.reset(in.meta)
+	n.stable, n.commit, n.applied = in.meta.Index, in.meta.Index, in.meta.Index
+	n.confs = []confAt{{in.meta.Index, in.meta.Configuration}}
+	n.useConfiguration()
+	n.restore = &Restore{Meta: in.meta, Data: in.data}
+}
--- /dev/null
+++ b/raft/leader.go
@@ -0,0 +1,228 @@
+package raft
+
+import (
+	"errors"
+	"slices"
+	"time"
+)
+
+// Errors of inputs that need the leader.
+var (
+	ErrNotLeader    = errors.New("raft: this replica is not the leader")
+	ErrTransferring = errors.New("raft: the leadership is being transferred")
+	ErrTooLarge     = errors.New("raft: command exceeds the size limit")
+)
+
+// Propose appends a command to the log and returns its place. The command is
+// committed when an entry with this index and term is applied.
+func (n *Node) Propose(now Reading, command []byte) (index, term uint64, err error) {
+	n.advance(now)
+	switch {
+	case n.role != Leader:
+		return 0, 0, ErrNotLeader
+	case n.lead.transferee != ID{}:
+		return 0, 0, ErrTransferring
+	case len(command) > MaxCommandBytes:
+		return 0, 0, ErrTooLarge
+	}
+	return n.propose(Entry{Kind: Command, Data: command}), n.hard.Term, nil
+}
+
+func (n *Node) propose(e Entry) uint64 {
+	e.Index, e.Term = n.log.lastIndex()+1, n.hard.Term
+	e.Time = max(n.log.lastTime(), n.now.Unix)
+	n.appendEntries(e)
+	n.lead.unsent = true
+	return e.Index
+}
+
+// replicateAll sends new entries to every replica that is ready for more.
+func (n *Node) replicateAll() {
+	n.lead.unsent = false
+	for id, p := range n.lead.progress {
+		n.replicate(id, p)
+	}
+}
+
+func (n *Node) tickLeader() {
+	silence := n.now.Mono - max(n.lead.confirmedAt, n.lead.electedAt)
+	if silence > n.timing.ElectionMax && len(n.conf.Voters) > 1 {
+		n.becomeFollower(n.hard.Term, ID{}) // lost its majority, or was frozen
+		return
+	}
+	if n.lead.transferee != (ID{}) && n.now.Mono >= n.lead.transferUntil {
+		n.lead.transferee = ID{}
+	}
+	if n.now.Mono < n.lead.nextRound {
+		return
+	}
+	n.lead.prevCommitMark, n.lead.commitMark = n.lead.commitMark, n.commit
+	n.startRound()
+	n.adjustMembership()
+}
+
+// startRound sends a heartbeat with a new round number to every replica.
+func (n *Node) startRound() uint64 {
+	l := &n.lead
+	l.round++
+	l.roundStarts[l.round] = n.now.Mono
+	// Rounds start at multiples of the interval, so that the groups of one
+	// process send their heartbeats together.
+	l.nextRound = n.now.Mono.Truncate(n.timing.Heartbeat) + n.timing.Heartbeat
+	for id, p := range l.progress {
+		n.sendEarly(Message{Kind: Heartbeat, To: id, Round: l.round, Commit: min(p.match, n.commit)})
+	}
+	n.confirmRounds()
+	return l.round
+}
+
+// confirmRounds finds the newest round that a majority of voters acknowledged.
+func (n *Node) confirmRounds() {
+	l := &n.lead
+	r := n.majority(func(id ID) uint64 {
+		if id == n.id {
+			return l.round
+		}
+		return l.progress[id].round
+	})
+	if r <= l.confirmed {
+		return
+	}
+	l.confirmedAt = l.roundStarts[r]
+	for i := l.confirmed + 1; i <= r; i++ {
+		delete(l.roundStarts, i)
+	}
+	l.confirmed = r
+}
+
+// majority returns the largest value that a majority of voters has reached.
+func (n *Node) majority(value func(ID) uint64) uint64 {
+	var buffer [MaxVoters + 1]uint64
+	values := buffer[:0]
+	for _, v := range n.conf.Voters {
+		values = append(values, value(v.ID))
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// advanceCommit commits what a majority holds. Only entries of the own term are
+// counted; earlier ones are committed along with them, because an older entry
+// on a majority may still be replaced by a later leader.
+func (n *Node) advanceCommit() {
+	index := n.majority(func(id ID) uint64 {
+		if id == n.id {
+			return n.stable
+		}
+		return n.lead.progress[id].match
+	})
+	if t, ok := n.log.term(index); index > n.commit && ok && t == n.hard.Term {
+		n.commit = index
+	}
+}
+
+func (n *Node) onReply(m Message) {
+	p := n.lead.progress[m.From]
+	if n.role != Leader || p == nil {
+		return
+	}
+	p.heardAt, p.heard = n.now.Mono, true
+	if m.Round > p.round && m.Round <= n.lead.round {
+		p.round = m.Round
+		n.confirmRounds()
+	}
+	switch m.Kind {
+	case AppendReply:
+		n.onAppendReply(m, p)
+	case HeartbeatReply:
+		p.paused = false
+		p.inflight = max(0, p.inflight-1)
+		if p.match < n.log.lastIndex() {
+			n.replicateOrProbe(m.From, p)
+		}
+	case SnapshotReply:
+		n.onSnapshotReply(m, p)
+	}
+}
+
+// Confirmed returns the start of the newest round that a majority acknowledged.
+// ok is false when this replica does not lead or has not yet committed an entry
+// of its own term, before which it cannot know what was committed.
+func (n *Node) Confirmed() (start time.Duration, ok bool) {
+	return n.lead.confirmedAt, n.established() && n.lead.confirmed > 0
+}
+
+// Established returns the index of the first entry of the leader's term.
+func (n *Node) Established() (termStart uint64, ok bool) {
+	return n.lead.termStart, n.established()
+}
+
+func (n *Node) established() bool { return n.role == Leader && n.commit >= n.lead.termStart }
+
+// Read is a request for a linearizable read on the leader.
+type Read struct {
+	Index   uint64 // the state at this entry holds everything committed before the request
+	LogTerm uint64 // term of that entry
+	Term    uint64
+	Round   uint64 // the request is proved when this round is confirmed; 0: by the lease
+}
+
+// StartRead begins a read. Without a valid lease it starts a confirmation round.
+func (n *Node) StartRead(now Reading) (Read, bool) {
+	n.advance(now)
+	if !n.established() {
+		return Read{}, false
+	}
+	r := Read{Index: n.commit, Term: n.hard.Term}
+	r.LogTerm, _ = n.log.term(r.Index)
+	l := &n.lead
+	if l.leaseGivenUp || n.now.Mono >= l.confirmedAt+n.timing.lease() || l.confirmed == 0 {
+		r.Round = n.startRound()
+	}
+	return r, true
+}
+
+// ReadProved reports whether r is proved. failed is true when it never will be.
+func (n *Node) ReadProved(r Read) (proved, failed bool) {
+	if n.role != Leader || n.hard.Term != r.Term {
+		return false, true
+	}
+	return n.lead.confirmed >= r.Round, false
+}
+
+// Transfer asks the most advanced other voter to take over the leadership. It
+// reports whether there is one.
+func (n *Node) Transfer(now Reading) bool {
+	n.advance(now)
+	if n.role != Leader {
+		return false
+	}
+	var best ID
+	for _, v := range n.conf.Voters {
+		p := n.lead.progress[v.ID]
+		if v.ID == n.id || p == nil || !p.active(n) {
+			continue
+		}
+		if b := n.lead.progress[best]; b == nil || p.match > b.match {
+			best = v.ID
+		}
+	}
+	if best == (ID{}) {
+		return false
+	}
+	n.lead.transferee, n.lead.transferUntil = best, n.now.Mono+n.timing.ElectionMax
+	n.finishTransfer()
+	return true
+}
+
+// finishTransfer tells the transferee to start once it holds the whole log.
+func (n *Node) finishTransfer() {
+	l := &n.lead
+	if l.transferee == (ID{}) || l.progress[l.transferee] == nil {
+		return
+	}
+	if l.progress[l.transferee].match == n.log.lastIndex() {
+		l.leaseGivenUp = true
+		n.send(Message{Kind: TimeoutNow, To: l.transferee})
+	}
+}
--- /dev/null
+++ b/raft/membership.go
@@ -0,0 +1,168 @@
+package raft
+
+import (
+	"errors"
+	"slices"
+
+	"bramleymill/fleet"
+)
+
+// Errors of membership changes.
+var (
+	ErrChangePending = errors.New("raft: another membership change is not committed yet")
+	ErrNotMember     = errors.New("raft: no such member")
+	ErrLastVoter     = errors.New("raft: the last voter cannot be removed")
+	ErrSelfRemoval   = errors.New("raft: the leader cannot remove itself")
+)
+
+// appendEntries adds entries to the log. A membership takes effect as soon as
+// its entry is in the log.
+func (n *Node) appendEntries(entries ...Entry) {
+	n.log.append(entries...)
+	changed := false
+	for _, e := range entries {
+		if e.Kind == Reconfigure && e.Configuration != nil {
+			n.confs = append(n.confs, confAt{e.Index, *e.Configuration})
+			changed = true
+		}
+	}
+	if changed {
+		n.useConfiguration()
+	}
+}
+
+func (n *Node) rebuildConfigurations() {
+	n.confs = []confAt{{n.snapshot.Index, n.snapshot.Configuration}}
+	for _, e := range n.log.entries {
+		if e.Kind == Reconfigure && e.Configuration != nil && e.Index > n.snapshot.Index {
+			n.confs = append(n.confs, confAt{e.Index, *e.Configuration})
+		}
+	}
+	n.useConfiguration()
+}
+
+// trimConfigurations forgets memberships that were replaced before index.
+func (n *Node) trimConfigurations(index uint64) {
+	for len(n.confs) > 1 && n.confs[1].index <= index {
+		n.confs = n.confs[1:]
+	}
+}
+
+func (n *Node) useConfiguration() {
+	last := n.confs[len(n.confs)-1]
+	n.conf, n.confIndex = last.conf, last.index
+	if n.role == Leader {
+		n.syncProgress()
+	}
+}
+
+// syncProgress gives each other member a progress and drops those of the others.
+func (n *Node) syncProgress() {
+	old := n.lead.progress
+	n.lead.progress = map[ID]*progress{}
+	for _, m := range slices.Concat(n.conf.Voters, n.conf.Learners) {
+		if m.ID == n.id {
+			continue
+		}
+		p := old[m.ID]
+		if p == nil {
+			p = &progress{next: n.log.lastIndex() + 1}
+		}
+		n.lead.progress[m.ID] = p
+	}
+}
+
+// changeMembership proposes conf, which differs from the current membership by
+// at most one voter. Majorities of the two memberships then overlap. A change
+// must be committed before the next one, and the leader must have committed an
+// entry of its own term, or memberships two steps apart could be in use at once.
+func (n *Node) changeMembership(conf Configuration) error {
+	if !n.established() {
+		return ErrNotLeader
+	}
+	if n.confIndex > n.commit {
+		return ErrChangePending
+	}
+	n.propose(Entry{Kind: Reconfigure, Configuration: &conf})
+	return nil
+}
+
+// Join adds m as a learner unless it is a member with this address already. A
+// learner of the same node with another disk is replaced, and a member that
+// moved gets its new address.
+func (n *Node) Join(now Reading, m Member) error {
+	n.advance(now)
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	if have, ok := n.conf.Find(m.ID); ok && have.Address == m.Address {
+		return nil
+	}
+	c := n.conf.clone()
+	if i := indexOf(c.Voters, m.ID); i >= 0 {
+		c.Voters[i] = m
+	} else {
+		c.Learners = slices.DeleteFunc(c.Learners, func(l Member) bool { return l.ID.Node == m.ID.Node })
+		c.Learners = append(c.Learners, m)
+	}
+	return n.changeMembership(c)
+}
+
+// Remove removes every learner of a node, or its voter when it has no learner.
+func (n *Node) Remove(now Reading, node fleet.NodeID) error {
+	n.advance(now)
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	same := func(m Member) bool { return m.ID.Node == node }
+	c := n.conf.clone()
+	switch {
+	case node == n.id.Node:
+		return ErrSelfRemoval
+	case slices.ContainsFunc(c.Learners, same):
+		c.Learners = slices.DeleteFunc(c.Learners, same)
+	case !slices.ContainsFunc(c.Voters, same):
+		return ErrNotMember
+	case len(c.Voters) == 1:
+		return ErrLastVoter
+	default:
+		c.Voters = slices.DeleteFunc(c.Voters, same)
+	}
+	return n.changeMembership(c)
+}
+
+// adjustMembership makes a learner that has caught up a voter. A voter of the
+// same node with another disk has lost that disk and is removed first: replacing
+// it in one step would change two voters at once.
+func (n *Node) adjustMembership() {
+	if !n.established() || n.confIndex > n.commit || n.lead.transferee != (ID{}) {
+		return
+	}
+	for i, m := range n.conf.Learners {
+		if !n.caughtUp(m.ID) {
+			continue
+		}
+		c := n.conf.clone()
+		c.Learners = slices.Delete(c.Learners, i, i+1)
+		old := slices.IndexFunc(c.Voters, func(v Member) bool { return v.ID.Node == m.ID.Node })
+		switch {
+		case old >= 0 && c.Voters[old].ID == n.id:
+			continue
+		case old >= 0:
+			c.Voters = slices.Delete(c.Voters, old, old+1)
+			c.Learners = slices.Insert(c.Learners, 0, m) // first in line for the free place
+		case len(c.Voters) < MaxVoters:
+			c.Voters = append(c.Voters, m)
+		default:
+			continue
+		}
+		_ = n.changeMembership(c) // its preconditions were checked above
+		return
+	}
+}
+
+// caughtUp reports whether a replica holds what was committed a round ago.
+func (n *Node) caughtUp(id ID) bool {
+	p := n.lead.progress[id]
+	return p != nil && p.mode == replicating && p.active(n) && p.match >= n.lead.prevCommitMark
+}
--- /dev/null
+++ b/raft/node.go
@@ -0,0 +1,256 @@
+package raft
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Timing holds the time constants of a group. All replicas use the same values.
+type Timing struct {
+	Heartbeat   time.Duration // interval of confirmation rounds
+	ElectionMin time.Duration // shortest silence of a leader before an election
+	ElectionMax time.Duration
+}
+
+// DefaultTiming elects a new leader within about a second of the old one's loss.
+var DefaultTiming = Timing{
+	Heartbeat:   100 * time.Millisecond,
+	ElectionMin: 400 * time.Millisecond,
+	ElectionMax: 800 * time.Millisecond,
+}
+
+// lease returns how long a leader may rely on a confirmation round. It is
+// shorter than ElectionMin, during which voters refuse other candidates, to
+// allow for clocks that run up to a quarter faster or slower than each other.
+func (t Timing) lease() time.Duration { return t.ElectionMin * 3 / 4 }
+
+// Limits of one message. Two of the largest fit into a message of the transport.
+const (
+	MaxCommandBytes = 256 << 10
+	maxAppendBytes  = 256 << 10
+	MaxChunkBytes   = 256 << 10
+	maxInflight     = 16 // unacknowledged Append messages for each replica
+)
+
+// Config configures a Node.
+type Config struct {
+	ID     ID
+	Timing Timing
+	Seed   uint64 // of the election timeouts
+}
+
+// Stored is what the disk of a replica holds at start.
+type Stored struct {
+	HardState HardState
+	Snapshot  SnapshotMeta // zero: none
+	Base      SnapshotMeta // last compacted entry; its Configuration is unused
+	Entries   []Entry
+}
+
+// Node is the core of one replica. It is not safe for concurrent use.
+type Node struct {
+	id     ID
+	timing Timing
+	random *rand.Rand
+	now    Reading
+
+	role      Role
+	leader    ID
+	hard      HardState
+	hardDirty bool
+	log       memoryLog
+	stable    uint64 // last durable entry
+	commit    uint64
+	applied   uint64 // last entry handed out by Apply or covered by a Restore
+	conf      Configuration
+	confIndex uint64         // entry that conf comes from
+	confs     []confAt       // configurations that may still be needed, oldest first
+	snapshot  SnapshotMeta   // newest durable snapshot
+	incoming  *incomingChunk // snapshot being received
+	restore   *Restore       // received snapshot that is not durable yet
+
+	heardAt          time.Duration // last message of the current leader
+	electionDeadline time.Duration
+	votes            map[ID]bool
+	preVoting        bool
+
+	lead leadership
+
+	early  []Action // need not wait for Persist
+	queued []Action // wait for Persist
+}
+
+// confAt is a configuration and the entry that set it.
+type confAt struct {
+	index uint64
+	conf  Configuration
+}
+
+// New returns a Node that continues from what is stored. It starts as follower
+// and refuses votes for ElectionMin, because it may have acknowledged a round
+// of a leader before a restart and that leader's lease still counts on it.
+func New(c Config, s Stored, now Reading) *Node {
+	n := &Node{
+		id: c.ID, timing: c.Timing, now: now, role: Follower,
+		random: rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15)),
+		hard:   s.HardState, snapshot: s.Snapshot, heardAt: now.Mono,
+	}
+	n.log = memoryLog{baseIndex: s.Base.Index, baseTerm: s.Base.Term, baseTime: s.Base.Time}
+	n.log.append(s.Entries...)
+	n.stable = n.log.lastIndex()
+	n.commit, n.applied = s.Snapshot.Index, s.Snapshot.Index
+	n.rebuildConfigurations()
+	n.resetElectionTimer()
+	return n
+}
+
+// Bootstrap makes an empty replica the only voter of a new group.
+func (n *Node) Bootstrap(address string, clusterID uint64) bool {
+	if n.log.lastIndex() > 0 || n.hard.Term > 0 || n.snapshot.Index > 0 {
+		return false
+	}
+	n.setHard(1, n.id)
+	c := Configuration{ClusterID: clusterID, Voters: []Member{{ID: n.id, Address: address}}}
+	n.appendEntries(Entry{Index: 1, Term: 1, Kind: Reconfigure, Time: n.now.Unix, Configuration: &c})
+	n.electionDeadline = n.now.Mono
+	return true
+}
+
+// Tick tells the node that time has passed.
+func (n *Node) Tick(now Reading) {
+	n.advance(now)
+	if n.role == Leader {
+		n.tickLeader()
+		return
+	}
+	if n.now.Mono >= n.electionDeadline {
+		n.resetElectionTimer()
+		if n.conf.IsVoter(n.id) {
+			n.startPreVote()
+		}
+	}
+}
+
+// Step handles a received message.
+func (n *Node) Step(now Reading, m Message) {
+	n.advance(now)
+	if m.To != n.id || n.ofOtherCluster(m) {
+		return
+	}
+	if m.Term > n.hard.Term && !n.stepHigherTerm(m) {
+		return
+	}
+	if m.Term < n.hard.Term {
+		n.stepLowerTerm(m)
+		return
+	}
+	n.dispatch(m)
+}
+
+func (n *Node) dispatch(m Message) {
+	switch m.Kind {
+	case PreVote:
+		n.onPreVote(m)
+	case PreVoteReply:
+		n.onPreVoteReply(m)
+	case Vote:
+		n.onVote(m)
+	case VoteReply:
+		n.onVoteReply(m)
+	case Append:
+		n.onAppend(m)
+	case Heartbeat:
+		n.onHeartbeat(m)
+	case SnapshotChunk:
+		n.onSnapshotChunk(m)
+	case AppendReply, HeartbeatReply, SnapshotReply:
+		n.onReply(m)
+	case TimeoutNow:
+		n.onTimeoutNow(m)
+	}
+}
+
+// ofOtherCluster reports whether m belongs to a group that was started
+// separately. A replica without a membership belongs to no group yet.
+func (n *Node) ofOtherCluster(m Message) bool {
+	return n.conf.ClusterID != 0 && m.ClusterID != 0 && m.ClusterID != n.conf.ClusterID
+}
+
+// stepHigherTerm adopts the term of m and reports whether m is still to be handled.
+func (n *Node) stepHigherTerm(m Message) bool {
+	switch m.Kind {
+	case PreVote:
+		return true // asks about a term that nobody has started
+	case PreVoteReply:
+		if !m.Refused {
+			return true // grants the term after the current one
+		}
+	case Vote:
+		if n.leaseHolds() && !m.Transfer {
+			return false
+		}
+	case Append, Heartbeat, SnapshotChunk:
+		n.becomeFollower(m.Term, m.From)
+		return true
+	}
+	n.becomeFollower(m.Term, ID{})
+	return true
+}
+
+// stepLowerTerm tells the sender of an outdated request about the current term.
+func (n *Node) stepLowerTerm(m Message) {
+	reply := Message{To: m.From, Refused: true}
+	switch m.Kind {
+	case PreVote:
+		reply.Kind = PreVoteReply
+	case Append, Heartbeat, SnapshotChunk:
+		reply.Kind = AppendReply
+	default:
+		return
+	}
+	n.send(reply)
+}
+
+func (n *Node) advance(now Reading) {
+	if now.Mono > n.now.Mono {
+		n.now.Mono = now.Mono
+	}
+	n.now.Unix = now.Unix
+}
+
+func (n *Node) becomeFollower(term uint64, leader ID) {
+	if term > n.hard.Term {
+		n.setHard(term, ID{})
+	}
+	if n.role != Follower || n.leader != leader {
+		n.resetElectionTimer()
+	}
+	n.role, n.leader = Follower, leader
+	n.preVoting, n.votes = false, nil
+	n.lead = leadership{}
+}
+
+func (n *Node) setHard(term uint64, vote ID) {
+	n.hard = HardState{Term: term, Vote: vote}
+	n.hardDirty = true
+}
+
+func (n *Node) resetElectionTimer() {
+	spread := int64(n.timing.ElectionMax - n.timing.ElectionMin)
+	n.electionDeadline = n.now.Mono + n.timing.ElectionMin + time.Duration(n.random.Int64N(spread+1))
+}
+
+// send queues m behind the next Persist.
+func (n *Node) send(m Message) { n.queued = append(n.queued, Send{n.stamp(m)}) }
+
+// sendEarly queues a message that promises nothing about entries on the own disk
+// and may go out before they are durable.
+func (n *Node) sendEarly(m Message) { n.early = append(n.early, Send{n.stamp(m)}) }
+
+func (n *Node) stamp(m Message) Message {
+	m.From, m.ClusterID = n.id, n.conf.ClusterID
+	if m.Term == 0 {
+		m.Term = n.hard.Term
+	}
+	return m
+}
--- /dev/null
+++ b/raft/progress.go
@@ -0,0 +1,136 @@
+package raft
+
+import "time"
+
+// mode tells how entries are sent to a replica.
+type mode uint8
+
+const (
+	probing     mode = iota // the common prefix is unknown; one Append at a time
+	replicating             // Appends are sent without waiting for replies
+	installing              // a snapshot is being sent
+)
+
+// progress is what the leader knows about another replica.
+type progress struct {
+	mode     mode
+	match    uint64 // last entry known to be durable there
+	next     uint64 // first entry to send
+	paused   bool   // probing: an Append is outstanding
+	inflight int    // replicating: unacknowledged Appends
+	round    uint64 // newest acknowledged confirmation round
+	heardAt  time.Duration
+	heard    bool
+	snapshot SnapshotMeta // installing
+	offset   uint64       // installing: next byte to send
+}
+
+func (p *progress) active(n *Node) bool {
+	return p.heard && n.now.Mono-p.heardAt < n.timing.ElectionMin
+}
+
+// replicate sends entries if the replica is ready for more.
+func (n *Node) replicate(id ID, p *progress) {
+	for p.mode == replicating && p.inflight < maxInflight && p.next <= n.log.lastIndex() {
+		n.sendAppend(id, p)
+	}
+	if p.mode == probing && !p.paused {
+		n.sendAppend(id, p)
+	}
+}
+
+// replicateOrProbe also sends an empty Append when everything was sent but not
+// acknowledged, which reveals a lost Append.
+func (n *Node) replicateOrProbe(id ID, p *progress) {
+	switch {
+	case p.mode == installing:
+		n.sendChunk(id, p)
+	case p.mode == replicating && p.next > n.log.lastIndex():
+		n.sendAppend(id, p)
+	default:
+		n.replicate(id, p)
+	}
+}
+
+func (n *Node) sendAppend(id ID, p *progress) {
+	previous, ok := n.log.term(p.next - 1)
+	if !ok {
+		n.startInstall(id, p)
+		return
+	}
+	m := Message{Kind: Append, To: id, Index: p.next - 1, LogTerm: previous, Commit: n.commit}
+	m.Entries = n.log.batch(p.next, maxAppendBytes)
+	if p.mode == replicating {
+		p.next += uint64(len(m.Entries))
+		p.inflight++
+	} else {
+		p.paused = true
+	}
+	n.sendEarly(m)
+}
+
+func (n *Node) onAppendReply(m Message, p *progress) {
+	if m.Refused {
+		n.onAppendRefused(m, p)
+		return
+	}
+	p.inflight = max(0, p.inflight-1)
+	if m.Index > p.match {
+		p.match = m.Index
+		n.advanceCommit()
+	}
+	p.next = max(p.next, p.match+1)
+	switch p.mode {
+	case probing:
+		p.mode, p.paused, p.inflight = replicating, false, 0
+	case installing:
+		if p.match >= p.snapshot.Index {
+			p.mode, p.paused, p.inflight = replicating, false, 0
+		}
+	}
+	n.replicate(m.From, p)
+	if m.From == n.lead.transferee {
+		n.finishTransfer()
+	}
+}
+
+// onAppendRefused moves next back to the end of the longest prefix that both
+// logs may share, skipping whole terms.
+func (n *Node) onAppendRefused(m Message, p *progress) {
+	stale := m.Probed <= p.match || (p.mode == probing && m.Probed != p.next-1)
+	if stale || p.mode == installing {
+		return
+	}
+	shared := n.log.lastIndexAtOrBelow(min(m.Index, m.Probed), m.LogTerm)
+	p.next = max(shared, p.match) + 1
+	p.mode, p.paused, p.inflight = probing, false, 0
+	n.replicate(m.From, p)
+}
+
+func (n *Node) startInstall(id ID, p *progress) {
+	p.mode, p.snapshot, p.offset, p.paused = installing, n.snapshot, 0, false
+	n.sendChunk(id, p)
+}
+
+func (n *Node) sendChunk(id ID, p *progress) {
+	c := Chunk{Meta: p.snapshot, Offset: p.offset}
+	n.early = append(n.early, SendChunk{n.stamp(Message{Kind: SnapshotChunk, To: id, Chunk: &c})})
+}
+
+func (n *Node) onSnapshotReply(m Message, p *progress) {
+	if p.mode != installing || m.Index != p.snapshot.Index {
+		return
+	}
+	if m.Probed != p.offset {
+		p.offset = m.Probed
+		n.sendChunk(m.From, p)
+	}
+}
+
+// SnapshotUnavailable reports that the chunk of a SendChunk could not be read,
+// usually because a newer snapshot replaced it. The transfer starts anew.
+func (n *Node) SnapshotUnavailable(to ID) {
+	if p := n.lead.progress[to]; p != nil && p.mode == installing {
+		p.mode, p.paused, p.next = probing, true, p.match+1
+	}
+}
--- /dev/null
+++ b/replica/cluster_test.go
@@ -0,0 +1,258 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bramleymill/fleet"
+	"bramleymill/raft"
+	"bramleymill/transport"
+	"bramleymill/wal"
+)
+
+// network connects processes in memory. A cut pair loses calls in one direction.
+type network struct {
+	mu    sync.Mutex
+	muxes map[string]*transport.Mux
+	cuts  map[[2]string]bool
+	lost  map[[2]string]bool // the handler runs, the reply is lost
+}
+
+func newNetwork() *network {
+	return &network{muxes: map[string]*transport.Mux{}, cuts: map[[2]string]bool{}, lost: map[[2]string]bool{}}
+}
+
+func (n *network) set(cuts map[[2]string]bool, from, to string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	cuts[[2]string{from, to}] = on
+}
+
+// isolate cuts a process off in both directions, or reconnects it.
+func (n *network) isolate(address string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for other := range n.muxes {
+		n.cuts[[2]string{address, other}] = on
+		n.cuts[[2]string{other, address}] = on
+	}
+}
+
+// client is the Client of one process.
+type client struct {
+	n       *network
+	address string
+	role    fleet.Role
+}
+
+var errLost = errors.New("network: lost")
+
+func (c *client) Call(ctx context.Context, address string, k transport.Kind, request, reply any) error {
+	payload, err := cbor.Marshal(request)
+	if err != nil {
+		return err
+	}
+	c.n.mu.Lock()
+	mux := c.n.muxes[address]
+	there, back := [2]string{c.address, address}, [2]string{address, c.address}
+	cut, lost := c.n.cuts[there], c.n.lost[there] || c.n.cuts[back]
+	c.n.mu.Unlock()
+	if mux == nil || cut {
+		return errLost
+	}
+	out, err := mux.Dispatch(ctx, transport.Peer{Node: fleet.NodeID(c.address), Role: c.role, Address: c.address}, k, payload)
+	if lost {
+		return errLost
+	}
+	if err != nil {
+		return err
+	}
+	return cbor.Unmarshal(out, reply)
+}
+
+// journal is a state machine that records the commands.
+type journal struct {
+	mu       sync.Mutex
+	Commands []string
+	Times    []int64
+}
+
+func (j *journal) Apply(_ uint64, at time.Time, command []byte) []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.Commands = append(j.Commands, string(command))
+	j.Times = append(j.Times, at.UnixNano())
+	return append([]byte("done "), command...)
+}
+
+func (j *journal) Snapshot() ([]byte, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return cbor.Marshal(j.Commands)
+}
+
+func (j *journal) Restore(b []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.Commands = nil
+	return cbor.Unmarshal(b, &j.Commands)
+}
+
+func (j *journal) commands() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.Commands...)
+}
+
+// process is one process with a replica of group 1. Its address is its name.
+type process struct {
+	host    *Host
+	group   *Group
+	machine *journal
+}
+
+type cluster struct {
+	t         testing.TB
+	network   *network
+	folders   map[string]string
+	processes map[string]*process
+	files     map[string]wal.FS
+	every     int // Config.SnapshotEvery
+}
+
+type member = raft.Member
+
+// testTiming shortens elections so that tests spend less time on waiting.
+var testTiming = raft.Timing{Heartbeat: 25 * time.Millisecond, ElectionMin: 150 * time.Millisecond, ElectionMax: 300 * time.Millisecond}
+
+func newCluster(t testing.TB, names ...string) *cluster {
+	c := &cluster{t: t, network: newNetwork(), folders: map[string]string{}, processes: map[string]*process{}, files: map[string]wal.FS{}}
+	t.Cleanup(func() {
+		for name := range c.processes {
+			c.stop(name)
+		}
+	})
+	for i, name := range names {
+		c.open(name)
+		if i == 0 {
+			c.must(c.processes[name].group.Bootstrap(c.context()))
+		}
+	}
+	c.waitVoters(names[0], len(names))
+	return c
+}
+
+func (c *cluster) context() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	c.t.Cleanup(cancel)
+	return ctx
+}
+
+func (c *cluster) must(err error) {
+	c.t.Helper()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// open starts a process on the folder that it used before, if any.
+func (c *cluster) open(name string) *Group {
+	c.t.Helper()
+	if c.folders[name] == "" {
+		c.folders[name] = c.t.TempDir()
+	}
+	g, err := c.tryOpen(name)
+	c.must(err)
+	return g
+}
+
+func (c *cluster) tryOpen(name string) (*Group, error) {
+	mux := transport.NewMux()
+	cl := &client{n: c.network, address: name, role: fleet.RoleControl}
+	p := &process{host: NewHost(mux, cl), machine: &journal{}}
+	g, err := Open(Config{
+		Group: 1, Node: fleet.NodeID(name), Address: name, Folder: c.folders[name], Machine: p.machine,
+		Client: cl, Seed: uint64(len(name)) + uint64(name[0]), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Seeds: []string{"a", "b", "c", "d", "e", "f"}, Host: p.host, Timing: testTiming,
+		SnapshotEvery: c.every, Files: c.files[name],
+	})
+	if err != nil {
+		p.host.Close()
+		return nil, err
+	}
+	p.group = g
+	c.processes[name] = p
+	c.network.mu.Lock()
+	c.network.muxes[name] = mux
+	c.network.mu.Unlock()
+	return g, nil
+}
+
+// stop ends a process. Everything that it reported as durable stays on disk.
+func (c *cluster) stop(name string) {
+	c.network.mu.Lock()
+	delete(c.network.muxes, name)
+	c.network.mu.Unlock()
+	if p := c.processes[name]; p != nil {
+		c.must(p.group.Close())
+		p.host.Close()
+		delete(c.processes, name)
+	}
+}
+
+// eventually waits for a condition. The limit only ends a test that hangs.
+func (c *cluster) eventually(what string, f func() bool) {
+	c.t.Helper()
+	for ctx := c.context(); !f(); {
+		if !sleep(ctx, 5*time.Millisecond) {
+			c.t.Fatalf("still not: %s\n%s", what, c.describe())
+		}
+	}
+}
+
+func (c *cluster) describe() (out string) {
+	for name, p := range c.processes {
+		out += fmt.Sprintf("%s: %+v\n", name, p.group.Status())
+	}
+	return out
+}
+
+func (c *cluster) waitVoters(at string, n int) {
+	c.t.Helper()
+	c.eventually(fmt.Sprintf("%d voters", n), func() bool {
+		s := c.processes[at].group.Status()
+		return len(s.Voters) == n && len(s.Learners) == 0 && s.Commit == s.Applied
+	})
+}
+
+// leader waits until one of the running, connected processes leads and is confirmed.
+func (c *cluster) leader() string {
+	c.t.Helper()
+	var leader string
+	c.eventually("a leader", func() bool {
+		for name, p := range c.processes {
+			if age, ok := p.group.Confirmed(); ok && age < testTiming.ElectionMin {
+				leader = name
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+func (c *cluster) propose(at, command string) {
+	c.t.Helper()
+	result, err := c.processes[at].group.Propose(c.context(), []byte(command))
+	if err != nil || string(result) != "done "+command {
+		c.t.Fatalf("propose %s at %s: %q, %v\n%s", command, at, result, err, c.describe())
+	}
+}
--- /dev/null
+++ b/replica/confirm.go
@@ -0,0 +1,105 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/raft"
+)
+
+// readTimeout bounds one request to the leader for a read index.
+const readTimeout = 500 * time.Millisecond
+
+// pendingRead is a read that waits for a majority.
+type pendingRead struct {
+	read  raft.Read
+	ready chan bool
+}
+
+// Confirm waits until this replica has applied everything that was committed
+// before the call, as proved by a majority or by the leader's lease. What the
+// state machine holds afterwards is a linearizable read. It fails when ctx ends.
+func (g *Group) Confirm(ctx context.Context) error {
+	for {
+		read, err := g.requestRead(ctx)
+		if err == nil {
+			return g.applier.waitApplied(ctx, read.Index)
+		}
+		if g.ctx.Err() != nil {
+			return g.stoppedError()
+		}
+		if !sleep(ctx, retryPause) {
+			return errkind.New(errkind.ControlUnavailable, "group %d not confirmed: %w", g.config.Group, err)
+		}
+	}
+}
+
+// requestRead gets a read index from the leader.
+func (g *Group) requestRead(ctx context.Context) (raft.Read, error) {
+	s := g.Status()
+	if s.Role == raft.Leader {
+		return g.readHere(ctx)
+	}
+	if s.LeaderAddress == "" {
+		return raft.Read{}, errNotLeading()
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	var reply readReply
+	err := g.config.Client.Call(ctx, s.LeaderAddress, kindRead, &readRequest{Group: g.config.Group}, &reply)
+	if err != nil {
+		return raft.Read{}, err
+	}
+	if !reply.Proved {
+		return raft.Read{}, errNotLeading()
+	}
+	read := raft.Read{Index: reply.Index, LogTerm: reply.Term}
+	return read, g.post(ctx, func(raft.Reading) { g.node.Observe(read.Index, read.LogTerm) })
+}
+
+func errNotLeading() error {
+	return errkind.New(errkind.ControlUnavailable, "no leader confirmed the read")
+}
+
+// readHere proves a read on this replica, which must lead.
+func (g *Group) readHere(ctx context.Context) (raft.Read, error) {
+	p := &pendingRead{ready: make(chan bool, 1)}
+	err := g.post(ctx, func(now raft.Reading) {
+		var ok bool
+		if p.read, ok = g.node.StartRead(now); !ok {
+			p.ready <- false
+			return
+		}
+		g.reads = append(g.reads, p)
+	})
+	if err != nil {
+		return raft.Read{}, err
+	}
+	select {
+	case ok := <-p.ready:
+		if !ok {
+			return raft.Read{}, errNotLeading()
+		}
+		return p.read, nil
+	case <-ctx.Done():
+		return raft.Read{}, errkind.New(errkind.ControlUnavailable, "read: %w", ctx.Err())
+	case <-g.ctx.Done():
+		return raft.Read{}, g.stoppedError()
+	}
+}
+
+// settleReads ends the reads that are proved or can no longer be.
+func (g *Group) settleReads() {
+	rest := g.reads[:0]
+	for _, p := range g.reads {
+		proved, failed := g.node.ReadProved(p.read)
+		if proved || failed {
+			p.ready <- proved
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	clear(g.reads[len(rest):])
+	g.reads = rest
+}
--- /dev/null
+++ b/replica/fault_test.go
@@ -0,0 +1,127 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"bramleymill/errkind"
+)
+
+// Guards against losing committed commands, or the group, with the leader.
+func TestLeaderLossAndReturn(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.propose("a", "one")
+	old := c.leader()
+	c.stop(old)
+	next := c.leader()
+	c.propose(next, "two")
+	c.open(old)
+	c.must(c.processes[old].group.Confirm(c.context()))
+	if got := c.processes[old].machine.commands(); !slices.Equal(got, []string{"one", "two"}) {
+		t.Fatalf("returned replica applied %q", got)
+	}
+}
+
+// Guards against a cut-off leader that accepts or confirms, and against its
+// return disturbing the others.
+func TestCutOffLeaderNeitherAcceptsNorConfirms(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	old := c.leader()
+	c.network.isolate(old, true)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*testTiming.ElectionMax)
+	defer cancel()
+	if _, err := c.processes[old].group.Propose(ctx, []byte("lost")); err == nil {
+		t.Fatal("a cut-off leader accepted a command")
+	}
+	next := c.leader()
+	if age, ok := c.processes[old].group.Confirmed(); ok {
+		t.Fatalf("a cut-off leader is confirmed, age %v", age)
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), testTiming.ElectionMax)
+	defer cancel()
+	if err := c.processes[old].group.Confirm(ctx); errkind.Of(err).Kind != errkind.ControlUnavailable {
+		t.Fatalf("Confirm while cut off: %v", err)
+	}
+	c.propose(next, "kept")
+	term := c.processes[next].group.Status().Term
+	c.network.isolate(old, false)
+	c.must(c.processes[old].group.Confirm(c.context()))
+	c.propose(old, "after")
+	if s := c.processes[next].group.Status(); s.Term != term {
+		t.Errorf("term rose from %d to %d when the replica returned", term, s.Term)
+	}
+	if got := c.processes[next].machine.commands(); !slices.Equal(got, []string{"kept", "after"}) {
+		t.Errorf("applied %q", got)
+	}
+}
+
+// Guards against a lost disk keeping its vote, and against a group that stays
+// with fewer working voters after it.
+func TestLostDiskIsReplaced(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.propose("a", "one")
+	lost := c.processes["c"].group.Status().ID
+	c.stop("c")
+	delete(c.folders, "c")
+	g := c.open("c")
+	if g.Status().ID.Disk == lost.Disk {
+		t.Fatal("an empty folder kept its disk id")
+	}
+	c.eventually("the new disk votes and the old one is gone", func() bool {
+		s := c.processes[c.leader()].group.Status()
+		return len(s.Voters) == 3 && len(s.Learners) == 0 &&
+			!slices.ContainsFunc(s.Voters, func(m member) bool { return m.ID == lost })
+	})
+	c.must(g.Confirm(c.context()))
+	if got := c.processes["c"].machine.commands(); !slices.Equal(got, []string{"one"}) {
+		t.Fatalf("applied %q", got)
+	}
+}
+
+// Guards against a folder that is made part of a second group.
+func TestBootstrapOfMemberIsRefused(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	for name, p := range c.processes {
+		if err := p.group.Bootstrap(c.context()); !errors.Is(err, ErrHasGroup) {
+			t.Errorf("bootstrap of %s: %v", name, err)
+		}
+	}
+}
+
+// Guards against a planned stop that waits for an election timeout.
+func TestTransferAndClose(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	old := c.leader()
+	term := c.processes[old].group.Status().Term
+	c.must(c.processes[old].group.TransferAndClose(c.context()))
+	c.stop(old)
+	if s := c.processes[c.leader()].group.Status(); s.Term != term+1 {
+		t.Errorf("term %d after a transfer in term %d", s.Term, term)
+	}
+}
+
+// Guards against reporting an accepted command as not proposed when the reply of
+// the leader is lost, and against the remote client sticking to a lost leader.
+func TestRemoteFollowsTheLeader(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	cl := &client{n: c.network, address: "node", role: "node"}
+	r := NewRemote(cl, []string{"a", "b", "c"}, 1)
+	if _, err := r.Propose(c.context(), []byte("one")); err != nil {
+		t.Fatal(err)
+	}
+	old := c.leader()
+	c.network.set(c.network.lost, "node", old, true)
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	if _, err := r.Propose(ctx, []byte("two")); errkind.Of(err).Kind != errkind.OutcomeUnknown {
+		t.Fatalf("lost reply reported as %v", err)
+	}
+	c.network.set(c.network.lost, "node", old, false)
+	c.stop(old)
+	if result, err := r.Propose(c.context(), []byte("three")); err != nil || string(result) != "done three" {
+		t.Fatalf("after the loss of the leader: %q, %v", result, err)
+	}
+}
--- /dev/null
+++ b/replica/group.go
@@ -0,0 +1,323 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/raft"
+)
+
+const (
+	// tickInterval is the resolution of the timers of the core.
+	tickInterval = 25 * time.Millisecond
+	maxInputs    = 1024
+	// compaction keeps at most these many bytes of entries that a snapshot covers.
+	keepLogBytes = 2 << 20
+)
+
+// input is run on the goroutine that owns the core.
+type input func(now raft.Reading)
+
+// Group is this process's replica of one group. It implements Proposer.
+type Group struct {
+	config  Config
+	origin  time.Time
+	node    *raft.Node
+	storage *storage
+	applier *applier
+	inputs  chan input
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+	halted sync.Once
+
+	view    atomic.Pointer[view]
+	failure atomic.Pointer[error]
+	joining atomic.Pointer[error] // why the last attempt to join failed
+
+	// Owned by the goroutine of run.
+	reads     []*pendingRead
+	answers   map[raft.ID][]*answerSlot
+	addresses map[raft.ID]string // of senders that are not members
+	diskFull  error
+	role      raft.Role
+}
+
+// Open opens the replica stored in the folder of c, or makes an empty one. An
+// empty replica asks the seeds to let it join their group; it never starts a
+// group by itself.
+func Open(c Config) (*Group, error) {
+	if err := c.complete(); err != nil {
+		return nil, err
+	}
+	s, have, err := openStorage(c.Files, c.folder())
+	if err != nil {
+		return nil, fmt.Errorf("replica: open group %d: %w", c.Group, err)
+	}
+	g := &Group{
+		config: c, storage: s, inputs: make(chan input, maxInputs),
+		answers: map[raft.ID][]*answerSlot{}, addresses: map[raft.ID]string{},
+	}
+	if have.Snapshot.Index > 0 {
+		if err := c.Machine.Restore(have.data); err != nil {
+			_ = s.log.Close()
+			return nil, fmt.Errorf("replica: restore the snapshot of group %d: %w", c.Group, err)
+		}
+	}
+	if err := c.Host.add(g); err != nil {
+		_ = s.log.Close()
+		return nil, err
+	}
+	g.start(have.Stored)
+	return g, nil
+}
+
+func (g *Group) start(have raft.Stored) {
+	c := g.config
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	id := raft.ID{Node: c.Node, Disk: g.storage.disk}
+	g.node = raft.New(raft.Config{ID: id, Timing: c.Timing, Seed: c.Seed}, have, g.reading())
+	g.applier = newApplier(g, have.Snapshot)
+	g.publish()
+	g.wait.Add(3)
+	go g.run()
+	go g.applier.run()
+	go g.keepJoined()
+}
+
+func (g *Group) reading() raft.Reading {
+	now := g.config.Clock.Now()
+	return raft.Reading{Mono: now.Sub(g.origin), Unix: now.UnixNano()}
+}
+
+// post hands f to the goroutine that owns the core.
+func (g *Group) post(ctx context.Context, f input) error {
+	select {
+	case g.inputs <- f:
+		return nil
+	case <-ctx.Done():
+		return errkind.New(errkind.ControlUnavailable, "group %d: %w", g.config.Group, ctx.Err())
+	case <-g.ctx.Done():
+		return g.stoppedError()
+	}
+}
+
+func (g *Group) stoppedError() error {
+	if p := g.failure.Load(); p != nil {
+		return errkind.New(errkind.ControlUnavailable, "group %d stopped: %w", g.config.Group, *p)
+	}
+	return errkind.New(errkind.ControlUnavailable, "group %d is closed", g.config.Group)
+}
+
+// run owns the core and the log. Inputs that wait together are handled with one
+// sync.
+func (g *Group) run() {
+	defer g.wait.Done()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for g.ctx.Err() == nil {
+		select {
+		case f := <-g.inputs:
+			g.takeInputs(f)
+		case <-ticker.C:
+			g.node.Tick(g.reading())
+		case <-g.ctx.Done():
+		}
+		g.process()
+	}
+	g.dropAnswers()
+	if err := g.storage.log.Close(); err != nil {
+		g.config.Logger.Warn("close log", "error", err)
+	}
+}
+
+func (g *Group) takeInputs(f input) {
+	now := g.reading()
+	f(now)
+	for range maxInputs {
+		select {
+		case f = <-g.inputs:
+			f(now)
+		default:
+			return
+		}
+	}
+}
+
+// process executes the actions of the core until there are none.
+func (g *Group) process() {
+	for g.ctx.Err() == nil {
+		actions := g.node.Actions()
+		if len(actions) == 0 || !g.execute(actions) {
+			break
+		}
+	}
+	g.publish()
+	g.settleReads()
+	g.dropAnswers()
+}
+
+// execute reports whether everything was done. After a failed write it skips the
+// messages that depend on it.
+func (g *Group) execute(actions []raft.Action) bool {
+	stored := true
+	for _, a := range actions {
+		var err error
+		switch a := a.(type) {
+		case raft.Persist:
+			if err = g.storage.persist(a); err == nil {
+				g.node.Persisted(a)
+			}
+		case raft.Restore:
+			if err = g.storage.restore(a); err == nil {
+				g.node.Restored(a)
+				g.applier.push(applyItem{restore: &a})
+			}
+		case raft.Apply:
+			g.applier.push(applyItem{entries: a.Entries})
+		case raft.Send:
+			if stored {
+				g.route(a.Message)
+			}
+		case raft.SendChunk:
+			g.sendChunk(a.Message)
+		}
+		if err != nil {
+			stored = false
+			if !g.tolerate(err) {
+				return false
+			}
+		} else if _, ok := a.(raft.Persist); ok && stored {
+			g.diskFull = nil
+		}
+	}
+	return stored
+}
+
+// tolerate reports whether the replica goes on after a failed write. A full disk
+// only holds back what depends on the write, which is tried again.
+func (g *Group) tolerate(err error) bool {
+	if !isDiskFull(err) {
+		g.halt(err)
+		return false
+	}
+	if g.diskFull == nil {
+		g.config.Logger.Error("disk full, proposals are refused", "error", err)
+	}
+	g.diskFull = err
+	return true
+}
+
+func (g *Group) sendChunk(m raft.Message) {
+	c := *m.Chunk
+	if err := g.storage.attachChunk(&c); err != nil {
+		g.config.Logger.Warn("snapshot chunk unavailable", "to", m.To.Node, "error", err)
+		g.node.SnapshotUnavailable(m.To)
+		return
+	}
+	m.Chunk = &c
+	g.route(m)
+}
+
+// halt stops this replica after a failure. The process goes on.
+func (g *Group) halt(err error) {
+	g.halted.Do(func() {
+		g.failure.Store(&err)
+		g.config.Logger.Error("replica stopped", "error", err)
+		g.cancel()
+		if g.config.OnFailure != nil {
+			go g.config.OnFailure(err)
+		}
+	})
+}
+
+// compact drops log entries that the durable snapshot m covers.
+func (g *Group) compact(m raft.SnapshotMeta) {
+	g.node.Compact(m, uint64(g.config.SnapshotEvery), keepLogBytes)
+	base, entries := g.node.Remaining()
+	err := g.storage.reset(g.node.HardState(), base, entries)
+	switch {
+	case err == nil:
+	case isDiskFull(err):
+		g.config.Logger.Error("log not compacted", "error", err)
+	default:
+		g.halt(err)
+	}
+}
+
+// Bootstrap starts a new group with this replica as its only voter and waits
+// until it leads. It fails when the folder belongs to a group already.
+func (g *Group) Bootstrap(ctx context.Context) error {
+	done := make(chan bool, 1)
+	if err := g.post(ctx, func(raft.Reading) {
+		done <- g.node.Bootstrap(g.config.Address, newClusterID())
+	}); err != nil {
+		return err
+	}
+	select {
+	case ok := <-done:
+		if !ok {
+			return errkind.New(errkind.VersionConflict, "group %d: %w", g.config.Group, ErrHasGroup)
+		}
+	case <-g.ctx.Done():
+		return g.stoppedError()
+	}
+	return g.Confirm(ctx)
+}
+
+// ErrHasGroup reports that a folder belongs to a group already.
+var ErrHasGroup = errors.New("replica: the folder belongs to a group already")
+
+// TransferAndClose hands the leadership over, if this replica leads and another
+// voter is reachable, and closes the replica.
+func (g *Group) TransferAndClose(ctx context.Context) error {
+	err := g.transfer(ctx)
+	return errors.Join(err, g.Close())
+}
+
+func (g *Group) transfer(ctx context.Context) error {
+	started := make(chan bool, 1)
+	if err := g.post(ctx, func(now raft.Reading) { started <- g.node.Transfer(now) }); err != nil {
+		return err
+	}
+	select {
+	case ok := <-started:
+		if !ok {
+			return nil
+		}
+	case <-g.ctx.Done():
+		return g.stoppedError()
+	}
+	for g.Status().Role == raft.Leader {
+		if !sleep(ctx, tickInterval/2) {
+			return fmt.Errorf("replica: transfer the leadership of group %d: %w", g.config.Group, ctx.Err())
+		}
+	}
+	return nil
+}
+
+// Close stops the replica. Commands in progress end with an unknown outcome.
+func (g *Group) Close() error {
+	g.cancel()
+	g.wait.Wait()
+	g.config.Host.remove(g)
+	return nil
+}
+
+// sleep waits for d and reports whether ctx is still in force.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/replica/host.go
@@ -0,0 +1,290 @@
+package replica
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/raft"
+	"bramleymill/transport"
+)
+
+const (
+	// sendTimeout bounds one call to another replica. It is below the time in
+	// which a leader misses its majority, so that a lost call does not block
+	// the messages behind it for longer.
+	sendTimeout = 300 * time.Millisecond
+	// concurrentSends is the number of calls to one address at a time, so that a
+	// heartbeat need not wait for an Append to be synced.
+	concurrentSends = 4
+	// maxQueued bounds the messages that wait for one address. The oldest are
+	// dropped first; the core sends again what is still needed.
+	maxQueued = 256
+	// maxBatchBytes keeps a batch below the size limit of the transport.
+	maxBatchBytes = transport.MaxMessageBytes / 2
+)
+
+// Host carries the messages of all groups of one process.
+type Host struct {
+	client transport.Client
+
+	mu     sync.Mutex
+	origin time.Time // of monotonic readings, shared by all groups
+	groups map[uint32]*Group
+	peers  map[string]*peer
+	closed bool
+	cancel context.CancelFunc
+	ctx    context.Context
+}
+
+// peer holds the messages that wait to be sent to one address.
+type peer struct {
+	queue   []groupMessage
+	sending int
+	from    string // own address, told to the peer
+}
+
+// NewHost returns a Host and registers its handlers on m.
+func NewHost(m *transport.Mux, client transport.Client) *Host {
+	h := &Host{client: client, groups: map[uint32]*Group{}, peers: map[string]*peer{}}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	transport.Handle(m, kindBatch, h.onBatch)
+	transport.Handle(m, kindPropose, h.onPropose)
+	transport.Handle(m, kindRead, h.onRead)
+	transport.Handle(m, kindLocate, h.onLocate)
+	transport.Handle(m, kindJoin, h.onJoin)
+	return h
+}
+
+// Close stops sending. Groups are closed before.
+func (h *Host) Close() {
+	h.mu.Lock()
+	h.closed = true
+	h.mu.Unlock()
+	h.cancel()
+}
+
+func (h *Host) add(g *Group) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, ok := h.groups[g.config.Group]; ok {
+		return errkind.New(errkind.BadRequest, "group %d is open already", g.config.Group)
+	}
+	h.groups[g.config.Group] = g
+	if h.origin.IsZero() {
+		h.origin = g.config.Clock.Now()
+	}
+	g.origin = h.origin
+	return nil
+}
+
+func (h *Host) remove(g *Group) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.groups[g.config.Group] == g {
+		delete(h.groups, g.config.Group)
+	}
+}
+
+// group returns an open group. The answer proves that nothing was done.
+func (h *Host) group(number uint32) (*Group, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	g, ok := h.groups[number]
+	if !ok {
+		return nil, errkind.New(errkind.ControlUnavailable, "group %d is not open here", number)
+	}
+	return g, nil
+}
+
+// send queues a message. It never blocks.
+func (h *Host) send(g *Group, address string, m raft.Message) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return
+	}
+	p := h.peers[address]
+	if p == nil {
+		p = &peer{from: g.config.Address}
+		h.peers[address] = p
+	}
+	if len(p.queue) >= maxQueued {
+		p.queue = append(p.queue[:0], p.queue[1:]...)
+	}
+	p.queue = append(p.queue, groupMessage{g.config.Group, m})
+	if p.sending < concurrentSends {
+		p.sending++
+		go h.sendQueued(address, p)
+	}
+}
+
+// sendQueued sends until the queue is empty.
+func (h *Host) sendQueued(address string, p *peer) {
+	for {
+		out := h.takeBatch(p)
+		if len(out.Messages) == 0 {
+			return
+		}
+		ctx, cancel := context.WithTimeout(h.ctx, sendTimeout)
+		var reply batch
+		err := h.client.Call(ctx, address, kindBatch, &out, &reply)
+		cancel()
+		if err != nil {
+			slog.Debug("replica message lost", "address", address, "error", err)
+			continue
+		}
+		h.deliverReply(address, &reply)
+	}
+}
+
+func (h *Host) takeBatch(p *peer) batch {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	size, n := 0, 0
+	for n < len(p.queue) {
+		size += messageBytes(p.queue[n].Message)
+		if size > maxBatchBytes && n > 0 {
+			break
+		}
+		n++
+	}
+	out := batch{Address: p.from, Messages: append([]groupMessage(nil), p.queue[:n]...)}
+	clear(p.queue[:n])
+	p.queue = p.queue[n:]
+	if len(p.queue) == 0 || h.closed {
+		p.queue = nil
+	}
+	if n == 0 {
+		p.sending--
+	}
+	return out
+}
+
+// messageBytes approximates the encoded size of a message from above.
+func messageBytes(m raft.Message) int {
+	const base, entry, member = 256, 64, 256
+	size := base
+	for _, e := range m.Entries {
+		size += entry + len(e.Data)
+		if e.Configuration != nil {
+			size += member * (len(e.Configuration.Voters) + len(e.Configuration.Learners))
+		}
+	}
+	if m.Chunk != nil {
+		size += len(m.Chunk.Data) + member*(raft.MaxVoters+len(m.Chunk.Meta.Configuration.Learners))
+	}
+	return size
+}
+
+// onBatch hands messages to their groups and returns what these answer at once.
+func (h *Host) onBatch(ctx context.Context, from transport.Peer, b *batch) (*batch, error) {
+	if err := requireControl(from); err != nil {
+		return nil, err
+	}
+	for _, m := range b.Messages {
+		if m.Message.From.Node != from.Node {
+			return nil, errkind.New(errkind.Unauthorized, "message of %s sent by %s", m.Message.From.Node, from.Node)
+		}
+	}
+	slots := make([]*answerSlot, 0, 2)
+	for number, messages := range byGroup(b) {
+		if g, err := h.group(number); err == nil {
+			s := newAnswerSlot(g)
+			g.receive(ctx, b.Address, messages, s)
+			slots = append(slots, s)
+		}
+	}
+	out := &batch{}
+	for _, s := range slots {
+		for _, m := range s.wait(ctx) {
+			out.Messages = append(out.Messages, groupMessage{s.group.config.Group, m})
+		}
+	}
+	return out, nil
+}
+
+func byGroup(b *batch) map[uint32][]raft.Message {
+	out := map[uint32][]raft.Message{}
+	for _, m := range b.Messages {
+		out[m.Group] = append(out[m.Group], m.Message)
+	}
+	return out
+}
+
+// deliverReply hands the answers of a peer to their groups.
+func (h *Host) deliverReply(address string, b *batch) {
+	for number, messages := range byGroup(b) {
+		if g, err := h.group(number); err == nil {
+			g.receive(h.ctx, address, messages, nil)
+		}
+	}
+}
+
+func requireControl(from transport.Peer) error {
+	if from.Role != fleet.RoleControl {
+		return errkind.New(errkind.Unauthorized, "%s lacks the control role", from.Node)
+	}
+	return nil
+}
+
+func (h *Host) onPropose(ctx context.Context, from transport.Peer, r *proposeRequest) (*proposeReply, error) {
+	g, err := h.group(r.Group)
+	if err != nil {
+		return nil, err
+	}
+	if g.config.ControlOnly {
+		if err := requireControl(from); err != nil {
+			return nil, err
+		}
+	}
+	result, err := g.proposeHere(ctx, r.Command)
+	if err != nil {
+		if e := errkind.Of(err); e.Kind == errkind.ControlUnavailable {
+			return &proposeReply{Leader: g.Status().LeaderAddress, Reason: err.Error()}, nil
+		}
+		return nil, err
+	}
+	return &proposeReply{Accepted: true, Result: result}, nil
+}
+
+func (h *Host) onRead(ctx context.Context, from transport.Peer, r *readRequest) (*readReply, error) {
+	if err := requireControl(from); err != nil {
+		return nil, err
+	}
+	g, err := h.group(r.Group)
+	if err != nil {
+		return nil, err
+	}
+	read, err := g.readHere(ctx)
+	if err != nil {
+		return &readReply{}, nil
+	}
+	return &readReply{Proved: true, Index: read.Index, Term: read.LogTerm}, nil
+}
+
+func (h *Host) onLocate(_ context.Context, _ transport.Peer, r *locateRequest) (*locateReply, error) {
+	g, err := h.group(r.Group)
+	if err != nil {
+		return nil, err
+	}
+	s := g.Status()
+	return &locateReply{Leader: s.LeaderAddress, Term: s.Term}, nil
+}
+
+func (h *Host) onJoin(ctx context.Context, from transport.Peer, r *joinRequest) (*joinReply, error) {
+	if err := requireControl(from); err != nil {
+		return nil, err
+	}
+	if r.Member.ID.Node != from.Node {
+		return nil, errkind.New(errkind.Unauthorized, "%s asks to join as %s", from.Node, r.Member.ID.Node)
+	}
+	g, err := h.group(r.Group)
+	if err != nil {
+		return nil, err
+	}
+	return g.admit(ctx, r), nil
+}
--- /dev/null
+++ b/replica/join.go
@@ -0,0 +1,143 @@
+package replica
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	mathrand "math/rand/v2"
+	"time"
+
+	"bramleymill/fleet"
+	"bramleymill/raft"
+)
+
+const (
+	joinTimeout = 500 * time.Millisecond
+	joinPause   = 250 * time.Millisecond // doubled at random
+	// silenceBeforeJoin is how long a member waits for a leader before it asks
+	// the seeds whether it is still a member. Elections end well before.
+	silenceBeforeJoin = 3 * time.Second
+)
+
+func newClusterID() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return binary.LittleEndian.Uint64(b[:]) | 1
+}
+
+// keepJoined asks the group to admit this replica while it is no member, has
+// moved, or hears from no leader.
+func (g *Group) keepJoined() {
+	defer g.wait.Done()
+	random := mathrand.New(mathrand.NewPCG(g.config.Seed, uint64(g.config.Group)))
+	led := g.config.Clock.Now()
+	for sleep(g.ctx, joinPause+time.Duration(random.Int64N(int64(joinPause)))) {
+		v := g.view.Load()
+		now := g.config.Clock.Now()
+		if v.status.Leader != (raft.ID{}) {
+			led = now
+		}
+		self, member := v.status.Configuration.Find(v.status.ID)
+		joined := member && self.Address == g.config.Address
+		if joined && now.Sub(led) < silenceBeforeJoin {
+			g.joining.Store(nil)
+			continue
+		}
+		if err := g.join(v.status, random); err != nil {
+			g.joining.Store(&err)
+		} else {
+			g.joining.Store(nil)
+		}
+	}
+}
+
+// join asks the seeds, and the leader that they name, to admit this replica.
+func (g *Group) join(s raft.Status, random *mathrand.Rand) error {
+	targets := make([]string, 0, len(g.config.Seeds)+1)
+	for _, i := range random.Perm(len(g.config.Seeds)) {
+		if a := g.config.Seeds[i]; a != g.config.Address {
+			targets = append(targets, a)
+		}
+	}
+	if m, ok := s.Configuration.Find(s.Leader); ok && m.ID != s.ID {
+		targets = append(targets, m.Address)
+	}
+	last := fmt.Errorf("replica: no seed answers for group %d", g.config.Group)
+	followed := false
+	for i := 0; i < len(targets); i++ {
+		reply, err := g.askToJoin(s, targets[i])
+		switch {
+		case err != nil:
+			last = fmt.Errorf("replica: join through %s: %w", targets[i], err)
+		case reply.Accepted:
+			return nil
+		default:
+			last = fmt.Errorf("replica: join through %s: %s", targets[i], reply.Reason)
+			if reply.Leader != "" && reply.Leader != targets[i] && !followed {
+				followed = true
+				targets = append(targets, reply.Leader)
+			}
+		}
+	}
+	return last
+}
+
+func (g *Group) askToJoin(s raft.Status, address string) (*joinReply, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, joinTimeout)
+	defer cancel()
+	r := joinRequest{
+		Group: g.config.Group, ClusterID: s.Configuration.ClusterID,
+		Member: raft.Member{ID: s.ID, Address: g.config.Address},
+	}
+	var reply joinReply
+	if err := g.config.Client.Call(ctx, address, kindJoin, &r, &reply); err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
+
+// admit handles a request to join.
+func (g *Group) admit(ctx context.Context, r *joinRequest) *joinReply {
+	done := make(chan *joinReply, 1)
+	err := g.post(ctx, func(now raft.Reading) {
+		reply := &joinReply{Accepted: true}
+		if err := g.admitHere(now, r); err != nil {
+			reply = &joinReply{Reason: err.Error()}
+		}
+		done <- reply
+	})
+	if err != nil {
+		return &joinReply{Reason: err.Error()}
+	}
+	select {
+	case reply := <-done:
+		reply.Leader = g.Status().LeaderAddress
+		return reply
+	case <-g.ctx.Done():
+		return &joinReply{Reason: g.stoppedError().Error()}
+	}
+}
+
+func (g *Group) admitHere(now raft.Reading, r *joinRequest) error {
+	own := g.node.Status().Configuration.ClusterID
+	if r.ClusterID != 0 && own != 0 && r.ClusterID != own {
+		return fmt.Errorf("%s belongs to another group that was started separately", r.Member.ID.Node)
+	}
+	return g.node.Join(now, r.Member)
+}
+
+// Remove removes the learner or, without one, the voter of a node from the
+// group. Only the leader does it. A removed replica that still runs joins again.
+func (g *Group) Remove(ctx context.Context, node fleet.NodeID) error {
+	done := make(chan error, 1)
+	if err := g.post(ctx, func(now raft.Reading) { done <- g.node.Remove(now, node) }); err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-g.ctx.Done():
+		return g.stoppedError()
+	}
+}
--- /dev/null
+++ b/replica/messages.go
@@ -0,0 +1,71 @@
+package replica
+
+import (
+	"bramleymill/raft"
+	"bramleymill/transport"
+)
+
+// Kinds of messages.
+const (
+	kindBatch   = transport.KindsOfRaft + iota // messages between replicas
+	kindPropose                                // a proposal for the leader
+	kindRead                                   // a linearizable read index from the leader
+	kindLocate                                 // the leader's address
+	kindJoin                                   // a replica asks to become a learner
+)
+
+// batch carries messages of several groups. The reply of a batch is a batch.
+type batch struct {
+	Address  string         `cbor:"1,keyasint"` // of the sender
+	Messages []groupMessage `cbor:"2,keyasint,omitempty"`
+}
+
+type groupMessage struct {
+	Group   uint32       `cbor:"1,keyasint"`
+	Message raft.Message `cbor:"2,keyasint"`
+}
+
+type proposeRequest struct {
+	Group   uint32 `cbor:"1,keyasint"`
+	Command []byte `cbor:"2,keyasint"`
+}
+
+// proposeReply with Accepted unset proves that the command was not proposed.
+type proposeReply struct {
+	Accepted bool   `cbor:"1,keyasint,omitempty"`
+	Result   []byte `cbor:"2,keyasint,omitempty"`
+	Leader   string `cbor:"3,keyasint,omitempty"`
+	Reason   string `cbor:"4,keyasint,omitempty"`
+}
+
+type readRequest struct {
+	Group uint32 `cbor:"1,keyasint"`
+}
+
+// readReply names an entry that holds everything committed before the request.
+type readReply struct {
+	Proved bool   `cbor:"1,keyasint,omitempty"`
+	Index  uint64 `cbor:"2,keyasint,omitempty"`
+	Term   uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+type locateRequest struct {
+	Group uint32 `cbor:"1,keyasint"`
+}
+
+type locateReply struct {
+	Leader string `cbor:"1,keyasint,omitempty"` // empty: not known
+	Term   uint64 `cbor:"2,keyasint,omitempty"`
+}
+
+type joinRequest struct {
+	Group     uint32      `cbor:"1,keyasint"`
+	Member    raft.Member `cbor:"2,keyasint"`
+	ClusterID uint64      `cbor:"3,keyasint,omitempty"` // 0: belongs to no group yet
+}
+
+type joinReply struct {
+	Accepted bool   `cbor:"1,keyasint,omitempty"`
+	Leader   string `cbor:"2,keyasint,omitempty"`
+	Reason   string `cbor:"3,keyasint,omitempty"`
+}
--- /dev/null
+++ b/replica/propose.go
@@ -0,0 +1,148 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/raft"
+	"bramleymill/transport"
+)
+
+const (
+	// proposeTimeout bounds Propose when the context has no earlier deadline.
+	proposeTimeout = 5 * time.Second
+	// attemptTimeout bounds one attempt at one leader. It exceeds an ordinary
+	// commit by far and is about the time that electing a new leader takes.
+	attemptTimeout = time.Second
+	// retryPause is the pause between attempts while no leader is known.
+	retryPause = 25 * time.Millisecond
+	// maxPending bounds the proposals that wait at one leader.
+	maxPending = 8192
+)
+
+// Propose replicates command and returns the result of applying it. A follower
+// forwards to the leader. While there is no leader Propose tries again until ctx
+// ends, at most for 5 s. It also repeats a command whose attempt at a leader
+// ended with an unknown outcome, see Proposer about commands and their ids.
+func (g *Group) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	var a attempts
+	for {
+		var result []byte
+		var err error
+		if s := g.Status(); s.Stopped {
+			return nil, a.failure(g.stoppedError())
+		} else if s.Role == raft.Leader || s.LeaderAddress == "" {
+			result, err = g.proposeHere(ctx, command)
+		} else {
+			result, _, err = proposeAt(ctx, g.config.Client, s.LeaderAddress, g.config.Group, command)
+		}
+		if err == nil || a.final(err) {
+			return result, err
+		}
+		if !sleep(ctx, retryPause) {
+			return nil, a.failure(err)
+		}
+	}
+}
+
+// attempts remembers whether one of several attempts may have taken effect.
+type attempts struct{ unknown error }
+
+// final notes a failed attempt and reports whether no other one makes sense.
+func (a *attempts) final(err error) bool {
+	e := errkind.Of(err)
+	switch e.Kind {
+	case errkind.BodyTooLarge, errkind.Unauthorized, errkind.BadRequest:
+		return a.unknown == nil
+	case errkind.NotFound: // the process has no control role
+		return false
+	}
+	if !e.ProvedNotRun() {
+		a.unknown = err
+	}
+	return false
+}
+
+// failure returns the error to report: last proves that nothing was proposed
+// only when every attempt did.
+func (a *attempts) failure(last error) error {
+	if a.unknown != nil {
+		return errkind.New(errkind.OutcomeUnknown, "%w", a.unknown)
+	}
+	return last
+}
+
+// proposeHere proposes to this replica, which must lead.
+func (g *Group) proposeHere(ctx context.Context, command []byte) ([]byte, error) {
+	type placed struct {
+		w   *waiter
+		err error
+	}
+	result := make(chan placed, 1)
+	err := g.post(ctx, func(now raft.Reading) {
+		w, err := g.place(now, command)
+		result <- placed{w, err}
+	})
+	if err != nil {
+		return nil, err
+	}
+	var p placed
+	select {
+	case p = <-result:
+	case <-g.ctx.Done():
+		return nil, errStopped()
+	}
+	if p.err != nil {
+		return nil, p.err
+	}
+	select {
+	case o := <-p.w.done:
+		return o.result, o.err
+	case <-ctx.Done():
+		return nil, errkind.New(errkind.OutcomeUnknown, "the command is not committed yet: %w", ctx.Err())
+	}
+}
+
+// place appends command to the log of the leader. It runs on the goroutine that
+// owns the core.
+func (g *Group) place(now raft.Reading, command []byte) (*waiter, error) {
+	if g.diskFull != nil {
+		return nil, errkind.New(errkind.ControlUnavailable, "%w", g.diskFull)
+	}
+	if g.applier.pending() >= maxPending {
+		return nil, errkind.New(errkind.ControlUnavailable, "%d proposals are waiting", maxPending)
+	}
+	index, term, err := g.node.Propose(now, command)
+	switch {
+	case errors.Is(err, raft.ErrTooLarge):
+		return nil, errkind.New(errkind.BodyTooLarge, "%w", err)
+	case err != nil:
+		return nil, errkind.New(errkind.ControlUnavailable, "%w", err)
+	}
+	return g.applier.expect(index, term), nil
+}
+
+// proposeAt proposes at the process with the given address. When the command
+// was refused because that process does not lead, leader is the address that it
+// named.
+func proposeAt(ctx context.Context, c transport.Client, address string, group uint32, command []byte) (result []byte, leader string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	var reply proposeReply
+	err = c.Call(ctx, address, kindPropose, &proposeRequest{Group: group, Command: command}, &reply)
+	if err != nil {
+		var e *errkind.Error
+		if errors.As(err, &e) {
+			return nil, "", err
+		}
+		return nil, "", errkind.New(errkind.OutcomeUnknown, "propose at %s: %w", address, err)
+	}
+	if !reply.Accepted {
+		return nil, reply.Leader, errkind.New(errkind.ControlUnavailable, "%s: %s", address, reply.Reason)
+	}
+	return reply.Result, "", nil
+}
--- /dev/null
+++ b/replica/status.go
@@ -0,0 +1,83 @@
+package replica
+
+import (
+	"time"
+
+	"bramleymill/fleet"
+	"bramleymill/raft"
+)
+
+// view is what the goroutine that owns the core publishes after each step.
+type view struct {
+	status      raft.Status
+	confirmedAt time.Duration
+	confirmed   bool
+	termStart   uint64
+	diskFull    error
+}
+
+// publish makes the state of the core visible to other goroutines.
+func (g *Group) publish() {
+	v := &view{status: g.node.Status(), diskFull: g.diskFull}
+	v.confirmedAt, v.confirmed = g.node.Confirmed()
+	v.termStart, _ = g.node.Established()
+	g.view.Store(v)
+	if v.status.Role != g.role {
+		g.role = v.status.Role
+		g.config.Logger.Info("role changed", "role", g.role, "term", v.status.Term)
+	}
+}
+
+// Status describes a replica.
+type Status struct {
+	Group         uint32
+	ID            raft.ID // node name and disk id
+	Role          raft.Role
+	Leader        fleet.NodeID // empty: not known
+	LeaderAddress string
+	Term          uint64
+	Commit        uint64
+	Applied       uint64
+	ClusterID     uint64 // 0: belongs to no group yet
+	Voters        []raft.Member
+	Learners      []raft.Member
+	Stopped       bool  // closed or failed
+	Err           error // storage failure, full disk, or why joining fails
+}
+
+// Status returns the current state. Its slices must not be modified.
+func (g *Group) Status() Status {
+	v := g.view.Load()
+	s := Status{
+		Group: g.config.Group, ID: v.status.ID, Role: v.status.Role, Leader: v.status.Leader.Node,
+		Term: v.status.Term, Commit: v.status.Commit, Applied: g.applier.state().Index,
+		ClusterID: v.status.Configuration.ClusterID,
+		Voters:    v.status.Configuration.Voters, Learners: v.status.Configuration.Learners,
+		Err: v.diskFull,
+	}
+	if m, ok := v.status.Configuration.Find(v.status.Leader); ok {
+		s.LeaderAddress = m.Address
+	}
+	if p := g.joining.Load(); s.Err == nil && p != nil {
+		s.Err = *p
+	}
+	if p := g.failure.Load(); p != nil {
+		s.Err = *p
+	}
+	if g.ctx.Err() != nil {
+		s.Stopped, s.Role, s.Leader, s.LeaderAddress = true, raft.Follower, "", ""
+	}
+	return s
+}
+
+// Confirmed returns the age of the newest proof that this replica leads, without
+// waiting: the time since the start of the newest heartbeat round that a
+// majority answered. ok is false when this replica does not lead or has not yet
+// applied everything that was committed when it was elected.
+func (g *Group) Confirmed() (age time.Duration, ok bool) {
+	v := g.view.Load()
+	if !v.confirmed || g.ctx.Err() != nil || g.applier.state().Index < v.termStart {
+		return 0, false
+	}
+	return g.reading().Mono - v.confirmedAt, true
+}
--- /dev/null
+++ b/replica/storage.go
@@ -0,0 +1,179 @@
+package replica
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"path/filepath"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bramleymill/raft"
+	"bramleymill/snap"
+	"bramleymill/wal"
+)
+
+// logRecord is one record of the write-ahead log. A record with Disk set is the
+// first one of a compacted log.
+type logRecord struct {
+	Disk      raft.DiskID        `cbor:"1,keyasint,omitempty"`
+	HardState *raft.HardState    `cbor:"2,keyasint,omitempty"`
+	Base      *raft.SnapshotMeta `cbor:"3,keyasint,omitempty"`
+	Entries   []raft.Entry       `cbor:"4,keyasint,omitempty"`
+}
+
+// storage is the disk of a group. The log is used by one goroutine; snapshots
+// are saved by several.
+type storage struct {
+	disk  raft.DiskID
+	log   *wal.Log
+	snaps *snap.Store
+}
+
+// stored is what the disk held when it was opened.
+type stored struct {
+	raft.Stored
+	data []byte // of the snapshot
+}
+
+// openStorage opens the folder of a group. An empty folder gets a new disk id.
+func openStorage(fs wal.FS, folder string) (*storage, *stored, error) {
+	s, out := &storage{}, &stored{}
+	var err error
+	if s.snaps, err = snap.Open(fs, filepath.Join(folder, "snapshots")); err != nil {
+		return nil, nil, err
+	}
+	latest, err := s.snaps.Latest()
+	if err != nil && !errors.Is(err, snap.ErrNotFound) {
+		return nil, nil, err
+	}
+	if s.log, err = wal.Open(fs, filepath.Join(folder, "log"), wal.Options{}, func(record []byte) error {
+		return s.replay(record, out)
+	}); err != nil {
+		return nil, nil, err
+	}
+	if err := s.finishOpen(folder, latest, out); err != nil {
+		_ = s.log.Close()
+		return nil, nil, err
+	}
+	return s, out, nil
+}
+
+func (s *storage) finishOpen(folder string, latest *snap.Snapshot, out *stored) error {
+	if s.log.Empty() {
+		if latest != nil {
+			return &wal.CorruptError{File: folder, Reason: "there is a snapshot but no log"}
+		}
+		s.disk = newDiskID()
+		return s.reset(raft.HardState{}, raft.SnapshotMeta{}, nil)
+	}
+	if s.disk == "" {
+		return &wal.CorruptError{File: folder, Reason: "the log names no disk id"}
+	}
+	if latest != nil {
+		out.data = latest.Data
+		if err := cbor.Unmarshal(latest.Header, &out.Snapshot); err != nil {
+			return &snap.CorruptError{File: folder, Reason: err.Error()}
+		}
+	}
+	return s.reconcile(folder, out)
+}
+
+// reconcile makes the log continue the snapshot. A crash between saving a
+// received snapshot and emptying the log leaves a log that ends before the
+// snapshot or differs from it; the snapshot replaces such a log.
+func (s *storage) reconcile(folder string, out *stored) error {
+	if out.Base.Index > out.Snapshot.Index {
+		return &wal.CorruptError{File: folder, Reason: fmt.Sprintf(
+			"the log starts after entry %d but the snapshot ends at %d", out.Base.Index, out.Snapshot.Index)}
+	}
+	i := out.Snapshot.Index - out.Base.Index
+	matches := i == 0 || (i <= uint64(len(out.Entries)) && out.Entries[i-1].Term == out.Snapshot.Term)
+	if matches {
+		return nil
+	}
+	out.Base, out.Entries = out.Snapshot, nil
+	return s.reset(out.HardState, out.Base, nil)
+}
+
+func newDiskID() raft.DiskID {
+	var b [16]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return raft.DiskID(hex.EncodeToString(b[:]))
+}
+
+func (s *storage) replay(record []byte, out *stored) error {
+	var r logRecord
+	if err := cbor.Unmarshal(record, &r); err != nil {
+		return &wal.CorruptError{File: "log", Reason: fmt.Sprintf("decode record: %v", err)}
+	}
+	if r.Disk != "" {
+		s.disk = r.Disk
+		out.HardState, out.Base, out.Entries = raft.HardState{}, raft.SnapshotMeta{}, nil
+	}
+	if r.Base != nil {
+		out.Base = *r.Base
+	}
+	if r.HardState != nil {
+		out.HardState = *r.HardState
+	}
+	if len(r.Entries) == 0 {
+		return nil
+	}
+	first := r.Entries[0].Index
+	next := out.Base.Index + uint64(len(out.Entries)) + 1
+	if first <= out.Base.Index || first > next {
+		return &wal.CorruptError{File: "log", Reason: fmt.Sprintf("record starts at entry %d where %d was expected", first, next)}
+	}
+	out.Entries = append(out.Entries[:first-out.Base.Index-1], r.Entries...)
+	return nil
+}
+
+// persist appends hard state and entries with one sync.
+func (s *storage) persist(p raft.Persist) error {
+	b, err := cbor.Marshal(logRecord{HardState: p.HardState, Entries: p.Entries})
+	if err != nil {
+		return fmt.Errorf("encode log record: %w", err)
+	}
+	return s.log.Append(b)
+}
+
+// reset replaces the log.
+func (s *storage) reset(h raft.HardState, base raft.SnapshotMeta, entries []raft.Entry) error {
+	b, err := cbor.Marshal(logRecord{Disk: s.disk, HardState: &h, Base: &base, Entries: entries})
+	if err != nil {
+		return fmt.Errorf("encode log record: %w", err)
+	}
+	return s.log.Reset(b)
+}
+
+func (s *storage) saveSnapshot(m raft.SnapshotMeta, data []byte) error {
+	header, err := cbor.Marshal(m)
+	if err != nil {
+		return fmt.Errorf("encode snapshot header: %w", err)
+	}
+	return s.snaps.Save(&snap.Snapshot{Index: m.Index, Header: header, Data: data})
+}
+
+// restore stores a received snapshot. The log is emptied after the snapshot is
+// durable, see reconcile.
+func (s *storage) restore(r raft.Restore) error {
+	if err := s.saveSnapshot(r.Meta, r.Data); err != nil {
+		return err
+	}
+	return s.reset(r.HardState, r.Meta, nil)
+}
+
+// attachChunk reads the part of a snapshot that c describes.
+func (s *storage) attachChunk(c *raft.Chunk) error {
+	data, total, err := s.snaps.ReadAt(c.Meta.Index, c.Offset, raft.MaxChunkBytes)
+	c.Data, c.Total = data, total
+	return err
+}
+
+// isDiskFull reports whether err says that nothing was stored and that storing
+// may succeed later.
+func isDiskFull(err error) bool {
+	return errors.Is(err, wal.ErrDiskFull) || errors.Is(err, snap.ErrDiskFull)
+}
--- /dev/null
+++ b/snap/snap.go
@@ -0,0 +1,249 @@
+// Package snap stores snapshots of a state machine, one file for each. A
+// snapshot that Save has returned from is whole and durable.
+package snap
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+
+	"bramleymill/wal"
+)
+
+// A file is: magic 8 | header length 4 | data length 8 | CRC32C 4 | header | data.
+// The CRC covers the lengths, header and data.
+const (
+	magic       = "BMSNAP\x00\x01"
+	prefixBytes = 24
+	suffix      = ".snap"
+	temporary   = ".tmp"
+
+	// kept is the number of snapshots that stay on disk. The one before the
+	// newest lets a transfer to a replica finish.
+	kept = 2
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Errors of a store.
+var (
+	ErrNotFound = errors.New("snap: no such snapshot")
+	// ErrDiskFull reports that the snapshot was not saved. The earlier ones are intact.
+	ErrDiskFull = errors.New("snap: disk full")
+	// ErrFailed reports a failed write or sync, after which nothing is saved any more.
+	ErrFailed = errors.New("snap: write or sync failed")
+)
+
+// CorruptError reports a damaged snapshot file.
+type CorruptError struct {
+	File   string
+	Reason string
+}
+
+// Error describes the damage.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("snap: %s is corrupt: %s", e.File, e.Reason)
+}
+
+// Snapshot is a stored snapshot. Index orders snapshots; Header is opaque.
+type Snapshot struct {
+	Index  uint64
+	Header []byte
+	Data   []byte
+}
+
+// Store keeps the snapshots of one folder. It is safe for concurrent use.
+type Store struct {
+	fs     wal.FS
+	folder string
+
+	mu      sync.Mutex
+	indices []uint64 // ascending
+	failed  error
+}
+
+// Open opens the store in folder and removes files that were not finished.
+func Open(fs wal.FS, folder string) (*Store, error) {
+	s := &Store{fs: fs, folder: folder}
+	if err := fs.MkdirAll(folder); err != nil {
+		return nil, fmt.Errorf("snap: make folder: %w", err)
+	}
+	names, err := fs.List(folder)
+	if err != nil {
+		return nil, fmt.Errorf("snap: list folder: %w", err)
+	}
+	for _, name := range names {
+		if strings.HasSuffix(name, suffix+temporary) {
+			if err := fs.Remove(filepath.Join(folder, name)); err != nil {
+				return nil, fmt.Errorf("snap: remove unfinished file: %w", err)
+			}
+		}
+		if base, ok := strings.CutSuffix(name, suffix); ok {
+			index, err := strconv.ParseUint(base, 16, 64)
+			if err != nil {
+				return nil, &CorruptError{File: name, Reason: "unexpected file name"}
+			}
+			s.indices = append(s.indices, index)
+		}
+	}
+	return s, nil
+}
+
+func (s *Store) path(index uint64) string {
+	return filepath.Join(s.folder, fmt.Sprintf("%016x%s", index, suffix))
+}
+
+// Latest returns the newest snapshot, or ErrNotFound.
+func (s *Store) Latest() (*Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.indices) == 0 {
+		return nil, ErrNotFound
+	}
+	index := s.indices[len(s.indices)-1]
+	b, err := wal.ReadFile(s.fs, s.path(index))
+	if err != nil {
+		return nil, fmt.Errorf("snap: read: %w", err)
+	}
+	n, err := parsePrefix(s.path(index), b)
+	if err != nil {
+		return nil, err
+	}
+	if uint64(len(b)) != prefixBytes+n.header+n.data || checksum(b[8:20], b[prefixBytes:]) != n.crc {
+		return nil, &CorruptError{File: s.path(index), Reason: "checksum or length does not match"}
+	}
+	body := b[prefixBytes:]
+	return &Snapshot{Index: index, Header: body[:n.header:n.header], Data: body[n.header:]}, nil
+}
+
+type prefix struct {
+	header, data uint64
+	crc          uint32
+}
+
+func parsePrefix(file string, b []byte) (prefix, error) {
+	if len(b) < prefixBytes || string(b[:8]) != magic {
+		return prefix{}, &CorruptError{File: file, Reason: "damaged file header"}
+	}
+	return prefix{
+		header: uint64(binary.LittleEndian.Uint32(b[8:])),
+		data:   binary.LittleEndian.Uint64(b[12:]),
+		crc:    binary.LittleEndian.Uint32(b[20:]),
+	}, nil
+}
+
+func checksum(lengths []byte, parts ...[]byte) uint32 {
+	crc := crc32.Checksum(lengths, castagnoli)
+	for _, p := range parts {
+		crc = crc32.Update(crc, castagnoli, p)
+	}
+	return crc
+}
+
+// ReadAt returns up to limit bytes of the data of the snapshot at index, and the
+// whole length of the data.
+func (s *Store) ReadAt(index, offset uint64, limit int) (chunk []byte, total uint64, err error) {
+	f, err := s.fs.Open(s.path(index))
+	if err != nil {
+		return nil, 0, fmt.Errorf("%w: %w", ErrNotFound, err)
+	}
+	defer f.Close()
+	b := make([]byte, prefixBytes)
+	if _, err := f.ReadAt(b, 0); err != nil {
+		return nil, 0, fmt.Errorf("snap: read: %w", err)
+	}
+	n, err := parsePrefix(s.path(index), b)
+	if err != nil {
+		return nil, 0, err
+	}
+	if offset > n.data {
+		return nil, 0, fmt.Errorf("snap: offset %d exceeds the %d bytes of data", offset, n.data)
+	}
+	chunk = make([]byte, min(uint64(limit), n.data-offset))
+	if len(chunk) > 0 {
+		if _, err := f.ReadAt(chunk, int64(prefixBytes+n.header+offset)); err != nil {
+			return nil, 0, fmt.Errorf("snap: read: %w", err)
+		}
+	}
+	return chunk, n.data, nil
+}
+
+// Save stores x durably and removes snapshots that are no longer needed. An x
+// that is not newer than the newest stored one is ignored.
+func (s *Store) Save(x *Snapshot) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return s.failed
+	}
+	if n := len(s.indices); n > 0 && x.Index <= s.indices[n-1] {
+		return nil
+	}
+	name := s.path(x.Index)
+	if err := s.writeTemporary(name+temporary, x); err != nil {
+		return err
+	}
+	if err := s.fs.Rename(name+temporary, name); err != nil {
+		return s.fail(err)
+	}
+	if err := s.fs.SyncFolder(s.folder); err != nil {
+		return s.fail(err)
+	}
+	s.indices = append(s.indices, x.Index)
+	return s.removeOld()
+}
+
+func (s *Store) writeTemporary(name string, x *Snapshot) error {
+	f, err := s.fs.Create(name)
+	if err == nil {
+		defer f.Close()
+		err = write(f, x)
+	}
+	if wal.IsDiskFull(err) {
+		_ = s.fs.Remove(name) // removed by the next Open otherwise
+		return fmt.Errorf("%w: %w", ErrDiskFull, err)
+	}
+	if err != nil {
+		return s.fail(err)
+	}
+	if err := f.Sync(); err != nil {
+		return s.fail(err)
+	}
+	return nil
+}
+
+func write(f wal.File, x *Snapshot) error {
+	b := []byte(magic)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(x.Header)))
+	b = binary.LittleEndian.AppendUint64(b, uint64(len(x.Data)))
+	b = binary.LittleEndian.AppendUint32(b, checksum(b[8:20], x.Header, x.Data))
+	for _, part := range [][]byte{b, x.Header, x.Data} {
+		if len(part) == 0 {
+			continue
+		}
+		if _, err := f.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Store) removeOld() error {
+	for len(s.indices) > kept {
+		if err := s.fs.Remove(s.path(s.indices[0])); err != nil {
+			return s.fail(err)
+		}
+		s.indices = s.indices[1:]
+	}
+	return nil
+}
+
+func (s *Store) fail(err error) error {
+	s.failed = fmt.Errorf("%w: %w", ErrFailed, err)
+	return s.failed
+}
--- /dev/null
+++ b/wal/fs.go
@@ -0,0 +1,90 @@
+package wal
+
+import (
+	"io"
+	"os"
+)
+
+// File is an open file.
+type File interface {
+	io.Reader
+	io.ReaderAt
+	io.Writer
+	io.Closer
+	Sync() error
+	Truncate(size int64) error
+}
+
+// FS is the part of a file system that logs and snapshots need.
+type FS interface {
+	MkdirAll(folder string) error
+	// Create makes or empties a file and opens it for writing at its end.
+	Create(name string) (File, error)
+	Open(name string) (File, error)
+	// OpenAppend opens an existing file for writing at its end.
+	OpenAppend(name string) (File, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// List returns the names in a folder in ascending order.
+	List(folder string) ([]string, error)
+	// SyncFolder makes created, renamed and removed names durable.
+	SyncFolder(folder string) error
+}
+
+// OS is the file system of the machine.
+type OS struct{}
+
+// MkdirAll makes a folder and its parents.
+func (OS) MkdirAll(folder string) error { return os.MkdirAll(folder, 0o700) }
+
+// Create makes or empties a file and opens it for writing at its end.
+func (OS) Create(name string) (File, error) {
+	return os.OpenFile(name, os.O_RDWR|os.O_CREATE|os.O_TRUNC|os.O_APPEND, 0o600)
+}
+
+// Open opens a file for reading.
+func (OS) Open(name string) (File, error) { return os.Open(name) }
+
+// OpenAppend opens an existing file for writing at its end.
+func (OS) OpenAppend(name string) (File, error) {
+	return os.OpenFile(name, os.O_RDWR|os.O_APPEND, 0o600)
+}
+
+// Rename renames a file.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove removes a file.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// List returns the names in a folder in ascending order.
+func (OS) List(folder string) ([]string, error) {
+	entries, err := os.ReadDir(folder)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(entries))
+	for i, e := range entries {
+		names[i] = e.Name()
+	}
+	return names, nil
+}
+
+// SyncFolder makes created, renamed and removed names durable.
+func (OS) SyncFolder(folder string) error {
+	f, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+// ReadFile returns the content of a file.
+func ReadFile(fs FS, name string) ([]byte, error) {
+	f, err := fs.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	return io.ReadAll(f)
+}
--- /dev/null
+++ b/wal/replay.go
@@ -0,0 +1,105 @@
+package wal
+
+import "fmt"
+
+// segment is the content of a segment file.
+type segment struct {
+	name string
+	data []byte
+	head header
+}
+
+func (l *Log) read(number uint64) (segment, error) {
+	s := segment{name: l.path(number)}
+	var err error
+	if s.data, err = ReadFile(l.fs, s.name); err != nil {
+		return s, fmt.Errorf("wal: read segment: %w", err)
+	}
+	var ok bool
+	if s.head, ok = decodeHeader(s.data); !ok {
+		return s, &CorruptError{File: s.name, Reason: "damaged segment header"}
+	}
+	return s, nil
+}
+
+// findStart returns the position of the newest segment that replaced all
+// earlier ones.
+func (l *Log) findStart() (int, error) {
+	for i := len(l.segments) - 1; i >= 0; i-- {
+		s, err := l.read(l.segments[i])
+		if err != nil {
+			return 0, err
+		}
+		if s.head.reset {
+			return i, nil
+		}
+	}
+	return 0, &CorruptError{File: l.path(l.segments[0]), Reason: "the segments before this one are missing"}
+}
+
+func (l *Log) replay(f func([]byte) error) error {
+	start, err := l.findStart()
+	if err != nil {
+		return err
+	}
+	if err := l.removeBefore(start); err != nil {
+		return err
+	}
+	for i, number := range l.segments {
+		s, err := l.read(number)
+		if err != nil {
+			return err
+		}
+		if i > 0 && (number != l.segments[i-1]+1 || s.head.first != l.next) {
+			return &CorruptError{File: s.name, Reason: "the segment before this one is missing or incomplete"}
+		}
+		l.head, l.next = s.head, s.head.first
+		if err := l.replaySegment(s, i == len(l.segments)-1, f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Log) replaySegment(s segment, last bool, f func([]byte) error) error {
+	offset := headerBytes
+	for offset < len(s.data) {
+		number, payload, ok := s.head.frame(s.data[offset:])
+		if !ok || number != l.next {
+			break
+		}
+		if err := f(payload); err != nil {
+			return fmt.Errorf("wal: %s at byte %d: %w", s.name, offset, err)
+		}
+		offset += frameBytes + len(payload)
+		l.next++
+	}
+	l.offset = int64(offset)
+	whole := offset == len(s.data)
+	if offset == headerBytes || !whole && (!last || s.head.findFrame(s.data[offset+1:])) {
+		return &CorruptError{File: s.name, Offset: l.offset, Reason: "damaged record before the end of the log"}
+	}
+	if last {
+		return l.openLast(s.name, whole)
+	}
+	return nil
+}
+
+// openLast opens the last segment and removes a record that was cut off.
+func (l *Log) openLast(name string, whole bool) error {
+	f, err := l.fs.OpenAppend(name)
+	if err != nil {
+		return fmt.Errorf("wal: open segment: %w", err)
+	}
+	l.file = f
+	if whole {
+		return nil
+	}
+	if err := f.Truncate(l.offset); err != nil {
+		return l.fail(err)
+	}
+	if err := f.Sync(); err != nil {
+		return l.fail(err)
+	}
+	return nil
+}
