Add keys, the QUIC endpoint and an in-memory network

Cause: the processes of a fleet need mutual TLS with roles and a way to exchange control messages; tests of other packages need the same Client without sockets.

Change: package keys makes the authority and the certificates, loads them into a store that follows changed files, and builds the TLS configurations for peer TCP, QUIC and the operator interface. bramleymillctl keys creates and rotates them. transport.Endpoint serves and sends messages over one UDP socket and uses each connection in both directions. transport/memory connects Muxes in one process with drops, delays, duplicates and one-way cuts.

Ruled out: checking host names (addresses of instances change), TLS session tickets (a resumed session would outlive the removal of an authority without another check and needs a cache per peer), and periodic keep-alive packets (heartbeats keep the connections of the tree open, others may close).

--- /dev/null
+++ b/keys/store.go
@@ -0,0 +1,217 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bramleymill/clock"
+	"bramleymill/fleet"
+)
+
+const (
+	// Files are looked at no more often than this, so that a burst of
+	// handshakes costs no file system calls.
+	reloadInterval = time.Second
+
+	// Refusals are counted always and logged at this rate, because a
+	// misconfigured peer retries several times a second.
+	refusalLogInterval = 10 * time.Second
+	refusalLogBurst    = 5
+)
+
+// Config configures a Store. Clock and Logger may be nil.
+type Config struct {
+	Files  Files
+	Clock  clock.Clock
+	Logger *slog.Logger
+}
+
+// Store holds the keys of one process and re-reads the files when they change.
+type Store struct {
+	files    Files
+	clock    clock.Clock
+	logger   *slog.Logger
+	logLimit *rate.Limiter
+	refused  map[Reason]*atomic.Uint64
+	current  atomic.Pointer[material]
+
+	mu        sync.Mutex
+	checked   time.Time
+	stamps    [3]fileStamp
+	reloadErr error
+}
+
+// material is one consistent reading of the key files.
+type material struct {
+	certificate tls.Certificate
+	leaf        *x509.Certificate
+	roots       *x509.CertPool
+	generation  uint64
+	name        fleet.NodeID
+	role        fleet.Role
+}
+
+type fileStamp struct {
+	modified time.Time
+	size     int64
+}
+
+// Load reads the key files and returns a Store that follows their changes.
+func Load(c Config) (*Store, error) {
+	if c.Clock == nil {
+		c.Clock = clock.System{}
+	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	s := &Store{
+		files:    c.Files,
+		clock:    c.Clock,
+		logger:   c.Logger,
+		logLimit: rate.NewLimiter(rate.Every(refusalLogInterval), refusalLogBurst),
+		refused:  map[Reason]*atomic.Uint64{},
+		checked:  c.Clock.Now(),
+	}
+	for _, r := range Reasons() {
+		s.refused[r] = new(atomic.Uint64)
+	}
+	stamps, err := s.readStamps()
+	if err != nil {
+		return nil, err
+	}
+	m, err := s.read()
+	if err != nil {
+		return nil, err
+	}
+	s.stamps = stamps
+	s.current.Store(m)
+	return s, nil
+}
+
+// Self returns the name and role in the own certificate.
+func (s *Store) Self() (fleet.NodeID, fleet.Role) {
+	m := s.material()
+	return m.name, m.role
+}
+
+// NotAfter returns when the own certificate expires.
+func (s *Store) NotAfter() time.Time { return s.material().leaf.NotAfter }
+
+// Generation counts the readings of the key files. Long connections are checked
+// again with Recheck when it changes.
+func (s *Store) Generation() uint64 { return s.material().generation }
+
+// Refused returns how many peers were refused for a reason.
+func (s *Store) Refused(r Reason) uint64 {
+	if n, ok := s.refused[r]; ok {
+		return n.Load()
+	}
+	return 0
+}
+
+// ReloadError returns the error of the last reading, after which the previous
+// keys stay in use.
+func (s *Store) ReloadError() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reloadErr
+}
+
+// Secret derives a secret for a purpose from the private key. It survives a
+// restart and changes with the key.
+func (s *Store) Secret(purpose string) ([32]byte, error) {
+	k, ok := s.material().certificate.PrivateKey.(*ecdsa.PrivateKey)
+	if !ok {
+		return [32]byte{}, errors.New("derive secret: private key is not an ECDSA key")
+	}
+	b, err := k.Bytes()
+	if err != nil {
+		return [32]byte{}, fmt.Errorf("derive secret: %w", err)
+	}
+	return sha256.Sum256(append([]byte("bramleymill "+purpose+"\x00"), b...)), nil
+}
+
+// material returns the keys in use, after a look at the files when one is due.
+func (s *Store) material() *material {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if now.Sub(s.checked) >= reloadInterval {
+		s.checked = now
+		s.reload()
+	}
+	return s.current.Load()
+}
+
+// reload keeps the previous keys when the files do not fit together, as happens
+// between the writes of a certificate and its private key. The next look tries
+// again.
+func (s *Store) reload() {
+	stamps, err := s.readStamps()
+	if err == nil && stamps == s.stamps {
+		return
+	}
+	var m *material
+	if err == nil {
+		m, err = s.read()
+	}
+	if err != nil {
+		if s.reloadErr == nil {
+			s.logger.Warn("key files not reloaded", "error", err)
+		}
+		s.reloadErr = err
+		return
+	}
+	m.generation = s.current.Load().generation + 1
+	s.stamps, s.reloadErr = stamps, nil
+	s.current.Store(m)
+	s.logger.Info("key files reloaded", "node", m.name, "role", m.role, "not_after", m.leaf.NotAfter)
+}
+
+func (s *Store) readStamps() ([3]fileStamp, error) {
+	var out [3]fileStamp
+	for i, p := range []string{s.files.Authority, s.files.Certificate, s.files.PrivateKey} {
+		info, err := os.Stat(p)
+		if err != nil {
+			return out, fmt.Errorf("read keys: %w", err)
+		}
+		out[i] = fileStamp{info.ModTime(), info.Size()}
+	}
+	return out, nil
+}
+
+func (s *Store) read() (*material, error) {
+	authorities, err := readCertificates(s.files.Authority)
+	if err != nil {
+		return nil, err
+	}
+	pair, err := tls.LoadX509KeyPair(s.files.Certificate, s.files.PrivateKey)
+	if err != nil {
+		return nil, fmt.Errorf("read keys: %w", err)
+	}
+	leaf, err := x509.ParseCertificate(pair.Certificate[0])
+	if err != nil {
+		return nil, fmt.Errorf("read keys: %w", err)
+	}
+	name, role, err := identity(leaf)
+	if err != nil {
+		return nil, fmt.Errorf("read keys: %s: %w", s.files.Certificate, err)
+	}
+	roots := x509.NewCertPool()
+	for _, a := range authorities {
+		roots.AddCert(a)
+	}
+	pair.Leaf = leaf
+	return &material{certificate: pair, leaf: leaf, roots: roots, name: name, role: role}, nil
+}
--- /dev/null
+++ b/transport/endpoint_test.go
@@ -0,0 +1,184 @@
+package transport_test
+
+import (
+	"context"
+	"errors"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/keys"
+	"bramleymill/transport"
+)
+
+const kindEcho transport.Kind = 1
+
+type echo struct {
+	Text string `cbor:"1,keyasint"`
+	Fail string `cbor:"2,keyasint,omitempty"`
+	Size int    `cbor:"3,keyasint,omitempty"`
+}
+
+func echoMux() *transport.Mux {
+	m := transport.NewMux()
+	transport.Handle(m, kindEcho, func(ctx context.Context, from transport.Peer, r *echo) (*echo, error) {
+		switch {
+		case r.Fail == "plain":
+			return nil, errors.New("disk is full")
+		case r.Fail != "":
+			return nil, errkind.New(errkind.Kind(r.Fail), "asked for")
+		case r.Size > 0:
+			return &echo{Text: strings.Repeat("a", r.Size)}, nil
+		}
+		return &echo{Text: string(from.Node) + " " + string(from.Role) + " " + r.Text}, nil
+	})
+	return m
+}
+
+func newFolder(t testing.TB, names ...string) string {
+	t.Helper()
+	folder := t.TempDir()
+	if err := keys.InitAuthority(folder, keys.Options{}); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range names {
+		role := fleet.RoleNode
+		if strings.HasPrefix(n, "control") {
+			role = fleet.RoleControl
+		}
+		if err := keys.Issue(folder, fleet.NodeID(n), role, keys.Options{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return folder
+}
+
+func loadStore(t testing.TB, folder, name string, c clock.Clock) *keys.Store {
+	t.Helper()
+	s, err := keys.Load(keys.Config{Files: keys.FilesOf(folder, fleet.NodeID(name)), Clock: c})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func open(t testing.TB, s *keys.Store) *transport.Endpoint {
+	t.Helper()
+	e, err := transport.NewEndpoint(echoMux(), transport.Config{Address: "127.0.0.1:0", Keys: s})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { _ = e.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := e.Close(context.Background()); err != nil {
+			t.Error(err)
+		}
+	})
+	return e
+}
+
+func call(t testing.TB, from, to *transport.Endpoint, r echo) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var reply echo
+	err := from.Call(ctx, to.Address(), kindEcho, &r, &reply)
+	return reply.Text, err
+}
+
+// Guards against handlers that cannot tell who sent a message, in both
+// directions of one connection.
+func TestPeerIsVisible(t *testing.T) {
+	f := newFolder(t, "katalog-1", "control-1")
+	n, c := open(t, loadStore(t, f, "katalog-1", nil)), open(t, loadStore(t, f, "control-1", nil))
+	if got, err := call(t, n, c, echo{Text: "x"}); err != nil || got != "katalog-1 node x" {
+		t.Fatalf("reply %q, error %v", got, err)
+	}
+	if got, err := call(t, c, n, echo{Text: "y"}); err != nil || got != "control-1 control y" {
+		t.Fatalf("reply %q, error %v", got, err)
+	}
+	if d := c.Stats().Dials; d != 0 {
+		t.Errorf("answering side dialled %d times, want the connection of its peer to be used", d)
+	}
+	if got, err := call(t, c, c, echo{Text: "z"}); err != nil || got != "control-1 control z" {
+		t.Fatalf("call to itself: reply %q, error %v", got, err)
+	}
+}
+
+// Guards against a fleet that accepts certificates of another authority, or
+// operators where nodes are expected.
+func TestForeignPeerIsRefused(t *testing.T) {
+	f, g := newFolder(t, "control-1"), newFolder(t, "katalog-1", "control-1")
+	if err := keys.Issue(f, "anna", fleet.RoleOperator, keys.Options{}); err != nil {
+		t.Fatal(err)
+	}
+	store := loadStore(t, f, "control-1", nil)
+	c := open(t, store)
+	for _, x := range []struct {
+		folder, name string
+		reason       keys.Reason
+	}{{g, "katalog-1", keys.UnknownAuthority}, {f, "anna", keys.WrongRole}} {
+		// The foreign side trusts c, so that the refusal is c's.
+		files := keys.FilesOf(x.folder, fleet.NodeID(x.name))
+		files.Authority = filepath.Join(f, keys.AuthorityFile)
+		s, err := keys.Load(keys.Config{Files: files})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := call(t, open(t, s), c, echo{Text: "x"}); err == nil {
+			t.Fatalf("%s: answered %q, want a refusal", x.name, got)
+		}
+		if store.Refused(x.reason) == 0 {
+			t.Errorf("%s: refusal for %s not counted", x.name, x.reason)
+		}
+	}
+	if n := c.Stats().Served; n != 0 {
+		t.Errorf("%d messages of refused peers were handled", n)
+	}
+}
+
+// Guards against a failure of the handler that loses its kind, and against a
+// failure of the network that gains one.
+func TestErrorKinds(t *testing.T) {
+	f := newFolder(t, "katalog-1", "control-1")
+	n, c := open(t, loadStore(t, f, "katalog-1", nil)), open(t, loadStore(t, f, "control-1", nil))
+	var kind *errkind.Error
+	if _, err := call(t, n, c, echo{Fail: string(errkind.QueueFull)}); !errors.As(err, &kind) || kind.Kind != errkind.QueueFull {
+		t.Errorf("error %v, want kind %s", err, errkind.QueueFull)
+	}
+	var remote *transport.RemoteError
+	if _, err := call(t, n, c, echo{Fail: "plain"}); !errors.As(err, &remote) || errors.As(err, &kind) {
+		t.Errorf("error %v, want a remote error without kind", err)
+	}
+	if err := c.Close(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := call(t, n, c, echo{Text: "x"}); err == nil || errors.As(err, &kind) {
+		t.Errorf("error %v, want a failure without kind", err)
+	}
+}
+
+// Guards against a peer that makes the node hold more than the size limit.
+func TestOversizeIsRefused(t *testing.T) {
+	f := newFolder(t, "katalog-1", "control-1")
+	n, c := open(t, loadStore(t, f, "katalog-1", nil)), open(t, loadStore(t, f, "control-1", nil))
+	if _, err := call(t, n, c, echo{Text: strings.Repeat("a", transport.MaxMessageBytes)}); !errors.Is(err, transport.ErrTooLarge) {
+		t.Errorf("request: error %v, want %v", err, transport.ErrTooLarge)
+	}
+	if served := c.Stats().Served; served != 0 {
+		t.Errorf("oversize request reached a handler")
+	}
+	if _, err := call(t, n, c, echo{Size: transport.MaxMessageBytes}); err == nil {
+		t.Error("oversize reply was accepted")
+	}
+	text := strings.Repeat("a", transport.MaxMessageBytes-100)
+	if got, err := call(t, n, c, echo{Text: text}); err != nil || !strings.HasSuffix(got, text) {
+		t.Errorf("message below the limit: %d bytes back, error %v", len(got), err)
+	}
+}
--- /dev/null
+++ b/transport/link.go
@@ -0,0 +1,213 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"bramleymill/keys"
+)
+
+const (
+	minDialBackoff = 50 * time.Millisecond
+	maxDialBackoff = time.Second
+	maxBackoffs    = 1024 // addresses whose failure is remembered
+)
+
+// link is one connection to a peer.
+type link struct {
+	conn       *quic.Conn
+	peer       Peer
+	generation atomic.Uint64 // of the keys that the peer was checked with
+}
+
+// backoff delays the next dial of an address that could not be reached. While
+// dialing is not nil, one caller dials and the others wait for it.
+type backoff struct {
+	until   time.Time
+	delay   time.Duration
+	err     error
+	dialing chan struct{}
+}
+
+func (e *Endpoint) acceptLoop() {
+	for {
+		c, err := e.listener.Accept(e.life)
+		if err != nil {
+			return
+		}
+		if _, err := e.adopt(c, c.RemoteAddr().String()); err != nil {
+			e.logger.Debug("connection refused", "remote", c.RemoteAddr(), "error", err)
+		}
+	}
+}
+
+// adopt adds a connection to the pool and serves its streams. The connection
+// that an earlier one to the same address leaves behind closes when it is idle.
+func (e *Endpoint) adopt(c *quic.Conn, address string) (*link, error) {
+	name, role, err := keys.PeerOf(c.ConnectionState().TLS)
+	if err != nil {
+		_ = c.CloseWithError(closeCodeRefused, "refused")
+		return nil, err
+	}
+	l := &link{conn: c, peer: Peer{Node: name, Role: role, Address: address}}
+	l.generation.Store(e.keys.Generation())
+	e.mu.Lock()
+	closed := e.closed
+	if !closed {
+		e.links[address] = l
+		delete(e.backoffs, address)
+	}
+	e.mu.Unlock()
+	if closed {
+		_ = c.CloseWithError(closeCodeNormal, "shutdown")
+		return nil, ErrClosed
+	}
+	go e.serveLink(l)
+	return l, nil
+}
+
+func (e *Endpoint) serveLink(l *link) {
+	defer e.forget(l)
+	select {
+	case <-e.serving:
+	case <-l.conn.Context().Done():
+		return
+	}
+	for {
+		s, err := l.conn.AcceptStream(e.life)
+		if err != nil {
+			return
+		}
+		if !e.trusted(l) {
+			return
+		}
+		go e.serveStream(l, s)
+	}
+}
+
+// trusted checks the peer again after a change of the keys, so that removing an
+// authority also ends the connections of the peers it signed.
+func (e *Endpoint) trusted(l *link) bool {
+	g := e.keys.Generation()
+	if g == l.generation.Load() {
+		return true
+	}
+	if err := e.keys.Recheck(l.conn.ConnectionState().TLS); err != nil {
+		_ = l.conn.CloseWithError(closeCodeRefused, "refused")
+		return false
+	}
+	l.generation.Store(g)
+	return true
+}
+
+func (e *Endpoint) forget(l *link) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.links[l.peer.Address] == l {
+		delete(e.links, l.peer.Address)
+	}
+}
+
+// drop closes a connection that no longer carries messages.
+func (e *Endpoint) drop(l *link) {
+	e.forget(l)
+	_ = l.conn.CloseWithError(closeCodeSilent, "no answer")
+}
+
+// link returns the open connection to an address or dials one.
+func (e *Endpoint) link(ctx context.Context, address string) (*link, error) {
+	for {
+		l, wait, err := e.linkOrTurn(address)
+		if l != nil || err != nil {
+			return l, err
+		}
+		if wait == nil {
+			return e.dial(ctx, address)
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// linkOrTurn returns an open connection, or the channel of the dial to wait for,
+// or neither when the caller is to dial.
+func (e *Endpoint) linkOrTurn(address string) (*link, <-chan struct{}, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.closed {
+		return nil, nil, ErrClosed
+	}
+	if l := e.links[address]; l != nil && l.conn.Context().Err() == nil {
+		return l, nil, nil
+	}
+	b := e.backoffs[address]
+	if b == nil {
+		e.trimBackoffs()
+		b = &backoff{}
+		e.backoffs[address] = b
+	}
+	if b.dialing != nil {
+		return nil, b.dialing, nil
+	}
+	if e.clock.Now().Before(b.until) {
+		return nil, nil, fmt.Errorf("backing off: %w", b.err)
+	}
+	b.dialing = make(chan struct{})
+	return nil, nil, nil
+}
+
+func (e *Endpoint) trimBackoffs() {
+	now := e.clock.Now()
+	if len(e.backoffs) < maxBackoffs {
+		return
+	}
+	for a, b := range e.backoffs {
+		if b.dialing == nil && now.After(b.until) {
+			delete(e.backoffs, a)
+		}
+	}
+}
+
+func (e *Endpoint) dial(ctx context.Context, address string) (*link, error) {
+	e.stats.dials.Add(1)
+	l, err := e.dialOnce(ctx, address)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	b := e.backoffs[address]
+	if b != nil && b.dialing != nil {
+		close(b.dialing)
+		b.dialing = nil
+	}
+	if err == nil {
+		delete(e.backoffs, address)
+		return l, nil
+	}
+	e.stats.dialsFailed.Add(1)
+	// A caller that gave up early says nothing about the address.
+	if b != nil && !errors.Is(ctx.Err(), context.Canceled) {
+		b.delay = min(max(2*b.delay, minDialBackoff), maxDialBackoff)
+		b.until, b.err = e.clock.Now().Add(b.delay), err
+	}
+	return nil, err
+}
+
+func (e *Endpoint) dialOnce(ctx context.Context, address string) (*link, error) {
+	a, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	c, err := e.transport.Dial(ctx, a, e.clientTLS, e.config)
+	if err != nil {
+		return nil, err
+	}
+	return e.adopt(c, address)
+}
