Add membership: registry, tree of parents, configuration distribution

Cause: nodes need the servers of the services they call, the configuration and the age of its confirmation, without a list of nodes and without passing 3,200 heartbeats through one instance.

Change: package member with a pure core and an edge that sends its messages. Announcements travel up a tree of parents rooted in the control instances; every transfer downwards answers a heartbeat, so that its age counts from the moment the request was sent. Control instances exchange what they hear with a digest of it. Silent nodes are probed from a second location before they are dropped.

Ruled out: pushing documents to children (the age of a confirmation would need synchronised clocks, so a parent only asks for a heartbeat now), and passing each heartbeat on between control instances (the load would grow with the fleet on each of them).

--- /dev/null
+++ b/member/callbacks.go
@@ -0,0 +1,89 @@
+package member
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"bramleymill/fleet"
+)
+
+// callbacks are called in the order of the events, one at a time, without a lock
+// of the member held.
+type callbacks struct {
+	config      []func(version uint64, document []byte)
+	crash       []func(fleet.CrashReport)
+	notice      map[string][]func(origin fleet.NodeID, payload []byte)
+	incarnation []func(fleet.Incarnation)
+	superseded  []func(fleet.Incarnation)
+}
+
+// OnConfig registers f for each new configuration. Register before Run.
+func (m *Member) OnConfig(f func(version uint64, document []byte)) {
+	m.callbacks.config = append(m.callbacks.config, f)
+}
+
+// OnCrash registers f for the crash reports of other nodes. Register before Run.
+func (m *Member) OnCrash(f func(fleet.CrashReport)) {
+	m.callbacks.crash = append(m.callbacks.crash, f)
+}
+
+// OnNotice registers f for the notices of other nodes on a topic. Register before Run.
+func (m *Member) OnNotice(topic string, f func(origin fleet.NodeID, payload []byte)) {
+	if m.callbacks.notice == nil {
+		m.callbacks.notice = map[string][]func(fleet.NodeID, []byte){}
+	}
+	m.callbacks.notice[topic] = append(m.callbacks.notice[topic], f)
+}
+
+// OnIncarnation registers f for the case that the node must take a higher
+// incarnation, because an earlier life of it had one. Register before Run.
+func (m *Member) OnIncarnation(f func(fleet.Incarnation)) {
+	m.callbacks.incarnation = append(m.callbacks.incarnation, f)
+}
+
+// OnSuperseded registers f for the case that another process with the name of
+// this node has a higher incarnation, with which this one stops announcing
+// itself. Register before Run.
+func (m *Member) OnSuperseded(f func(fleet.Incarnation)) {
+	m.callbacks.superseded = append(m.callbacks.superseded, f)
+}
+
+func (m *Member) dispatch(e event) {
+	switch e := e.(type) {
+	case configEvent:
+		m.logger.Info("configuration adopted", "version", e.version, "bytes", len(e.document))
+		for _, f := range m.callbacks.config {
+			f(e.version, e.document)
+		}
+	case noticeEvent:
+		m.dispatchNotice(e)
+	case incarnationEvent:
+		m.logger.Warn("higher incarnation taken", "incarnation", e.incarnation)
+		for _, f := range m.callbacks.incarnation {
+			f(e.incarnation)
+		}
+	case supersededEvent:
+		m.logger.Error("another process has this node's name and a higher incarnation", "incarnation", e.incarnation)
+		for _, f := range m.callbacks.superseded {
+			f(e.incarnation)
+		}
+	case stateEvent:
+		m.logger.Debug("node changed", "node", e.server.Node, "incarnation", e.server.Incarnation, "change", e.change)
+	}
+}
+
+func (m *Member) dispatchNotice(e noticeEvent) {
+	for _, f := range m.callbacks.notice[e.topic] {
+		f(e.origin, e.payload)
+	}
+	if e.topic != topicCrash {
+		return
+	}
+	var r fleet.CrashReport
+	if err := cbor.Unmarshal(e.payload, &r); err != nil {
+		m.logger.Warn("crash report not decoded", "origin", e.origin, "error", err)
+		return
+	}
+	for _, f := range m.callbacks.crash {
+		f(r)
+	}
+}
--- /dev/null
+++ b/member/config.go
@@ -0,0 +1,114 @@
+package member
+
+import (
+	"log/slog"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/fleet"
+	"bramleymill/settings"
+	"bramleymill/transport"
+)
+
+const (
+	// HeartbeatInterval is the mean time between the heartbeats of a node.
+	HeartbeatInterval = 500 * time.Millisecond
+	heartbeatJitter   = 0.2
+
+	// Lease is how long a node counts as alive after it was last heard.
+	Lease = 3 * time.Second
+	// SuspectAfter is the silence after which a node is probed.
+	SuspectAfter = 1500 * time.Millisecond
+	// A relay probes its own children first. Its parent steps in this much later.
+	relayGrace = 700 * time.Millisecond
+
+	// ConfirmationBound is the age up to which a confirmation allows a node
+	// without configuration to adopt one.
+	ConfirmationBound = 10 * time.Second
+	// A node looks for a parent with a younger confirmation beyond this age. A
+	// tree of depth 3 stays below it with one lost heartbeat.
+	staleConfirmation = 4 * time.Second
+	exploreInterval   = 2 * time.Second
+
+	minRejoin = 50 * time.Millisecond
+	maxRejoin = time.Second
+	// Spreads the first heartbeats of processes that start together.
+	firstJoin = 500 * time.Millisecond
+
+	// MaxJoinsPerSecond is the rate at which a parent accepts new children.
+	// Others are told to try again, so that a returning availability zone does
+	// not occupy the parent with full answers.
+	MaxJoinsPerSecond = 100
+	joinBurst         = 20
+
+	// Two failed heartbeats and the longest back-off fit into the lease.
+	heartbeatTimeout  = 500 * time.Millisecond
+	notifyTimeout     = 500 * time.Millisecond
+	pingTimeout       = 400 * time.Millisecond
+	probeTimeout      = 600 * time.Millisecond
+	retryAfterFailure = 100 * time.Millisecond
+	maxFailures       = 2
+
+	// Notifications and the heartbeats that they cause are merged within this time.
+	minNotifyGap    = 50 * time.Millisecond
+	minHeartbeatGap = 20 * time.Millisecond
+
+	maxProbesInFlight = 32
+	secondLocations   = 2
+	scanInterval      = 100 * time.Millisecond
+	purgeInterval     = 30 * time.Second
+
+	tombstoneLife = 10 * time.Minute
+	followLife    = 10 * time.Minute
+	followWait    = time.Second
+	followScan    = 10 * time.Second
+
+	noticeLife      = 10 * time.Minute
+	maxNotices      = 1024
+	maxNoticeBytes  = 4 << 10
+	noticesPerReply = 64
+
+	// Together with the document a reply stays below the message limit.
+	itemsPerReply    = 1500
+	maxDocumentBytes = 512 << 10
+	maxControls      = 32
+	maxRedirects     = 3
+
+	// A control instance that has heard from no other one by then answers with
+	// what it has.
+	syncWait = 2 * time.Second
+)
+
+// ConfigSource is the accepted configuration as a control instance knows it.
+type ConfigSource interface {
+	// Accepted returns the newest committed document and the age of the proof
+	// that no newer one is accepted. confirmed is false without such a proof.
+	Accepted() (version uint64, document []byte, age time.Duration, confirmed bool)
+}
+
+// Config configures a Member.
+type Config struct {
+	Self   fleet.Server
+	Seeds  []string // peer addresses of control instances
+	Client transport.Client
+	Mux    *transport.Mux
+	Clock  clock.Clock
+	Seed   uint64 // of the random source; differs between processes
+	Logger *slog.Logger
+	// MaxChildren is the number of children that a node accepts. Zero: the default.
+	MaxChildren int
+	Source      ConfigSource // nil without the control role
+}
+
+func (c *Config) setDefaults() {
+	if c.Clock == nil {
+		c.Clock = clock.System{}
+	}
+	if c.Logger == nil {
+		c.Logger = slog.New(slog.DiscardHandler)
+	}
+	if c.MaxChildren == 0 {
+		c.MaxChildren = settings.DefaultMaxChildren
+	}
+	c.Self.Control = c.Source != nil
+}
--- /dev/null
+++ b/member/confirm.go
@@ -0,0 +1,84 @@
+package member
+
+import (
+	"math"
+	"time"
+)
+
+// configuration is the document in force at this node and the newest proof that
+// no later one is accepted.
+type configuration struct {
+	version   uint64
+	document  []byte
+	confirmed bool
+	at        time.Time // no version above version was accepted at this time
+}
+
+// never is the age of a confirmation that does not exist.
+const never = time.Duration(math.MaxInt64)
+
+func (c *configuration) age(now time.Time) time.Duration {
+	if !c.confirmed {
+		return never
+	}
+	return now.Sub(c.at)
+}
+
+// confirm notes a proof that version was the newest one at a time. It covers a
+// node that holds this version or a later one.
+func (c *configuration) confirm(version uint64, at time.Time) {
+	if version > c.version || (c.confirmed && !at.After(c.at)) {
+		return
+	}
+	c.confirmed, c.at = true, at
+}
+
+// adopt takes a later document. The first one of a process needs a confirmation
+// below the bound, because the sender may have been cut off for long and a
+// process without configuration serves nothing that a stop could interrupt.
+func (k *core) adopt(version uint64, document []byte, age time.Duration, confirmed bool) {
+	if version <= k.conf.version {
+		return
+	}
+	if k.conf.version == 0 && (!confirmed || age >= ConfirmationBound) {
+		return
+	}
+	k.conf.version, k.conf.document = version, document
+	k.events = append(k.events, configEvent{version, document})
+	k.notifyAll()
+}
+
+// readSource takes the accepted configuration of a control instance. now must
+// have been read before, so that the age is not underestimated.
+func (k *core) readSource(now time.Time) {
+	if k.source == nil {
+		return
+	}
+	version, document, age, confirmed := k.source.Accepted()
+	if len(document) > maxDocumentBytes {
+		k.stats.DocumentsTooLarge++
+		return
+	}
+	k.adopt(version, document, age, confirmed)
+	if confirmed {
+		k.conf.confirm(version, now.Add(-age))
+	}
+}
+
+// takeConfig takes the document and the confirmation in a reply to a heartbeat
+// sent at sent.
+func (k *core) takeConfig(reply *heartbeatReply, sent, now time.Time) {
+	if reply.Document != nil {
+		k.adopt(reply.Version, reply.Document, now.Sub(sent)+reply.Age, reply.Confirmed)
+	}
+	if reply.Confirmed {
+		k.conf.confirm(reply.Version, sent.Add(-reply.Age))
+	}
+}
+
+func (k *core) addConfirmation(reply *heartbeatReply, now time.Time) {
+	reply.Version = k.conf.version
+	if k.conf.confirmed {
+		reply.Confirmed, reply.Age = true, k.conf.age(now)
+	}
+}
--- /dev/null
+++ b/member/core.go
@@ -0,0 +1,223 @@
+package member
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// core is the state of one member. It does no I/O and is not safe for concurrent use.
+type core struct {
+	id          fleet.NodeID
+	self        fleet.Server
+	maxChildren int
+	source      ConfigSource
+	random      *rand.Rand
+	epoch       uint64 // differs between the lives of a process
+	started     time.Time
+	reg         *registry
+	up          upstream
+	children    map[fleet.NodeID]*child
+	peers       map[string]*peer
+	follows     map[string]*follow
+	conf        configuration
+	notices     noticeLog
+	joins       bucket
+	synced      bool // a control instance knows what the others hear
+	leaving     bool
+	superseded  bool
+	probing     int
+	nextScan    time.Time
+	nextPurge   time.Time
+	nextFollows time.Time
+	events      []event
+	stats       Stats
+}
+
+// event is delivered to the callbacks of the edge.
+type event interface{ isEvent() }
+
+type (
+	configEvent struct {
+		version  uint64
+		document []byte
+	}
+	noticeEvent struct {
+		topic   string
+		origin  fleet.NodeID
+		payload []byte
+	}
+	incarnationEvent struct{ incarnation fleet.Incarnation }
+	supersededEvent  struct{ incarnation fleet.Incarnation }
+	stateEvent       struct {
+		server fleet.Server
+		change string
+	}
+)
+
+func (configEvent) isEvent()      {}
+func (noticeEvent) isEvent()      {}
+func (incarnationEvent) isEvent() {}
+func (supersededEvent) isEvent()  {}
+func (stateEvent) isEvent()       {}
+
+// action is a message to send.
+type action interface{ isAction() }
+
+type (
+	sendHeartbeat struct {
+		address string
+		request *heartbeat
+		sent    time.Time // read before the request is encoded
+		rev     uint64    // own registry revision that the request reaches
+	}
+	sendNotify struct {
+		node    fleet.NodeID
+		address string
+	}
+	sendPing struct {
+		node    fleet.NodeID
+		address string
+		began   time.Time
+	}
+	sendProbe struct {
+		node    fleet.NodeID
+		helper  string
+		request *probe
+		began   time.Time
+	}
+	sendExchange struct {
+		address string
+		request *exchange
+		upTo    uint64 // revision that the request reaches
+		notices uint64
+	}
+)
+
+func (sendHeartbeat) isAction() {}
+func (sendNotify) isAction()    {}
+func (sendPing) isAction()      {}
+func (sendProbe) isAction()     {}
+func (sendExchange) isAction()  {}
+
+func newCore(c Config, now time.Time) *core {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(c.Self.Node))
+	k := &core{
+		id:          c.Self.Node,
+		self:        c.Self,
+		maxChildren: c.MaxChildren,
+		source:      c.Source,
+		random:      rand.New(rand.NewPCG(c.Seed, h.Sum64())),
+		started:     now,
+		reg:         newRegistry(),
+		children:    map[fleet.NodeID]*child{},
+		peers:       map[string]*peer{},
+		follows:     map[string]*follow{},
+	}
+	// Wall-clock time separates the lives of a process that is started with the
+	// same seed again.
+	k.epoch = k.random.Uint64() ^ uint64(now.UnixNano())
+	k.joins = bucket{tokens: joinBurst, at: now}
+	k.up.init(k, c.Seeds, now)
+	k.notices.init()
+	for _, a := range c.Seeds {
+		if k.control() && a != c.Self.PeerAddress {
+			k.peers[a] = &peer{address: a, next: now}
+		}
+	}
+	k.synced = len(k.peers) == 0
+	k.announce(now)
+	return k
+}
+
+func (k *core) control() bool { return k.source != nil }
+
+// announce puts the own announcement into the registry after a change.
+func (k *core) announce(now time.Time) {
+	e, _ := k.reg.put(k.self, false, now)
+	e.via, e.heard, e.applied, e.claimed = k.id, now, k.conf.version, true
+	k.changed()
+}
+
+// setState announces a new state at once.
+func (k *core) setState(s fleet.ServerState, now time.Time) {
+	if k.self.State == s || k.leaving {
+		return
+	}
+	if s == fleet.Ready {
+		k.self.ReadySince = now.UnixMilli()
+	}
+	k.self.State = s
+	k.self.Sequence++
+	if s == fleet.Left {
+		k.leaving = true
+		k.notifyAll()
+	}
+	k.announce(now)
+}
+
+// changed hastens the messages that carry a change in the own subtree upwards
+// or to the other control instances.
+func (k *core) changed() {
+	k.up.hasten()
+	for _, p := range k.peers {
+		p.hurry = true
+	}
+}
+
+// due returns the messages to send now.
+func (k *core) due(now time.Time) []action {
+	k.readSource(now)
+	k.reg.entries[k.id].heard = now
+	k.reg.entries[k.id].applied = k.conf.version
+	var out []action
+	if k.control() {
+		out = k.dueExchanges(out, now)
+	} else {
+		out = k.dueHeartbeat(out, now)
+	}
+	out = k.dueNotifications(out, now)
+	if !now.Before(k.nextScan) {
+		k.nextScan = now.Add(scanInterval)
+		out = k.scan(out, now)
+	}
+	if !now.Before(k.nextPurge) {
+		k.nextPurge = now.Add(purgeInterval)
+		k.reg.purge(now)
+		k.notices.purge(now)
+	}
+	if !now.Before(k.nextFollows) {
+		k.nextFollows = now.Add(followScan)
+		k.endFollows(now)
+	}
+	return out
+}
+
+// jitter returns d changed by up to the given fraction.
+func (k *core) jitter(d time.Duration, fraction float64) time.Duration {
+	return time.Duration(float64(d) * (1 + fraction*(2*k.random.Float64()-1)))
+}
+
+// between returns a random duration.
+func (k *core) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(k.random.Int64N(int64(high-low)+1))
+}
+
+// bucket limits a rate.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+func (b *bucket) take(now time.Time, perSecond, burst float64) bool {
+	b.tokens = min(burst, b.tokens+now.Sub(b.at).Seconds()*perSecond)
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/member/registry.go
@@ -0,0 +1,186 @@
+package member
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// entry is what is known about one node. An entry of a lost or left node stays
+// for tombstoneLife, so that an old announcement cannot bring the node back.
+type entry struct {
+	server fleet.Server
+	lost   bool
+	rev    uint64
+	former string // service of an earlier incarnation, whose followers must hear of the change
+
+	via     fleet.NodeID // child through which the node is heard; own name: directly; empty: not in the subtree
+	claimed bool         // was heard in the subtree and told to other control instances
+	heard   time.Time
+	applied uint64
+	gone    time.Time // when it became lost or left
+	suspect *suspicion
+}
+
+func (e *entry) active() bool { return !e.lost && e.server.State != fleet.Left }
+
+func (e *entry) stamp() stamp { return stamp{e.server.Incarnation, e.server.Sequence} }
+
+// stamp orders the announcements of a node.
+type stamp struct {
+	incarnation fleet.Incarnation
+	sequence    uint64
+}
+
+func stampOf(s fleet.Server) stamp { return stamp{s.Incarnation, s.Sequence} }
+
+// registry merges announcements. Each change gets the next revision, so that the
+// changes since a revision can be listed.
+type registry struct {
+	rev      uint64
+	entries  map[fleet.NodeID]*entry
+	services map[string]*serviceIndex
+	dirty    map[string]struct{} // services changed since they were last published
+}
+
+type serviceIndex struct {
+	rev     uint64
+	entries map[fleet.NodeID]*entry // by current and former service
+}
+
+type order uint8
+
+const (
+	older order = iota + 1
+	same
+	newer
+)
+
+func newRegistry() *registry {
+	return &registry{
+		rev:      1, // zero stands for nothing seen
+		entries:  map[fleet.NodeID]*entry{},
+		services: map[string]*serviceIndex{},
+		dirty:    map[string]struct{}{},
+	}
+}
+
+// put merges an announcement: a newer one replaces the entry, any other leaves it.
+func (r *registry) put(s fleet.Server, lost bool, now time.Time) (*entry, order) {
+	e := r.entries[s.Node]
+	switch {
+	case e == nil:
+		e = &entry{}
+		r.entries[s.Node] = e
+	case e.server.Supersedes(s):
+		return e, older
+	case !s.Supersedes(e.server):
+		return e, same
+	case e.server.Service != s.Service:
+		e.former = e.server.Service
+	}
+	e.server, e.lost, e.suspect = s, lost, nil
+	e.via = ""
+	if !e.active() {
+		e.gone = now
+	}
+	r.touch(e)
+	return e, newer
+}
+
+func (r *registry) setLost(e *entry, lost bool, now time.Time) {
+	if e.lost == lost {
+		return
+	}
+	e.lost, e.suspect = lost, nil
+	if lost {
+		e.gone = now
+	}
+	r.touch(e)
+}
+
+// touch gives an entry the next revision.
+func (r *registry) touch(e *entry) {
+	r.rev++
+	e.rev = r.rev
+	r.index(e.server.Service, e)
+	if e.former != "" {
+		r.index(e.former, e)
+	}
+}
+
+func (r *registry) index(service string, e *entry) {
+	x := r.services[service]
+	if x == nil {
+		x = &serviceIndex{entries: map[fleet.NodeID]*entry{}}
+		r.services[service] = x
+	}
+	x.entries[e.server.Node] = e
+	x.rev = r.rev
+	r.dirty[service] = struct{}{}
+}
+
+// changes appends the entries of a service above a revision.
+func (r *registry) changes(out []*entry, service string, after uint64) []*entry {
+	x := r.services[service]
+	if x == nil || x.rev <= after {
+		return out
+	}
+	for _, e := range x.entries {
+		if e.rev > after {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// servers lists the active servers of a service by name.
+func (r *registry) servers(service string) []fleet.Server {
+	x := r.services[service]
+	if x == nil {
+		return nil
+	}
+	out := make([]fleet.Server, 0, len(x.entries))
+	for _, e := range x.entries {
+		if e.active() && e.server.Service == service {
+			out = append(out, e.server)
+		}
+	}
+	slices.SortFunc(out, func(a, b fleet.Server) int { return strings.Compare(string(a.Node), string(b.Node)) })
+	return out
+}
+
+// sorted lists all entries by name, which keeps runs with the same seed alike.
+func (r *registry) sorted() []*entry {
+	out := make([]*entry, 0, len(r.entries))
+	for _, e := range r.entries {
+		out = append(out, e)
+	}
+	slices.SortFunc(out, func(a, b *entry) int { return strings.Compare(string(a.server.Node), string(b.server.Node)) })
+	return out
+}
+
+// purge forgets the entries that have been gone for the life of a tombstone.
+func (r *registry) purge(now time.Time) {
+	for name, e := range r.entries {
+		if e.active() || now.Sub(e.gone) < tombstoneLife {
+			continue
+		}
+		delete(r.entries, name)
+		r.unindex(e.server.Service, name)
+		r.unindex(e.former, name)
+	}
+}
+
+func (r *registry) unindex(service string, name fleet.NodeID) {
+	x := r.services[service]
+	if x == nil {
+		return
+	}
+	delete(x.entries, name)
+	if len(x.entries) == 0 {
+		delete(r.services, service)
+	}
+}
--- /dev/null
+++ b/member/run.go
@@ -0,0 +1,240 @@
+package member
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/transport"
+)
+
+const (
+	// Bounds how late a timed message is sent. Changes wake the loop at once.
+	tick      = 25 * time.Millisecond
+	leavePoll = 10 * time.Millisecond
+)
+
+// Run sends what is due until ctx ends.
+func (m *Member) Run(ctx context.Context) error {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	for {
+		for _, a := range m.collect() {
+			sending.Go(func() { m.send(ctx, a) })
+		}
+		m.publish()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C:
+		case <-m.wake:
+		}
+	}
+}
+
+// Step sends what is due and waits for the replies. Tests with a manual clock
+// call it in place of Run.
+func (m *Member) Step(ctx context.Context) {
+	for _, a := range m.collect() {
+		m.send(ctx, a)
+	}
+	m.publish()
+}
+
+func (m *Member) collect() []action {
+	// The clock is read before the state is looked at, so that a process that
+	// freezes in between does not overstate how fresh its messages are.
+	now := m.clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.collectUse(now)
+	return m.core.due(now)
+}
+
+// collectUse notes which followed services were used since the last look.
+func (m *Member) collectUse(now time.Time) {
+	for s, v := range m.view.Load().services {
+		if f := m.core.follows[s]; f != nil && v.used.Swap(false) {
+			f.used = now
+		}
+	}
+}
+
+func (m *Member) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (m *Member) send(ctx context.Context, a action) {
+	switch a := a.(type) {
+	case sendHeartbeat:
+		reply, err := call[heartbeatReply](ctx, m, a.address, kindHeartbeat, a.request, heartbeatTimeout)
+		m.done(func(now time.Time) { m.core.heartbeatDone(a, reply, err, now) })
+	case sendNotify:
+		reply, err := call[notifyReply](ctx, m, a.address, kindNotify, &notify{}, notifyTimeout)
+		m.done(func(now time.Time) { m.core.notifyDone(a, reply, err, now) })
+	case sendPing:
+		reply, err := call[pingReply](ctx, m, a.address, kindPing, &ping{}, pingTimeout)
+		m.done(func(now time.Time) { m.core.pingDone(a, reply, err, now) })
+	case sendProbe:
+		reply, err := call[probeReply](ctx, m, a.helper, kindProbe, a.request, probeTimeout)
+		m.done(func(now time.Time) { m.core.helperDone(a, reply, err, now) })
+	case sendExchange:
+		reply, err := call[exchangeReply](ctx, m, a.address, kindExchange, a.request, heartbeatTimeout)
+		m.done(func(now time.Time) { m.core.exchangeDone(a, reply, err, now) })
+	}
+}
+
+func call[Reply any](ctx context.Context, m *Member, address string, k transport.Kind, request any, timeout time.Duration) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	reply := new(Reply)
+	err := m.client.Call(ctx, address, k, request, reply)
+	return reply, err
+}
+
+// done applies a reply and hurries on when it leads to further messages.
+func (m *Member) done(apply func(now time.Time)) {
+	m.mu.Lock()
+	apply(m.clock.Now())
+	hurry := m.core.hurries()
+	m.mu.Unlock()
+	m.publish()
+	if hurry {
+		m.wakeUp()
+	}
+}
+
+// hurries reports whether a message waits that is not bound to an interval.
+func (k *core) hurries() bool {
+	if k.up.hurry {
+		return true
+	}
+	for _, c := range k.children {
+		if c.want {
+			return true
+		}
+	}
+	for _, p := range k.peers {
+		if p.hurry {
+			return true
+		}
+	}
+	return false
+}
+
+// leftDone reports whether a neighbour has taken the announcement of leaving.
+func (k *core) leftDone() bool {
+	if k.superseded || (!k.control() && len(k.up.seeds) == 0) {
+		return true
+	}
+	if !k.control() {
+		return k.up.left
+	}
+	for _, p := range k.peers {
+		if p.acked >= k.reg.entries[k.id].rev {
+			return true
+		}
+	}
+	return len(k.peers) == 0
+}
+
+// handled serves one message: it runs f under the lock with a clock reading
+// taken before, and publishes what changed.
+func handled[Reply any](m *Member, f func(now time.Time) *Reply) (*Reply, error) {
+	now := m.clock.Now()
+	m.mu.Lock()
+	reply := f(now)
+	hurry := m.core.hurries()
+	m.mu.Unlock()
+	m.publish()
+	if hurry {
+		m.wakeUp()
+	}
+	return reply, nil
+}
+
+func (m *Member) register(mux *transport.Mux) {
+	transport.Handle(mux, kindHeartbeat, func(_ context.Context, from transport.Peer, h *heartbeat) (*heartbeatReply, error) {
+		if from.Node != h.Self.Node {
+			return nil, errkind.New(errkind.Unauthorized, "heartbeat of %s sent by %s", h.Self.Node, from.Node)
+		}
+		return handled(m, func(now time.Time) *heartbeatReply { return m.core.onHeartbeat(from, h, now) })
+	})
+	transport.Handle(mux, kindNotify, func(_ context.Context, from transport.Peer, _ *notify) (*notifyReply, error) {
+		return handled(m, func(time.Time) *notifyReply { return m.core.onNotify(from) })
+	})
+	transport.Handle(mux, kindPing, func(context.Context, transport.Peer, *ping) (*pingReply, error) {
+		return handled(m, func(time.Time) *pingReply { return m.core.onPing() })
+	})
+	transport.Handle(mux, kindProbe, m.onProbe)
+	transport.Handle(mux, kindExchange, func(_ context.Context, from transport.Peer, x *exchange) (*exchangeReply, error) {
+		if from.Role != fleet.RoleControl || from.Node != x.Self.Node || !m.core.control() {
+			return nil, errkind.New(errkind.Unauthorized, "registry exchange of %s with role %s", from.Node, from.Role)
+		}
+		return handled(m, func(now time.Time) *exchangeReply { return m.core.onExchange(from, x, now) })
+	})
+}
+
+func (m *Member) onProbe(ctx context.Context, _ transport.Peer, p *probe) (*probeReply, error) {
+	reply, err := call[pingReply](ctx, m, p.Address, kindPing, &ping{}, pingTimeout)
+	if err != nil || reply.Self.Node != p.Node {
+		return &probeReply{}, nil
+	}
+	return &probeReply{Reached: true, Ping: *reply}, nil
+}
+
+// publish brings the pictures for readers up to date and delivers the events. A
+// callback may call methods that publish: the delivery under way takes over
+// their events.
+func (m *Member) publish() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.publishView()
+	if m.delivering {
+		return
+	}
+	m.delivering = true
+	defer func() { m.delivering = false }()
+	for len(m.core.events) > 0 {
+		e := m.core.events[0]
+		m.core.events = m.core.events[1:]
+		m.mu.Unlock()
+		m.dispatch(e)
+		m.mu.Lock()
+	}
+}
+
+func (m *Member) publishView() {
+	k := m.core
+	if k.conf.confirmed {
+		m.confirmed.Store(int64(k.conf.at.Sub(m.start)))
+	}
+	m.version.Store(k.conf.version)
+	old := m.view.Load()
+	if len(k.reg.dirty) == 0 && old.version == k.conf.version {
+		return
+	}
+	next := &view{version: k.conf.version, document: k.conf.document, services: maps.Clone(old.services)}
+	now := m.clock.Now()
+	for s := range k.reg.dirty {
+		f := k.follows[s]
+		if before := old.services[s]; before != nil && before.used.Swap(false) && f != nil {
+			f.used = now
+		}
+		if !k.control() && (f == nil || !f.own) {
+			delete(next.services, s)
+			continue
+		}
+		next.services[s] = &serviceView{servers: k.reg.servers(s)}
+	}
+	clear(k.reg.dirty)
+	m.view.Store(next)
+}
--- /dev/null
+++ b/member/sim_test.go
@@ -0,0 +1,171 @@
+package member_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/fleet"
+	"bramleymill/member"
+	"bramleymill/transport"
+	"bramleymill/transport/memory"
+)
+
+const simStep = 25 * time.Millisecond
+
+// source is a ConfigSource that the test controls.
+type source struct {
+	clock    *clock.Manual
+	version  uint64
+	document []byte
+	proved   time.Time // moves along while the instance is connected
+	cut      bool
+}
+
+func (s *source) Accepted() (uint64, []byte, time.Duration, bool) {
+	if !s.cut {
+		s.proved = s.clock.Now()
+	}
+	return s.version, s.document, s.clock.Now().Sub(s.proved), s.version > 0
+}
+
+// sim runs members on one goroutine, with a manual clock and an in-memory network.
+type sim struct {
+	t           *testing.T
+	clock       *clock.Manual
+	net         *memory.Network
+	members     []*member.Member
+	names       map[fleet.NodeID]*member.Member
+	stopped     map[fleet.NodeID]bool
+	sources     []*source
+	seeds       []string
+	maxChildren int
+	life        fleet.Incarnation
+	each        func() // called after every step
+}
+
+func newSim(t *testing.T, controls, maxChildren int) *sim {
+	s := &sim{
+		t:           t,
+		clock:       clock.NewManual(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)),
+		net:         memory.New(memory.Config{Seed: 1}),
+		names:       map[fleet.NodeID]*member.Member{},
+		stopped:     map[fleet.NodeID]bool{},
+		maxChildren: maxChildren,
+		life:        1,
+	}
+	for i := range controls {
+		s.seeds = append(s.seeds, address(controlName(i)))
+	}
+	for i := range controls {
+		src := &source{clock: s.clock, version: 1, document: []byte("one")}
+		s.sources = append(s.sources, src)
+		s.start(controlName(i), "", src)
+	}
+	return s
+}
+
+func controlName(i int) fleet.NodeID { return fleet.NodeID(fmt.Sprintf("control-%d", i)) }
+func nodeName(i int) fleet.NodeID    { return fleet.NodeID(fmt.Sprintf("node-%03d", i)) }
+func address(n fleet.NodeID) string  { return "addr-" + string(n) }
+
+func (s *sim) start(name fleet.NodeID, service string, src member.ConfigSource) *member.Member {
+	s.t.Helper()
+	mux := transport.NewMux()
+	role := fleet.RoleNode
+	if src != nil {
+		role = fleet.RoleControl
+	}
+	c := s.net.Join(transport.Peer{Node: name, Role: role, Address: address(name)}, mux)
+	m, err := member.New(member.Config{
+		Self: fleet.Server{Node: name, Incarnation: s.life, Sequence: 1, Service: service, Zone: "zone-a",
+			PeerAddress: address(name), State: fleet.Ready, Slots: 10},
+		Seeds: s.seeds, Client: c, Mux: mux, Clock: s.clock, Seed: uint64(len(s.members) + 1),
+		MaxChildren: s.maxChildren, Source: src,
+	})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.members = append(s.members, m)
+	s.names[name] = m
+	delete(s.stopped, name)
+	return m
+}
+
+func (s *sim) startNodes(n int, service string) {
+	for i := range n {
+		s.start(nodeName(i), service, nil)
+	}
+}
+
+// stop ends a process without a word.
+func (s *sim) stop(name fleet.NodeID) {
+	s.net.Leave(address(name))
+	s.freeze(name)
+}
+
+// freeze keeps a process from doing anything by itself.
+func (s *sim) freeze(name fleet.NodeID) { s.stopped[name] = true }
+
+func (s *sim) step() {
+	s.clock.Advance(simStep)
+	for _, m := range s.members {
+		name := m.Self().Node
+		if s.names[name] == m && !s.stopped[name] {
+			m.Step(context.Background())
+		}
+	}
+	if s.each != nil {
+		s.each()
+	}
+}
+
+func (s *sim) run(d time.Duration) {
+	for until := s.clock.Now().Add(d); s.clock.Now().Before(until); {
+		s.step()
+	}
+}
+
+// runUntil returns how long it took until ok, and fails beyond the bound.
+func (s *sim) runUntil(bound time.Duration, what string, ok func() bool) time.Duration {
+	s.t.Helper()
+	began := s.clock.Now()
+	for !ok() {
+		if s.clock.Now().Sub(began) >= bound {
+			s.t.Fatalf("after %v: not %s", bound, what)
+		}
+		s.step()
+	}
+	return s.clock.Now().Sub(began)
+}
+
+func (s *sim) sees(observer, name fleet.NodeID, service string) *fleet.Server {
+	for _, x := range s.names[observer].Servers(service) {
+		if x.Node == name {
+			return &x
+		}
+	}
+	return nil
+}
+
+// all reports whether f holds for every running member but one.
+func (s *sim) all(except fleet.NodeID, f func(n fleet.NodeID, m *member.Member) bool) bool {
+	for n, m := range s.names {
+		if n != except && !s.stopped[n] && !f(n, m) {
+			return false
+		}
+	}
+	return true
+}
+
+// settle waits until everyone sees all servers of a service.
+func (s *sim) settle(service string, want int) time.Duration {
+	s.t.Helper()
+	return s.runUntil(20*time.Second, fmt.Sprintf("%d servers of %s everywhere", want, service), func() bool {
+		return s.all("", func(_ fleet.NodeID, m *member.Member) bool {
+			return len(m.Servers(service)) == want && m.Confirmed() < member.ConfirmationBound
+		})
+	})
+}
--- /dev/null
+++ b/member/suspect.go
@@ -0,0 +1,202 @@
+package member
+
+import (
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// suspicion is one round of probes of a silent node: a ping from here and probes
+// from other locations.
+type suspicion struct {
+	began   time.Time
+	pending int
+	helpers int
+	denied  int // other locations that did not reach the node
+}
+
+// scan probes silent nodes and drops the dead ones.
+func (k *core) scan(out []action, now time.Time) []action {
+	if k.control() {
+		k.scanPeers()
+	}
+	for _, e := range k.reg.sorted() {
+		limit, watched := k.watch(e, now)
+		if !watched {
+			continue
+		}
+		silence := now.Sub(e.heard)
+		switch {
+		case silence < limit:
+		case silence >= Lease && k.leaseOver(e, silence):
+			k.lose(e, now)
+		case e.suspect == nil && k.probing < maxProbesInFlight:
+			out = k.probe(out, e, now)
+		}
+	}
+	return out
+}
+
+// watch tells whether this member watches a node and the silence that makes it
+// suspect. A relay watches its children. A control instance watches its whole
+// subtree and whatever no other control instance hears.
+func (k *core) watch(e *entry, now time.Time) (time.Duration, bool) {
+	switch {
+	case !e.active() || e.server.Node == k.id:
+		return 0, false
+	case e.via == k.id:
+		return SuspectAfter, true
+	case !k.control():
+		return 0, false
+	case e.via != "":
+		return SuspectAfter + relayGrace, true
+	}
+	return SuspectAfter, !k.heardElsewhere(e, now)
+}
+
+// leaseOver reports whether a silent node is to be dropped without another
+// round. Probes under way get the time to answer, and a node that could not be
+// probed because of many others is kept for a second lease.
+func (k *core) leaseOver(e *entry, silence time.Duration) bool {
+	if silence >= 2*Lease {
+		return true
+	}
+	if e.suspect != nil && e.suspect.pending > 0 {
+		return false
+	}
+	return e.suspect != nil || k.probing < maxProbesInFlight
+}
+
+func (k *core) probe(out []action, e *entry, now time.Time) []action {
+	name, address := e.server.Node, e.server.PeerAddress
+	e.suspect = &suspicion{began: now, pending: 1}
+	out = append(out, sendPing{node: name, address: address, began: now})
+	for _, h := range k.helpers(name, now) {
+		e.suspect.pending++
+		e.suspect.helpers++
+		out = append(out, sendProbe{node: name, helper: h, request: &probe{name, address}, began: now})
+	}
+	k.probing += e.suspect.pending
+	k.stats.Suspicions++
+	return out
+}
+
+// helpers picks other locations that were heard lately.
+func (k *core) helpers(suspect fleet.NodeID, now time.Time) []string {
+	var all []string
+	for _, c := range k.sortedChildren() {
+		if c.node != suspect && now.Sub(c.heard) < SuspectAfter {
+			all = append(all, c.address)
+		}
+	}
+	for _, p := range k.sortedPeers() {
+		if p.node != suspect && p.node != "" && now.Sub(p.heard) < SuspectAfter {
+			all = append(all, p.address)
+		}
+	}
+	if k.up.address != "" && k.up.failures == 0 {
+		all = append(all, k.up.address)
+	}
+	k.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(len(all), secondLocations)]
+}
+
+func (k *core) pingDone(a sendPing, reply *pingReply, err error, now time.Time) {
+	k.probeDone(a.node, a.began, err == nil && reply.Self.Node == a.node, reply, now)
+}
+
+func (k *core) helperDone(a sendProbe, reply *probeReply, err error, now time.Time) {
+	if err == nil && !reply.Reached {
+		if e := k.reg.entries[a.node]; e != nil && e.suspect != nil && e.suspect.began.Equal(a.began) {
+			e.suspect.denied++
+		}
+	}
+	k.probeDone(a.node, a.began, err == nil && reply.Reached && reply.Ping.Self.Node == a.node, &reply.Ping, now)
+}
+
+func (k *core) probeDone(name fleet.NodeID, began time.Time, reached bool, reply *pingReply, now time.Time) {
+	k.probing--
+	e := k.reg.entries[name]
+	if e == nil {
+		return
+	}
+	if reached {
+		k.reached(e, reply, began, now)
+		return
+	}
+	s := e.suspect
+	if s == nil || !s.began.Equal(began) {
+		return
+	}
+	s.pending--
+	if s.pending > 0 {
+		return
+	}
+	switch {
+	case s.denied > 0:
+		k.lose(e, now)
+	case s.helpers > 0:
+		// No other location answered, so others are asked at the next scan.
+		e.suspect = nil
+	}
+}
+
+// reached notes that a silent node lives. It may have another parent by now.
+func (k *core) reached(e *entry, reply *pingReply, began, now time.Time) {
+	if began.After(e.heard) {
+		e.heard = began
+	}
+	e.suspect = nil
+	if got, o := k.reg.put(reply.Self, false, now); o == newer {
+		got.claimed = true
+		k.stateChanged(reply.Self, reply.Self.State.String())
+		k.spread(reply.Self.Service)
+		k.changed()
+	}
+	if reply.Parent != "" && reply.Parent != k.id && e.via == k.id {
+		k.release(e.server.Node)
+	}
+}
+
+// lose drops a node. The nodes heard only through it are suspects at once.
+func (k *core) lose(e *entry, now time.Time) {
+	k.stats.Dropped++
+	k.reg.setLost(e, true, now)
+	k.stateChanged(e.server, "lost")
+	if c := k.children[e.server.Node]; c != nil {
+		k.release(c.node)
+		k.orphan(c.subtree, now)
+	}
+	if p := k.peerNamed(e.server.Node); p != nil {
+		claims := p.claims
+		p.claims, p.life = nil, 0
+		for name := range claims {
+			k.orphanOne(name, now)
+		}
+	}
+	e.via = ""
+	k.spread(e.server.Service)
+	k.changed()
+}
+
+func (k *core) orphan(names map[fleet.NodeID]bool, now time.Time) {
+	for name := range names {
+		k.orphanOne(name, now)
+	}
+}
+
+// orphanOne gives a node whose relay is gone the time to find another parent.
+func (k *core) orphanOne(name fleet.NodeID, now time.Time) {
+	if e := k.reg.entries[name]; e != nil && e.via == "" && e.heard.Before(now.Add(-SuspectAfter)) {
+		e.heard = now.Add(-SuspectAfter)
+	}
+}
+
+// onPing answers with the own announcement.
+func (k *core) onPing() *pingReply {
+	r := &pingReply{Self: k.self}
+	if n := len(k.up.path); n > 0 {
+		r.Parent = k.up.path[n-1]
+	}
+	return r
+}
