claim: test that no key runs twice, and bound the bytes exactly

The room for a truncated answer is now part of the fixed cost of a record, so that the counted bytes never exceed the limit. A check of finish against locks was redundant and is gone.

--- a/claim/claims.go
+++ b/claim/claims.go
@@ -85,7 +85,7 @@
 
 func (m *Machine) finish(f *FinishRequest) reply {
 	r := m.findID(f.ClaimID, f.Owner)
-	if r == nil || uint32(r.attempt) != f.Attempt || r.phase == locked {
+	if r == nil || uint32(r.attempt) != f.Attempt {
 		return reply{State: Stale}
 	}
 	if r.phase == running || r.phase == lapsed {
@@ -118,12 +118,12 @@
 // store keeps the answer of r. When the bytes are used up, only the completion
 // is recorded: a finish must not be lost for lack of space.
 func (m *Machine) store(r *record, a *Answer) {
-	encoded := encodeAnswer(*a)
-	if m.bytes+int64(len(encoded)) > m.limits.MaxBytes {
-		encoded = truncatedAnswer(a.Status)
+	before := r.cost()
+	r.answer = encodeAnswer(*a)
+	if m.bytes+r.cost()-before > m.limits.MaxBytes {
+		r.answer = truncatedAnswer(a.Status)
 	}
-	r.answer = encoded
-	m.bytes += int64(len(encoded))
+	m.bytes += r.cost() - before
 }
 
 func phaseOf(e Ending) phase {
--- /dev/null
+++ b/claim/client_test.go
@@ -0,0 +1,105 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"bramleymill/claim"
+	"bramleymill/errkind"
+	"bramleymill/filter"
+)
+
+var _ filter.Claims = (*claim.Client)(nil)
+
+// group is a claims group whose replies fail as scripted: "ok", "unavailable"
+// (proved not proposed), "lost" (applied, reply lost) or "dropped" (not
+// applied, but the sender cannot know).
+type group struct {
+	machine *claim.Machine
+	script  []string
+	index   uint64
+	cancel  context.CancelFunc
+}
+
+func (g *group) Propose(_ context.Context, command []byte) ([]byte, error) {
+	step := g.script[0]
+	g.script = g.script[1:]
+	if len(g.script) == 0 {
+		defer g.cancel()
+	}
+	switch step {
+	case "unavailable":
+		return nil, errkind.New(errkind.ControlUnavailable, "no leader")
+	case "dropped":
+		return nil, errors.New("connection lost")
+	}
+	g.index++
+	out := g.machine.Apply(g.index, time.Unix(1000, 0), command)
+	if step == "lost" {
+		return nil, errors.New("connection lost")
+	}
+	return out, nil
+}
+
+// Guards against a Begin that is reported as not claimed while its grant may
+// still be made, and against a second claim by a repeated proposal.
+func TestBeginTellsOnlyWhatIsProved(t *testing.T) {
+	cases := []struct {
+		name    string
+		script  []string
+		granted bool
+		kind    errkind.Kind
+	}{
+		{"first proposal", []string{"ok"}, true, ""},
+		{"lost reply is asked for again", []string{"lost", "ok"}, true, ""},
+		{"dropped proposal is made again", []string{"dropped", "unavailable", "ok"}, true, ""},
+		{"never proposed", []string{"unavailable", "unavailable"}, false, errkind.ClaimsUnavailable},
+		{"an earlier proposal may follow", []string{"dropped", "unavailable"}, false, errkind.OutcomeUnknown},
+		{"granted without a reply", []string{"lost"}, false, errkind.OutcomeUnknown},
+	}
+	for _, c := range cases {
+		ctx, cancel := context.WithCancel(context.Background())
+		g := &group{machine: claim.New(), script: c.script, cancel: cancel}
+		r, err := claim.NewClient(g).Begin(ctx, claim.BeginRequest{Key: "order/1", Owner: "a", Remaining: time.Second})
+		cancel()
+		if c.granted {
+			if err != nil || r.State != claim.Granted || r.Attempt != 1 {
+				t.Errorf("%s: %+v, error %v, want a grant", c.name, r, err)
+			}
+		} else if err == nil || errkind.Of(err).Kind != c.kind {
+			t.Errorf("%s: error %v, want kind %s", c.name, err, c.kind)
+		}
+		if n := g.machine.Stats().Records; n > 1 {
+			t.Errorf("%s: %d claims were made", c.name, n)
+		}
+	}
+}
+
+// Guards against a full store being reported as "not run" while an earlier
+// proposal may still claim the key.
+func TestFullStoreAfterUncertainProposal(t *testing.T) {
+	for _, c := range []struct {
+		script []string
+		kind   errkind.Kind
+	}{{[]string{"ok", "dropped", "ok"}, errkind.OutcomeUnknown}, {[]string{"ok", "ok"}, ""}} {
+		ctx, cancel := context.WithCancel(context.Background())
+		g := &group{machine: claim.New(), script: append([]string{"ok"}, c.script...), cancel: cancel}
+		client := claim.NewClient(g)
+		if err := client.SetLimits(ctx, claim.Limits{MaxClaims: 1, MaxBytes: 1 << 20, Retention: time.Hour}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := client.Begin(ctx, claim.BeginRequest{Key: "order/1", Owner: "a", Remaining: time.Second}); err != nil {
+			t.Fatal(err)
+		}
+		r, err := client.Begin(ctx, claim.BeginRequest{Key: "order/2", Owner: "b", Remaining: time.Second})
+		cancel()
+		if c.kind == "" && (err != nil || r.State != claim.Full) {
+			t.Errorf("%v: %+v, error %v, want full", c.script, r, err)
+		}
+		if c.kind != "" && (err == nil || errkind.Of(err).Kind != c.kind) {
+			t.Errorf("%v: error %v, want kind %s", c.script, err, c.kind)
+		}
+	}
+}
--- a/claim/machine.go
+++ b/claim/machine.go
@@ -27,6 +27,8 @@
 	// recordBytes is the measured memory of a record with its share of the map
 	// and the heap, rounded up, and the room for a truncated answer.
 	recordBytes = 192
+	// truncatedAnswerBytes is at least the encoded size of a truncated answer.
+	truncatedAnswerBytes = 24
 )
 
 // Machine holds the claims of one group. It is safe for concurrent use; Apply
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -1,9 +1,13 @@
 package claim
 
 import (
+	"bytes"
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
+	"bramleymill/fleet"
 	"bramleymill/replica"
 )
 
@@ -46,3 +50,135 @@
 		t.Errorf("begin in a full store: %s, want full", r.State)
 	}
 }
+
+func nodeID(s string) fleet.NodeID { return fleet.NodeID(s) }
+
+// Guards against a command that removes an unbounded number of claims, against
+// a backlog that never shrinks, and against replicas that remove claims with
+// equal times in different orders.
+func TestExpiryWorkIsBounded(t *testing.T) {
+	const claims = 1000
+	m, restored := New(), New()
+	for i := range claims {
+		send(t, m, uint64(i), start, command{Begin: beginOf(fmt.Sprint("k", i), "a")})
+	}
+	for i := range claims {
+		id := (&record{key: digestOf(claimSpace, fmt.Sprint("k", i)), id: uint64(i)}).claimID()
+		send(t, m, 0, start, command{Finish: &FinishRequest{ClaimID: id, Owner: "a", Attempt: 1, Ending: Ambiguous}})
+	}
+	snapshot, _ := m.Snapshot()
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	late := start.Add(DefaultRetention)
+	for left := claims; left > 0; left = m.Stats().Records {
+		send(t, m, 0, late, command{Unlock: &UnlockRequest{}})
+		send(t, restored, 0, late, command{Unlock: &UnlockRequest{}})
+		if n := m.Stats().Records; left-n > expiriesPerCommand || n == left {
+			t.Fatalf("one command removed %d claims, want 1 to %d", left-n, expiriesPerCommand)
+		}
+		a, _ := m.Snapshot()
+		if b, _ := restored.Snapshot(); !bytes.Equal(a, b) {
+			t.Fatal("the restored machine removed other claims")
+		}
+	}
+	if s := m.Stats(); s.Bytes != 0 {
+		t.Errorf("%d bytes are counted in an empty store", s.Bytes)
+	}
+}
+
+// Guards against decoding that panics, grants something for broken input, or
+// accepts a snapshot that does not encode to itself.
+func FuzzDecode(f *testing.F) {
+	b, _ := encodeCommand(command{Begin: beginOf("order/1", "a")})
+	f.Add(b)
+	b, _ = encodeCommand(command{Finish: &FinishRequest{ClaimID: "x-1", Ending: Answered, Answer: &Answer{Status: 200}}})
+	f.Add(b)
+	m := New()
+	send(f, m, 1, start, command{Begin: beginOf("order/1", "a")})
+	send(f, m, 2, start, command{Lock: &LockRequest{Key: "suspect/x", Owner: "a", Lease: time.Second}})
+	s, _ := m.Snapshot()
+	f.Add(s)
+	f.Add([]byte{0xa1, 0x01, 0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := New()
+		if _, err := decodeResult(m.Apply(1, start, data)); err != nil {
+			t.Fatalf("reply to any command: %v", err)
+		}
+		_, _, _ = parseClaimID(string(data))
+		if m.Restore(data) != nil {
+			return
+		}
+		first, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		again := New()
+		if err := again.Restore(first); err != nil {
+			t.Fatalf("own snapshot is refused: %v", err)
+		}
+		if second, _ := again.Snapshot(); !bytes.Equal(first, second) {
+			t.Fatal("a restored snapshot encodes differently")
+		}
+	})
+}
+
+// BenchmarkBeginFinish applies encoded commands; each key is used again after
+// its retention.
+func BenchmarkBeginFinish(b *testing.B) {
+	const slots = 4096
+	m := New()
+	m.limits.Retention = time.Second
+	answer := &Answer{Status: 201, Header: map[string][]string{"Content-Type": {"application/json"}}, Body: make([]byte, 256)}
+	var commands [slots][2][]byte
+	for i := range commands {
+		key := fmt.Sprint("order/", i)
+		id := (&record{key: digestOf(claimSpace, key), id: uint64(i)}).claimID()
+		commands[i][0], _ = encodeCommand(command{Begin: beginOf(key, "node-1/42")})
+		commands[i][1], _ = encodeCommand(command{Finish: &FinishRequest{ClaimID: id, Owner: "node-1/42", Attempt: 1, Ending: Answered, Answer: answer}})
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		at := start.Add(time.Duration(i) * time.Millisecond)
+		m.Apply(uint64(i%slots), at, commands[i%slots][0])
+		if r, _ := decodeResult(m.Apply(uint64(i%slots), at, commands[i%slots][1])); r.State != Recorded {
+			b.Fatal(r.State)
+		}
+	}
+}
+
+// BenchmarkMemoryPerClaim reports the live heap of 200,000 claims without
+// answers and the size and time of their snapshot.
+func BenchmarkMemoryPerClaim(b *testing.B) {
+	const claims = 200_000
+	for range b.N {
+		before := liveHeap()
+		m := New()
+		m.limits.MaxBytes = 1 << 40
+		for i := range claims {
+			send(b, m, uint64(i+1), start, command{Begin: beginOf(fmt.Sprint("order/", i), "node-1/42")})
+		}
+		b.ReportMetric(float64(liveHeap()-before)/claims, "B/claim")
+		begun := time.Now()
+		s, err := m.Snapshot()
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(time.Since(begun).Milliseconds()), "ms/snapshot")
+		b.ReportMetric(float64(len(s))/claims, "snapshot-B/claim")
+		begun = time.Now()
+		if err := New().Restore(s); err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(time.Since(begun).Milliseconds()), "ms/restore")
+		runtime.KeepAlive(m)
+	}
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- /dev/null
+++ b/claim/property_test.go
@@ -0,0 +1,295 @@
+package claim
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// attemptID names an attempt as a server node knows it.
+type attemptID struct {
+	claim  string
+	number uint32
+}
+
+// attempt is what really happened to a granted attempt.
+type attempt struct {
+	key     string
+	owner   string
+	begun   time.Time // of its claim
+	refused bool      // truth: the server node refused it, so it did not run
+	told    bool      // the refusal was applied
+	ended   time.Time // when the claim ended with this attempt
+}
+
+type lockHold struct {
+	owner, id string
+	until     time.Time
+}
+
+// world drives a machine that replays the log and one that is restored from
+// snapshots, and knows the truth about every attempt.
+type world struct {
+	t        *rapid.T
+	replayed *Machine
+	restored *Machine
+	index    uint64
+	now      time.Time
+	sent     []command // any of them may be applied again later
+	attempts map[attemptID]*attempt
+	order    []attemptID
+	locks    map[string]*lockHold
+}
+
+const (
+	testRetention = time.Minute
+	testRemaining = 3 * time.Second
+)
+
+var (
+	keys   = rapid.SampledFrom([]string{"order/1", "order/2", "quote/1"})
+	owners = rapid.SampledFrom([]string{"a", "b", "c", "d"})
+	prints = rapid.SampledFrom([]byte{0, 0, 0, 1})
+)
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, replayed: New(), restored: New(), now: start, attempts: map[attemptID]*attempt{}, locks: map[string]*lockHold{}}
+	w.tick()
+	w.apply(command{Limits: &Limits{MaxClaims: rapid.IntRange(1, 4).Draw(t, "max"), MaxBytes: 4 * recordBytes, Retention: testRetention}})
+	return w
+}
+
+// tick shows the time to both machines.
+func (w *world) tick() {
+	data, _ := encodeCommand(command{Unlock: &UnlockRequest{}})
+	w.replayed.Apply(w.index, w.now, data)
+	w.restored.Apply(w.index, w.now, data)
+}
+
+// apply runs c on both machines, checks that they agree and checks the reply.
+func (w *world) apply(c command) {
+	data, err := encodeCommand(c)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.index++
+	// A stamp that goes back must act like the latest one.
+	at := w.now.Add(-rapid.SampledFrom([]time.Duration{0, 0, 0, testRetention}).Draw(w.t, "lag"))
+	out := w.replayed.Apply(w.index, at, data)
+	if other := w.restored.Apply(w.index, at, data); !bytes.Equal(out, other) {
+		w.t.Fatalf("the restored machine replies %x, the replaying one %x", other, out)
+	}
+	r, err := decodeResult(out)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.sent = append(w.sent, c)
+	w.check(c, r)
+	for i, r := range w.replayed.expiry.items {
+		if int(r.position) != i || i > 0 && w.replayed.expiry.less(i, (i-1)/2) {
+			w.t.Fatalf("record %d of the expiry heap is out of order", i)
+		}
+	}
+	if s := w.replayed.Stats(); s.Bytes > s.Limits.MaxBytes+int64(len(w.locks))*recordBytes {
+		w.t.Fatalf("%d bytes exceed the limit of %d", s.Bytes, s.Limits.MaxBytes)
+	}
+}
+
+func (w *world) check(c command, r Result) {
+	switch {
+	case c.Begin != nil:
+		w.checkBegin(c.Begin, r)
+	case c.Reassign != nil && r.State == Granted:
+		w.refusalApplied(c.Reassign.ClaimID, c.Reassign.Owner, c.Reassign.Refused)
+		old := w.attempts[attemptID{c.Reassign.ClaimID, c.Reassign.Refused}]
+		w.granted(old.key, old.owner, old.begun, r)
+	case c.Finish != nil && r.State == Recorded:
+		w.finished(c.Finish)
+	case c.Lock != nil:
+		w.checkLock(c.Lock, r)
+	case c.Unlock != nil && r.State == Recorded:
+		for key, h := range w.locks {
+			if h.id == c.Unlock.ClaimID {
+				if h.owner != c.Unlock.Owner {
+					w.t.Fatalf("%s released the lock of %s", c.Unlock.Owner, h.owner)
+				}
+				delete(w.locks, key)
+			}
+		}
+	}
+}
+
+// granted records a grant and checks that every other attempt on the key, but
+// for those past retention, is proved not to have run.
+func (w *world) granted(key, owner string, begun time.Time, r Result) {
+	id := attemptID{r.ClaimID, r.Attempt}
+	for _, other := range w.order {
+		a := w.attempts[other]
+		if other != id && a.key == key && !a.refused && w.now.Before(a.keptUntil()) {
+			w.t.Fatalf("%s %v is granted while %v of owner %s may have run", key, id, other, a.owner)
+		}
+	}
+	a := w.attempts[id]
+	if a == nil {
+		a = &attempt{key: key, owner: owner, begun: begun, refused: rapid.Bool().Draw(w.t, "refused")}
+		w.attempts[id] = a
+		w.order = append(w.order, id)
+	}
+	if a.owner != owner || a.told {
+		w.t.Fatalf("%v of %s is granted again to %s, refusal applied: %v", id, a.owner, owner, a.told)
+	}
+}
+
+func (a *attempt) keptUntil() time.Time {
+	end := a.begun.Add(testRemaining + Grace)
+	if !a.ended.IsZero() {
+		end = a.ended
+	}
+	return end.Add(testRetention)
+}
+
+// current returns the newest attempt on key, or nil.
+func (w *world) current(key string) *attempt {
+	for i := len(w.order) - 1; i >= 0; i-- {
+		if a := w.attempts[w.order[i]]; a.key == key {
+			return a
+		}
+	}
+	return nil
+}
+
+func (w *world) checkBegin(b *BeginRequest, r Result) {
+	a := w.current(b.Key)
+	lapse := a != nil && !w.now.Before(a.begun.Add(testRemaining+Grace))
+	switch r.State {
+	case Granted:
+		begun := w.now
+		if old := w.attempts[attemptID{r.ClaimID, r.Attempt}]; old != nil {
+			begun = old.begun
+		}
+		w.granted(b.Key, b.Owner, begun, r)
+	case InProgress:
+		if lapse || !a.ended.IsZero() {
+			w.t.Fatalf("%s is in progress after its deadline and grace or its end", b.Key)
+		}
+	case Unknown:
+		if !lapse && a.ended.IsZero() {
+			w.t.Fatalf("%s is unknown before its deadline and grace", b.Key)
+		}
+	}
+}
+
+func (w *world) refusalApplied(claimID, owner string, number uint32) {
+	a := w.attempts[attemptID{claimID, number}]
+	if a == nil || !a.refused || a.owner != owner {
+		w.t.Fatalf("refusal of attempt %d by %s was accepted, truth: %+v", number, owner, a)
+	}
+	a.told = true
+}
+
+func (w *world) finished(f *FinishRequest) {
+	a := w.attempts[attemptID{f.ClaimID, f.Attempt}]
+	if a == nil || a.owner != f.Owner {
+		w.t.Fatalf("finish of attempt %d by %s was accepted, truth: %+v", f.Attempt, f.Owner, a)
+	}
+	if f.Ending == Released {
+		w.refusalApplied(f.ClaimID, f.Owner, f.Attempt)
+	}
+	if a.ended.IsZero() {
+		a.ended = w.now
+	}
+}
+
+func (w *world) checkLock(l *LockRequest, r Result) {
+	h := w.locks[l.Key]
+	if h != nil && !w.now.Before(h.until) {
+		h = nil
+	}
+	switch {
+	case r.State == Granted && h != nil && h.owner != l.Owner:
+		w.t.Fatalf("lock of %s is granted to %s during its lease", h.owner, l.Owner)
+	case r.State == InProgress && h == nil:
+		w.t.Fatalf("lock is refused to %s after the end of the lease", l.Owner)
+	case r.State == Granted && h == nil:
+		w.locks[l.Key] = &lockHold{owner: l.Owner, id: r.ClaimID, until: w.now.Add(l.Lease)}
+	}
+}
+
+// report applies what the owner of a random attempt reports, or a forgery of it.
+func (w *world) report(t *rapid.T) {
+	if len(w.order) == 0 {
+		return
+	}
+	id := rapid.SampledFrom(w.order).Draw(t, "attempt")
+	a := w.attempts[id]
+	owner, number := a.owner, id.number
+	if rapid.IntRange(0, 3).Draw(t, "forge") == 0 {
+		owner = owners.Draw(t, "owner")
+		number += uint32(rapid.IntRange(0, 1).Draw(t, "skip"))
+		a = w.attempts[attemptID{id.claim, number}]
+	}
+	ending := Ending(rapid.IntRange(1, 2).Draw(t, "ending"))
+	if a == nil || owner != a.owner || a.refused {
+		ending = Released
+	}
+	c := command{Finish: &FinishRequest{ClaimID: id.claim, Owner: owner, Attempt: number, Ending: ending, Answer: &Answer{Status: 200}}}
+	if ending == Released && rapid.Bool().Draw(t, "reassign") {
+		c = command{Reassign: &ReassignRequest{ClaimID: id.claim, Owner: owner, Refused: number, Target: "n2", Incarnation: 1}}
+	}
+	w.apply(c)
+	if a == nil {
+		// A report on an attempt that does not exist yet must not be sent again
+		// once it does: owners do not report ahead.
+		w.sent = w.sent[:len(w.sent)-1]
+	}
+}
+
+// Guards against a key that is granted a second run, against stale owners and
+// attempts, against overlapping locks, and against replicas that differ after
+// a restore. Owners, duplicates, late messages and time are random.
+func TestNoKeyRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(t *rapid.T) {
+				b := beginOf(keys.Draw(t, "key"), owners.Draw(t, "owner"))
+				b.Fingerprint[0], b.Remaining = prints.Draw(t, "print"), testRemaining
+				w.apply(command{Begin: b})
+			},
+			"report": w.report,
+			"resend": func(t *rapid.T) { w.apply(rapid.SampledFrom(w.sent).Draw(t, "command")) },
+			"lock": func(t *rapid.T) {
+				w.apply(command{Lock: &LockRequest{Key: "suspect/katalog", Owner: owners.Draw(t, "owner"), Lease: time.Second}})
+			},
+			"unlock": func(t *rapid.T) {
+				if h := w.locks["suspect/katalog"]; h != nil {
+					w.apply(command{Unlock: &UnlockRequest{ClaimID: h.id, Owner: owners.Draw(t, "owner")}})
+				}
+			},
+			"pass": func(t *rapid.T) {
+				steps := []time.Duration{time.Millisecond, time.Second, testRemaining, Grace, testRetention}
+				w.now = w.now.Add(rapid.SampledFrom(steps).Draw(t, "time"))
+				w.tick()
+			},
+			"restore": func(t *rapid.T) { w.restore(t) },
+		})
+		a, _ := w.replayed.Snapshot()
+		if b, _ := w.restored.Snapshot(); !bytes.Equal(a, b) {
+			t.Fatal("the state after restores differs from the replay of the log")
+		}
+	})
+}
+
+func (w *world) restore(t *rapid.T) {
+	s, err := w.restored.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.restored = New()
+	if err := w.restored.Restore(s); err != nil {
+		t.Fatal(fmt.Errorf("restore: %w", err))
+	}
+}
--- a/claim/record.go
+++ b/claim/record.go
@@ -79,8 +79,12 @@
 	return uint32(xxhash.Sum64String(string(n) + "\x00" + strconv.FormatUint(uint64(i), 36)))
 }
 
-// cost is the number of bytes that r counts against Limits.MaxBytes.
-func (r *record) cost() int64 { return recordBytes + int64(len(r.answer)) }
+// cost is the number of bytes that r counts against Limits.MaxBytes. The room
+// for a truncated answer is part of recordBytes, so that a completion can be
+// recorded in a full store.
+func (r *record) cost() int64 {
+	return recordBytes + max(0, int64(len(r.answer))-truncatedAnswerBytes)
+}
 
 // settle moves r to the phase that it has at the time now. It reports whether
 // the record still exists.
