Add the node: wiring of request path, membership and control role

Cause: the modules have to serve a request end to end. Change: package node, command 'bramleymill node', metrics hooks of the request path. Followers of the configuration group confirm by asking the leader, so that every control instance can serve children. Ruled out: confirmation by the leader alone; its followers then never adopted a configuration (node test did not reach classes on nodes 2 and 3 within 60 s).

--- a/cmd/bramleymill/main.go
+++ b/cmd/bramleymill/main.go
@@ -2,11 +2,16 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"bramleymill/node"
 	"bramleymill/settings"
 )
 
@@ -17,7 +22,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newCheckSettingsCommand())
+	root.AddCommand(newNodeCommand(), newCheckSettingsCommand())
 	return root
 }
 
@@ -36,8 +41,41 @@
 	}
 }
 
+func newNodeCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "node",
+		Short: "Run the node beside a backend server until SIGTERM",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return runNode(c.Context(), file)
+		},
+	}
+	c.Flags().StringVar(&file, "settings", "settings.json", "settings file of the node")
+	return c
+}
+
+func runNode(ctx context.Context, file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
+		return fmt.Errorf("log_level: %w", err)
+	}
+	logger := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	n, err := node.New(s, logger)
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
 func main() {
-	if err := newRootCommand().Execute(); err != nil {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	if err := newRootCommand().ExecuteContext(ctx); err != nil {
 		fmt.Fprintf(os.Stderr, "error: %v\n", err)
 		os.Exit(1)
 	}
--- a/loadgen/send.go
+++ b/loadgen/send.go
@@ -101,7 +101,7 @@
 		req.Header.Set(fleet.HeaderIdempotencyKey, strconv.Quote(work))
 	}
 	if t := r.tokens[s.TokenFile]; t != "" {
-		req.Header.Set("Authorization", "Bearer "+t)
+		req.Header.Set(fleet.HeaderCall, t)
 	}
 	return req, nil
 }
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"bramleymill/errkind"
+	"bramleymill/fleet"
 )
 
 // reportInterval is how often tally passes its values to the reporter.
@@ -29,6 +30,7 @@
 	requests series[requestKey, tally.Counter]
 	latency  series[string, tally.Histogram]
 	attempts series[attemptKey, tally.Counter]
+	probes   series[bool, tally.Counter]
 	gauges   series[string, tally.Gauge]
 	counters series[string, tally.Counter]
 }
@@ -71,21 +73,26 @@
 	return nil
 }
 
-// RequestFinished counts a request at its entry node. An empty kind stands for
-// an answer of the backend server; only those enter the latency histogram, so
-// that fast refusals do not improve the tail.
-func (m *Metrics) RequestFinished(class string, kind errkind.Kind, d time.Duration) {
+// Finished counts a request at its entry node. An empty kind stands for an
+// answer of the backend server; only those enter the latency histogram, so that
+// fast refusals do not improve the tail.
+func (m *Metrics) Finished(class string, kind errkind.Kind, _ int, d time.Duration) {
 	m.requests.get(requestKey{class, kind}, m.newRequests).Inc(1)
 	if kind == "" {
 		m.latency.get(class, m.newLatency).RecordDuration(d)
 	}
 }
 
-// Attempt counts an attempt that an entry node sent.
-func (m *Metrics) Attempt(class string, hedge bool) {
+// Attempted counts an attempt that an entry node sent.
+func (m *Metrics) Attempted(class string, _ fleet.NodeID, _ errkind.Kind, hedge bool, _ time.Duration) {
 	m.attempts.get(attemptKey{class, hedge}, m.newAttempts).Inc(1)
 }
 
+// Probed counts a probe of the backend server beside the node.
+func (m *Metrics) Probed(ok bool) {
+	m.probes.get(ok, m.newProbes).Inc(1)
+}
+
 // Count adds n to the counter called name.
 func (m *Metrics) Count(name string, n int64) {
 	m.counters.get(name, m.scope.Counter).Inc(n)
@@ -111,3 +118,7 @@
 func (m *Metrics) newAttempts(k attemptKey) tally.Counter {
 	return m.scope.Tagged(map[string]string{"class": k.class, "hedge": fmt.Sprint(k.hedge)}).Counter("attempts")
 }
+
+func (m *Metrics) newProbes(ok bool) tally.Counter {
+	return m.scope.Tagged(map[string]string{"answered": fmt.Sprint(ok)}).Counter("backend_probes")
+}
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -13,9 +13,10 @@
 // and against series that are not exported.
 func TestExport(t *testing.T) {
 	m := New("katalog-1")
-	m.RequestFinished("browse", "", 3*time.Millisecond)
-	m.RequestFinished("browse", errkind.QueueFull, time.Microsecond)
-	m.Attempt("browse", true)
+	m.Finished("browse", "", 200, 3*time.Millisecond)
+	m.Finished("browse", errkind.QueueFull, 503, time.Microsecond)
+	m.Attempted("browse", "katalog-2", "", true, time.Millisecond)
+	m.Probed(true)
 	m.Count("probes", 2)
 	if err := m.UpdateUsage(); err != nil {
 		t.Fatal(err)
@@ -32,6 +33,7 @@
 		`bramleymill_request_seconds_count{class="browse",node="katalog-1"} 1`,
 		`bramleymill_attempts{class="browse",hedge="true",node="katalog-1"} 1`,
 		`bramleymill_probes{node="katalog-1"} 2`,
+		`bramleymill_backend_probes{answered="true",node="katalog-1"} 1`,
 		`bramleymill_process_resident_bytes`,
 	} {
 		if !strings.Contains(text, want) {
@@ -43,12 +45,12 @@
 	}
 }
 
-// BenchmarkRequestFinished measures what recording adds to a request.
-func BenchmarkRequestFinished(b *testing.B) {
+// BenchmarkFinished measures what recording adds to a request.
+func BenchmarkFinished(b *testing.B) {
 	m := New("n")
 	defer m.Close()
 	b.ReportAllocs()
 	for b.Loop() {
-		m.RequestFinished("browse", "", time.Millisecond)
+		m.Finished("browse", "", 200, time.Millisecond)
 	}
 }
--- /dev/null
+++ b/node/configuration.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bramleymill/class"
+	"bramleymill/configstate"
+)
+
+// bundle is what the membership distributes as the configuration of one
+// revision: the class document and the standing orders of operators.
+type bundle struct {
+	Version  uint64              `cbor:"1,keyasint"` // of Document, zero before the first
+	Document []byte              `cbor:"2,keyasint,omitempty"`
+	Orders   *configstate.Orders `cbor:"3,keyasint,omitempty"`
+}
+
+// revision orders bundles. Each accepted change raises exactly one of the two
+// versions, so that their sum increases with every change.
+func revision(v *configstate.View) uint64 {
+	return v.Version + v.Orders.Version
+}
+
+func encodeBundle(v *configstate.View) ([]byte, error) {
+	b, err := cbor.Marshal(bundle{Version: v.Version, Document: v.Document, Orders: v.Orders})
+	if err != nil {
+		return nil, fmt.Errorf("encode configuration: %w", err)
+	}
+	return b, nil
+}
+
+// configuration holds the classes in force at this node. It implements
+// filter.Configuration.
+type configuration struct {
+	set       atomic.Pointer[class.Set]
+	confirmed func() time.Duration
+	logger    *slog.Logger
+	onOrders  func(*configstate.Orders)
+}
+
+// Current returns the classes in force, or nil before the first ones.
+func (c *configuration) Current() *class.Set { return c.set.Load() }
+
+// Confirmed returns the age of the newest proof that Current is up to date.
+func (c *configuration) Confirmed() time.Duration { return c.confirmed() }
+
+// adopt puts a distributed bundle in force.
+func (c *configuration) adopt(revision uint64, document []byte) {
+	var b bundle
+	if err := cbor.Unmarshal(document, &b); err != nil {
+		c.logger.Error("configuration not decoded", "revision", revision, "error", err)
+		return
+	}
+	if b.Document != nil {
+		c.adoptClasses(b)
+	}
+	if b.Orders != nil {
+		c.onOrders(b.Orders)
+	}
+}
+
+func (c *configuration) adoptClasses(b bundle) {
+	if old := c.set.Load(); old != nil && old.Version >= b.Version {
+		return
+	}
+	d, err := class.Parse(b.Document)
+	if err != nil {
+		c.logger.Error("class document not accepted by this release", "version", b.Version, "error", err)
+		return
+	}
+	c.set.Store(class.NewSet(b.Version, d))
+	c.logger.Info("configuration in force", "version", b.Version, "classes", len(d.Classes))
+}
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"bramleymill/claim"
+	"bramleymill/configstate"
+	"bramleymill/member"
+	"bramleymill/raft"
+	"bramleymill/replica"
+	"bramleymill/settings"
+	"bramleymill/transport"
+)
+
+// Numbers of the replicated groups.
+const (
+	groupConfiguration uint32 = 0
+	groupClaims        uint32 = 1
+)
+
+// limitsInterval is how often a control instance checks whether it leads the
+// claims group and has to set the limits of the store.
+const limitsInterval = 2 * time.Second
+
+const (
+	// confirmInterval is how often a follower asks for proof that it is current.
+	confirmInterval = 250 * time.Millisecond
+	confirmTimeout  = 2 * time.Second
+)
+
+// control is the control role of a node.
+type control struct {
+	host     *replica.Host
+	config   *replica.Group
+	claims   *replica.Group
+	machine  *configstate.Machine
+	claimSet *claim.Machine
+	bundle   atomic.Pointer[encodedBundle]
+	proved   atomic.Pointer[time.Time] // start of the newest successful confirmation as a follower
+	changed  func() // wakes the membership
+	limits   claim.Limits
+	logger   *slog.Logger
+}
+
+type encodedBundle struct {
+	revision uint64
+	document []byte
+}
+
+func openControl(s *settings.Settings, mux *transport.Mux, client transport.Client, seed uint64, logger *slog.Logger) (*control, error) {
+	c := &control{
+		logger:   logger,
+		claimSet: claim.New(),
+		limits: claim.Limits{
+			MaxClaims: s.Control.MaxClaims,
+			MaxBytes:  int64(s.Control.MaxClaimBytes),
+			Retention: s.Control.ClaimRetention.Std(),
+		},
+		changed: func() {},
+	}
+	c.machine = configstate.New(c.onChange)
+	c.host = replica.NewHost(mux, client)
+	var err error
+	if c.config, err = c.open(s, client, groupConfiguration, c.machine, seed); err != nil {
+		return nil, err
+	}
+	if c.claims, err = c.open(s, client, groupClaims, c.claimSet, seed+1); err != nil {
+		return nil, errors.Join(err, c.config.Close())
+	}
+	return c, nil
+}
+
+func (c *control) open(s *settings.Settings, client transport.Client, group uint32, machine replica.StateMachine, seed uint64) (*replica.Group, error) {
+	return replica.Open(replica.Config{
+		Group:         group,
+		Node:          nodeID(s),
+		Address:       s.PeerAddress,
+		Folder:        s.Control.DataFolder,
+		Machine:       machine,
+		Client:        client,
+		Seed:          seed,
+		Logger:        c.logger.With("group", group),
+		Seeds:         s.Seeds,
+		SnapshotEvery: s.Control.SnapshotInterval,
+		Host:          c.host,
+		ControlOnly:   group == groupConfiguration,
+		OnFailure: func(err error) {
+			c.logger.Error("control role stopped", "group", group, "error", err)
+		},
+	})
+}
+
+// onChange is called by the state machine with each new view.
+func (c *control) onChange(v *configstate.View) {
+	document, err := encodeBundle(v)
+	if err != nil {
+		c.logger.Error("configuration not distributed", "version", v.Version, "error", err)
+		return
+	}
+	c.bundle.Store(&encodedBundle{revision(v), document})
+	c.changed()
+}
+
+// Accepted returns the newest configuration and the age of the proof that it is
+// the newest. The proof is read first, because a configuration read later can
+// only be newer than the proof says.
+func (c *control) Accepted() (uint64, []byte, time.Duration, bool) {
+	age, ok := c.confirmedAge()
+	b := c.bundle.Load()
+	if b == nil {
+		return 0, nil, age, ok
+	}
+	return b.revision, b.document, age, ok
+}
+
+func (c *control) confirmedAge() (time.Duration, bool) {
+	if age, ok := c.config.Confirmed(); ok {
+		return age, true
+	}
+	at := c.proved.Load()
+	if at == nil {
+		return 0, false
+	}
+	return time.Since(*at), true
+}
+
+// maintainConfirmation asks the leader regularly for proof that this replica is
+// current, so that a follower can confirm the configuration to its children. A
+// follower that is cut off gets no proof and its confirmation ages.
+func (c *control) maintainConfirmation(ctx context.Context) {
+	t := time.NewTicker(confirmInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		if _, leads := c.config.Confirmed(); leads {
+			continue
+		}
+		start := time.Now()
+		asking, cancel := context.WithTimeout(ctx, confirmTimeout)
+		if err := c.config.Confirm(asking); err == nil {
+			c.proved.Store(&start)
+		}
+		cancel()
+	}
+}
+
+// maintainLimits sets the limits of the claim store from the settings of the
+// instance that leads the claims group.
+func (c *control) maintainLimits(ctx context.Context, client *claim.Client) {
+	t := time.NewTicker(limitsInterval)
+	defer t.Stop()
+	set := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		leads := c.claims.Status().Role == raft.Leader
+		if !leads {
+			set = false
+		}
+		if leads && !set {
+			if err := client.SetLimits(ctx, c.limits); err != nil {
+				c.logger.Warn("claim limits not set", "error", err)
+				continue
+			}
+			set = true
+		}
+	}
+}
+
+// close hands leadership over and closes the replicas.
+func (c *control) close(ctx context.Context) error {
+	err := errors.Join(c.config.TransferAndClose(ctx), c.claims.TransferAndClose(ctx))
+	c.host.Close()
+	return err
+}
+
+var _ member.ConfigSource = (*control)(nil)
--- /dev/null
+++ b/node/fleet_test.go
@@ -0,0 +1,259 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleymill/configstate"
+	"bramleymill/fleet"
+	"bramleymill/keys"
+	"bramleymill/settings"
+	"bramleymill/standin"
+	"bramleymill/strictjson"
+)
+
+// patience bounds how long a test waits for a state that must come. It is no
+// requirement on speed.
+const patience = 60 * time.Second
+
+const testClasses = `{"classes":[
+ {"name":"browse","service":"shop","match":{"methods":["GET","HEAD"],"path_prefix":"/"},"idempotent":true,
+  "latency_target":"5s","deadline":"20s","urgency":"normal"},
+ {"name":"order","service":"shop","match":{"methods":["POST"],"path_prefix":"/orders"},"idempotent":false,
+  "latency_target":"5s","deadline":"20s","urgency":"high","key":"required"}]}`
+
+// testFleet runs control instances with a stand-in each, in one process and on
+// real sockets.
+type testFleet struct {
+	t        *testing.T
+	keys     string
+	settings []*settings.Settings
+	nodes    []*Node
+	cancels  []context.CancelFunc
+	done     []chan error
+	backends []*standin.Server
+	records  []string
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		u, err := net.ListenPacket("udp", l.Addr().String())
+		l.Close()
+		if err != nil {
+			continue
+		}
+		u.Close()
+		return l.Addr().String()
+	}
+}
+
+func newTestFleet(t *testing.T, size int) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t, keys: t.TempDir()}
+	if err := keys.InitAuthority(f.keys, keys.Options{}); err != nil {
+		t.Fatal(err)
+	}
+	var seeds []string
+	for range size {
+		seeds = append(seeds, freePort(t))
+	}
+	for i := range size {
+		f.addBackend()
+		f.addSettings(i, seeds)
+	}
+	for i := range size {
+		f.nodes = append(f.nodes, nil)
+		f.cancels = append(f.cancels, nil)
+		f.done = append(f.done, nil)
+		f.start(i)
+	}
+	t.Cleanup(f.stopAll)
+	return f
+}
+
+func (f *testFleet) addBackend() {
+	f.t.Helper()
+	c := standin.DefaultConfig()
+	c.ServiceTime, c.Service = time.Millisecond, "shop"
+	c.RecordFile = filepath.Join(f.t.TempDir(), "shop.records")
+	s, err := standin.New(c, slog.New(slog.DiscardHandler))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	go s.Serve()
+	f.t.Cleanup(func() { s.Shutdown(context.Background()) })
+	f.backends = append(f.backends, s)
+	f.records = append(f.records, c.RecordFile)
+}
+
+func (f *testFleet) addSettings(i int, seeds []string) {
+	f.t.Helper()
+	name := fleet.NodeID(fmt.Sprintf("shop-%d", i+1))
+	if err := keys.Issue(f.keys, name, fleet.RoleControl, keys.Options{}); err != nil {
+		f.t.Fatal(err)
+	}
+	files := keys.FilesOf(f.keys, name)
+	f.settings = append(f.settings, &settings.Settings{
+		Node: string(name), Region: "r", Zone: fmt.Sprintf("z%d", i),
+		CallerAddress: freePort(f.t), PeerAddress: seeds[i], AdminAddress: freePort(f.t), ServiceAddress: freePort(f.t),
+		Seeds:        seeds,
+		Backend:      &settings.Backend{Service: "shop", Address: f.backends[i].Address(), Slots: 10, Connections: 250, QueueLength: 20, HealthPath: "/health", LoadPath: "/load", CheckEvery: strictjson.Duration(time.Second)},
+		Control:      &settings.Control{DataFolder: f.t.TempDir(), MaxChildren: 48, MaxClaims: 1000, MaxClaimBytes: 1 << 20, ClaimRetention: strictjson.Duration(time.Hour), SnapshotInterval: 1000},
+		Keys:         settings.Keys{Authority: files.Authority, Certificate: files.Certificate, PrivateKey: files.PrivateKey},
+		DrainTimeout: strictjson.Duration(10 * time.Second),
+		LogLevel:     "warn",
+	})
+}
+
+func (f *testFleet) start(i int) {
+	f.t.Helper()
+	logger := slog.New(slog.DiscardHandler)
+	if os.Getenv("BRAMLEYMILL_TEST_LOG") != "" {
+		logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	n, err := New(f.settings[i], logger)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	f.nodes[i], f.cancels[i], f.done[i] = n, cancel, done
+	go func() { done <- n.Run(ctx) }()
+}
+
+// stop ends a node gracefully and returns its error.
+func (f *testFleet) stop(i int) error {
+	if f.cancels[i] == nil {
+		return nil
+	}
+	f.cancels[i]()
+	f.cancels[i] = nil
+	return <-f.done[i]
+}
+
+func (f *testFleet) stopAll() {
+	for i := range f.nodes {
+		f.stop(i)
+	}
+}
+
+// bootstrap starts the replicated groups and puts the test classes in force.
+func (f *testFleet) bootstrap() {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	c := f.nodes[0].control
+	if err := c.config.Bootstrap(ctx); err != nil {
+		f.t.Fatal(err)
+	}
+	if err := c.claims.Bootstrap(ctx); err != nil {
+		f.t.Fatal(err)
+	}
+	f.apply("first", 0, testClasses)
+	f.await("voters", func() bool {
+		return len(c.config.Status().Voters) == len(f.nodes) && len(c.claims.Status().Voters) == len(f.nodes)
+	})
+	for i, n := range f.nodes {
+		f.await("classes and servers", func() bool {
+			return n.config.Current() != nil && n.path.Load() != nil && n.config.Confirmed() < time.Second &&
+				len(n.member.Servers("shop")) == len(f.nodes) && f.allReady(i)
+		})
+	}
+}
+
+func (f *testFleet) allReady(i int) bool {
+	for _, s := range f.nodes[i].member.Servers("shop") {
+		if s.State != fleet.Ready {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *testFleet) apply(id string, expected uint64, document string) configstate.Answer {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	command, err := configstate.EncodeChange(configstate.Change{ID: id, Action: configstate.ApplyDocument, Operator: "op", Expected: expected, Document: []byte(document)})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	result, err := f.nodes[0].control.config.Propose(ctx, command)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	a, err := configstate.DecodeAnswer(result)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return a
+}
+
+func (f *testFleet) await(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); !ok(); {
+		if time.Now().After(end) {
+			f.t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// send sends a request through node i as a caller would.
+func (f *testFleet) send(i int, method, path, work, key string) (*http.Response, string) {
+	f.t.Helper()
+	req, err := http.NewRequest(method, "http://"+f.settings[i].CallerAddress+path, strings.NewReader("body"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Header.Set(standin.HeaderWorkID, work)
+	if key != "" {
+		req.Header.Set(fleet.HeaderIdempotencyKey, key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return resp, string(b)
+}
+
+// executions counts the started executions of a work id on all stand-ins.
+func (f *testFleet) executions(work string) int {
+	f.t.Helper()
+	n := 0
+	for _, name := range f.records {
+		b, err := os.ReadFile(name)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		recs, err := standin.ReadRecords(strings.NewReader(string(b)))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for _, r := range recs {
+			if r.WorkID == work && r.Event == standin.Started {
+				n++
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/node/listeners.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Bounds of the HTTP listeners.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 90 * time.Second
+	maxHeaderBytes    = 64 << 10
+)
+
+// listener is one HTTP listener of the node.
+type listener struct {
+	name   string
+	net    net.Listener
+	server *http.Server
+}
+
+// listen binds an address, so that a port that is in use is reported before
+// anything is served. A nil TLS configuration means plain HTTP.
+func listen(name, address string, h http.Handler, secure *tls.Config, logger *slog.Logger) (*listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", name, err)
+	}
+	if secure != nil {
+		l = tls.NewListener(l, secure)
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+	if logger.Enabled(context.Background(), slog.LevelDebug) {
+		s.ErrorLog = slog.NewLogLogger(logger.Handler(), slog.LevelDebug)
+	}
+	return &listener{name: name, net: l, server: s}, nil
+}
+
+// serve answers requests until shutdown.
+func (l *listener) serve() error {
+	if err := l.server.Serve(l.net); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve %s: %w", l.name, err)
+	}
+	return nil
+}
+
+// shutdown finishes requests in flight until ctx ends and then closes.
+func (l *listener) shutdown(ctx context.Context) error {
+	if err := l.server.Shutdown(ctx); err != nil {
+		return errors.Join(fmt.Errorf("stop %s: %w", l.name, err), l.server.Close())
+	}
+	return nil
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,197 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bramleymill/claim"
+	"bramleymill/configstate"
+	"bramleymill/fleet"
+	"bramleymill/keys"
+	"bramleymill/member"
+	"bramleymill/metrics"
+	"bramleymill/proxy"
+	"bramleymill/replica"
+	"bramleymill/settings"
+	"bramleymill/suspect"
+	"bramleymill/transport"
+)
+
+// Node is one node of the fleet.
+type Node struct {
+	settings  *settings.Settings
+	logger    *slog.Logger
+	keys      *keys.Store
+	endpoint  *transport.Endpoint
+	control   *control // nil without the control role
+	member    *member.Member
+	config    *configuration
+	claims    *claim.Client
+	crashes   *crashes
+	metrics   *metrics.Metrics
+	path      atomic.Pointer[proxy.Proxy]
+	seed      uint64
+	seenOrder atomic.Uint64 // version of the orders acted on
+}
+
+// New opens the keys, the data folder and the control endpoint of a node.
+func New(s *settings.Settings, logger *slog.Logger) (*Node, error) {
+	n := &Node{settings: s, logger: logger.With("node", s.Node), seed: rand.Uint64(), metrics: metrics.New(s.Node)}
+	var err error
+	n.keys, err = keys.Load(keys.Config{
+		Files:  keys.Files{Authority: s.Keys.Authority, Certificate: s.Keys.Certificate, PrivateKey: s.Keys.PrivateKey},
+		Logger: n.logger,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := n.checkIdentity(); err != nil {
+		return nil, err
+	}
+	mux := transport.NewMux()
+	n.endpoint, err = transport.NewEndpoint(mux, transport.Config{Address: s.PeerAddress, Keys: n.keys, Logger: n.logger})
+	if err != nil {
+		return nil, err
+	}
+	if err := n.openState(mux); err != nil {
+		return nil, errors.Join(err, n.endpoint.Close(context.Background()))
+	}
+	return n, nil
+}
+
+func nodeID(s *settings.Settings) fleet.NodeID { return fleet.NodeID(s.Node) }
+
+// checkIdentity refuses a certificate that belongs to another node or lacks the
+// role that the settings ask for.
+func (n *Node) checkIdentity() error {
+	name, role := n.keys.Self()
+	if name != nodeID(n.settings) {
+		return fmt.Errorf("keys.certificate: it is for %q, the settings name the node %q; issue one with 'bramleymillctl keys issue'", name, n.settings.Node)
+	}
+	if n.settings.Control != nil && role != fleet.RoleControl {
+		return fmt.Errorf("keys.certificate: role %q cannot take the control role; issue one with --role control", role)
+	}
+	return nil
+}
+
+func (n *Node) openState(mux *transport.Mux) error {
+	s := n.settings
+	var source member.ConfigSource
+	var proposer replica.Proposer = replica.NewRemote(n.endpoint, s.Seeds, groupClaims)
+	if s.Control != nil {
+		c, err := openControl(s, mux, n.endpoint, n.seed, n.logger)
+		if err != nil {
+			return err
+		}
+		n.control, source, proposer = c, c, c.claims
+	}
+	n.claims = claim.NewClient(proposer)
+	m, err := member.New(member.Config{
+		Self:        n.announcement(),
+		Seeds:       s.Seeds,
+		Client:      n.endpoint,
+		Mux:         mux,
+		Seed:        n.seed,
+		Logger:      n.logger,
+		MaxChildren: n.maxChildren(),
+		Source:      source,
+	})
+	if err != nil {
+		return err
+	}
+	n.member = m
+	n.config = &configuration{confirmed: m.Confirmed, logger: n.logger, onOrders: n.followOrders}
+	m.OnConfig(n.config.adopt)
+	if n.control != nil {
+		n.control.changed = m.ConfigChanged
+	}
+	n.crashes = &crashes{client: n.endpoint, member: m, self: nodeID(s), logger: n.logger}
+	receiveCrashes(mux, m, n.path.Load, n.logger)
+	return nil
+}
+
+func (n *Node) maxChildren() int {
+	if n.settings.Control != nil {
+		return n.settings.Control.MaxChildren
+	}
+	return settings.DefaultMaxChildren
+}
+
+func (n *Node) announcement() fleet.Server {
+	s := n.settings
+	a := fleet.Server{
+		Node:        nodeID(s),
+		Incarnation: fleet.Incarnation(time.Now().UnixNano()),
+		Sequence:    1,
+		Region:      s.Region,
+		Zone:        s.Zone,
+		PeerAddress: s.PeerAddress,
+		State:       fleet.Starting,
+		Control:     s.Control != nil,
+	}
+	if s.Backend != nil {
+		a.Service, a.Slots = s.Backend.Service, s.Backend.Slots
+	}
+	return a
+}
+
+// followOrders acts on the standing orders of operators.
+func (n *Node) followOrders(o *configstate.Orders) {
+	p := n.path.Load()
+	if p == nil {
+		return
+	}
+	p.DrainBackend(o.Drained(nodeID(n.settings)))
+	seen := n.seenOrder.Swap(o.Version)
+	for _, r := range o.Releases {
+		if r.Version > seen {
+			p.Suspects().Release(time.Now(), suspect.Key{Service: r.Service, Fingerprint: r.Fingerprint})
+		}
+	}
+}
+
+func (n *Node) serviceToken() (string, error) {
+	b := n.settings.Backend
+	if b == nil || b.ServiceToken == "" {
+		return "", nil
+	}
+	token, err := os.ReadFile(b.ServiceToken)
+	if err != nil {
+		return "", fmt.Errorf("backend.service_token_file: %w", err)
+	}
+	return strings.TrimSpace(string(token)), nil
+}
+
+// Run serves until ctx ends, then stops gracefully within the drain timeout.
+func (n *Node) Run(ctx context.Context) error {
+	r, err := n.start()
+	if err != nil {
+		return errors.Join(err, n.endpoint.Close(context.Background()))
+	}
+	n.logger.Info("node started", "caller_address", n.settings.CallerAddress, "peer_address", n.settings.PeerAddress,
+		"control", n.control != nil)
+	select {
+	case <-ctx.Done():
+	case <-r.failed:
+	}
+	stopErr := n.stop(r)
+	return errors.Join(stopErr, r.group.Wait())
+}
+
+// running is what start began and stop ends.
+type running struct {
+	group     *errgroup.Group
+	failed    <-chan struct{} // closed when a part of the node ended with an error
+	cancel    context.CancelFunc
+	proxy     *proxy.Proxy
+	listeners []*listener
+}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"bramleymill/fleet"
+)
+
+// Guards against a whole path that breaks between its modules: a request to any
+// node gets the whole answer of a backend server.
+func TestRequestThroughEveryNode(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.bootstrap()
+	for i := range f.nodes {
+		resp, body := f.send(i, http.MethodGet, "/page", "w", "")
+		if resp.StatusCode != http.StatusOK || body != strings.Repeat("w", 512) {
+			t.Errorf("node %d: status %d kind %q body %.60q", i, resp.StatusCode, resp.Header.Get(fleet.HeaderKind), body)
+		}
+	}
+}
+
+// Guards against a second run of an order that is sent again through another
+// node, and against losing its answer.
+func TestResentOrderIsReplayed(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.bootstrap()
+	first, body := f.send(0, http.MethodPost, "/orders", "order-1", `"k1"`)
+	if first.StatusCode != http.StatusOK {
+		t.Fatalf("first: status %d kind %q body %q", first.StatusCode, first.Header.Get(fleet.HeaderKind), body)
+	}
+	f.await("replayed answer", func() bool {
+		again, replay := f.send(1, http.MethodPost, "/orders", "order-1", `"k1"`)
+		return again.Header.Get(fleet.HeaderReplayed) == "true" && replay == body
+	})
+	if n := f.executions("order-1"); n != 1 {
+		t.Fatalf("the order ran %d times", n)
+	}
+	other, _ := f.send(2, http.MethodPost, "/orders?changed", "order-1", `"k1"`)
+	if other.StatusCode != http.StatusUnprocessableEntity {
+		t.Errorf("same key with another request: status %d, want 422", other.StatusCode)
+	}
+}
+
+// Guards against a stop that cuts work off or leaves the other nodes without service.
+func TestGracefulStopOfANode(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.bootstrap()
+	if err := f.stop(0); err != nil {
+		t.Fatalf("stop: %v", err)
+	}
+	for range 20 {
+		resp, body := f.send(1, http.MethodGet, "/page", "w", "")
+		if resp.StatusCode != http.StatusOK {
+			t.Fatalf("after the stop: status %d kind %q body %q", resp.StatusCode, resp.Header.Get(fleet.HeaderKind), body)
+		}
+	}
+}
--- /dev/null
+++ b/node/run.go
@@ -0,0 +1,184 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bramleymill/fleet"
+	"bramleymill/proxy"
+)
+
+const (
+	// joinWait bounds how long a starting node waits for its first parent, which
+	// may know a higher incarnation from an earlier life of the node.
+	joinWait = 2 * time.Second
+	joinPoll = 20 * time.Millisecond
+
+	usageInterval = 5 * time.Second
+
+	// closeTimeout bounds the steps of a stop that follow the drain.
+	closeTimeout = 3 * time.Second
+)
+
+func (n *Node) start() (*running, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group, ctx := errgroup.WithContext(ctx)
+	r := &running{group: group, failed: ctx.Done(), cancel: cancel}
+	group.Go(func() error { return ignoreCanceled(n.endpoint.Serve(ctx)) })
+	group.Go(func() error { return ignoreCanceled(n.member.Run(ctx)) })
+	n.awaitJoin()
+	if err := n.startPath(r); err != nil {
+		cancel()
+		return nil, errors.Join(err, group.Wait())
+	}
+	for _, l := range r.listeners {
+		group.Go(l.serve)
+	}
+	group.Go(func() error { n.reportUsage(ctx); return nil })
+	if n.control != nil {
+		group.Go(func() error { n.control.maintainLimits(ctx, n.claims); return nil })
+		group.Go(func() error { n.control.maintainConfirmation(ctx); return nil })
+	}
+	return r, nil
+}
+
+func ignoreCanceled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// awaitJoin returns when the node has a parent. A control instance may be the
+// first process of the fleet and does not wait.
+func (n *Node) awaitJoin() {
+	for end := time.Now().Add(joinWait); n.control == nil && n.member.Parent() == "" && time.Now().Before(end); {
+		time.Sleep(joinPoll)
+	}
+}
+
+func (n *Node) startPath(r *running) error {
+	s := n.settings
+	token, err := n.serviceToken()
+	if err != nil {
+		return err
+	}
+	p, err := proxy.New(proxy.Config{
+		Node:          nodeID(s),
+		Incarnation:   n.member.Self().Incarnation,
+		Zone:          s.Zone,
+		Backend:       s.Backend,
+		ServiceToken:  token,
+		Directory:     n.member,
+		Configuration: n.config,
+		Claims:        n.claims,
+		Locks:         n.claims,
+		Crashes:       n.crashes,
+		Metrics:       n.metrics,
+		StateChanged:  n.member.SetState,
+		ClientTLS:     n.keys.PeerClient(),
+		Seed:          n.seed,
+		Log:           n.logger,
+	})
+	if err != nil {
+		return err
+	}
+	r.proxy = p
+	n.path.Store(p)
+	n.member.SetState(p.State())
+	if s.Backend != nil {
+		// The node follows its own service, because crash reports go to its servers.
+		n.member.Servers(s.Backend.Service)
+	}
+	n.reapplyOrders()
+	return n.openListeners(r, p)
+}
+
+// reapplyOrders acts on orders that arrived before the request path was there.
+func (n *Node) reapplyOrders() {
+	if revision, document := n.member.Config(); document != nil {
+		n.config.adopt(revision, document)
+	}
+}
+
+func (n *Node) openListeners(r *running, p *proxy.Proxy) error {
+	s := n.settings
+	add := func(name, address string, h http.Handler, secure *tls.Config) error {
+		if address == "" {
+			return nil
+		}
+		l, err := listen(name, address, h, secure, n.logger)
+		if err == nil {
+			r.listeners = append(r.listeners, l)
+		}
+		return err
+	}
+	return errors.Join(
+		add("caller_address", s.CallerAddress, p.Caller(), nil),
+		add("service_address", s.ServiceAddress, p.Service(), nil),
+		add("peer_address", s.PeerAddress, p.Peer(), n.keys.PeerServer()),
+		add("metrics_address", s.MetricsAddress, n.metrics.Handler(), nil),
+	)
+}
+
+func (n *Node) reportUsage(ctx context.Context) {
+	t := time.NewTicker(usageInterval)
+	defer t.Stop()
+	for {
+		if err := n.metrics.UpdateUsage(); err != nil {
+			n.logger.Warn("usage not measured", "error", err)
+		}
+		n.updateControlMetrics()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (n *Node) updateControlMetrics() {
+	t, m := n.endpoint.Stats(), n.member.Stats()
+	n.metrics.Set("control_messages_sent", float64(t.Calls))
+	n.metrics.Set("control_messages_served", float64(t.Served))
+	n.metrics.Set("control_bytes_sent", float64(t.BytesSent))
+	n.metrics.Set("control_bytes_received", float64(t.BytesReceived))
+	n.metrics.Set("control_connections", float64(t.Connections))
+	n.metrics.Set("registry_nodes", float64(m.Nodes))
+	n.metrics.Set("configuration_age_seconds", n.member.Confirmed().Seconds())
+	if set := n.config.Current(); set != nil {
+		n.metrics.Set("configuration_version", float64(set.Version))
+	}
+}
+
+// stop announces the departure, drains, and closes in the reverse order of the start.
+func (n *Node) stop(r *running) error {
+	n.logger.Info("node stopping", "drain_timeout", n.settings.DrainTimeout.Std())
+	n.member.SetState(fleet.Draining)
+	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout.Std())
+	defer cancel()
+	report := r.proxy.Drain(ctx)
+	for _, c := range report.CutOff {
+		n.logger.Warn("request cut off", "method", c.Method, "path", c.Path)
+	}
+	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancelClosing()
+	var errs []error
+	for _, l := range r.listeners {
+		errs = append(errs, l.shutdown(closing))
+	}
+	r.proxy.Close()
+	errs = append(errs, n.member.Leave(closing))
+	if n.control != nil {
+		errs = append(errs, n.control.close(closing))
+	}
+	r.cancel()
+	errs = append(errs, n.endpoint.Close(closing), n.metrics.Close())
+	n.logger.Info("node stopped", "drain", report.Duration, "cut_off", len(report.CutOff))
+	return errors.Join(errs...)
+}
