proxy: test at-most-once rules; keep numbers of attempts over a confined pass

Change: tests with scripted backend servers and the real claims machine; a confined pass allows all targets again and continues the attempt numbers; full duplex for streamed bodies; messages to look up records at other nodes.

--- /dev/null
+++ b/explain/messages.go
@@ -0,0 +1,139 @@
+package explain
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/transport"
+)
+
+// Kinds of the messages of this package.
+const (
+	KindFind   = transport.KindsOfExplain
+	KindEvents = transport.KindsOfExplain + 1
+	KindRecent = transport.KindsOfExplain + 2
+)
+
+// maxListed bounds the records or events of one reply, which must fit into a message.
+const maxListed = 256
+
+// FindRequest asks a node for its records of a request.
+type FindRequest struct {
+	RequestID string `cbor:"1,keyasint"`
+}
+
+// Records is the reply to FindRequest and RecentRequest.
+type Records struct {
+	Records []*Record `cbor:"1,keyasint"`
+}
+
+// RecentRequest asks for the newest records of a class, or of all classes.
+type RecentRequest struct {
+	Class string `cbor:"1,keyasint,omitempty"`
+	Limit int    `cbor:"2,keyasint"`
+}
+
+// EventsRequest asks for the newest events.
+type EventsRequest struct {
+	Limit int `cbor:"1,keyasint"`
+}
+
+// EventsReply is the reply to EventsRequest.
+type EventsReply struct {
+	Events []Event `cbor:"1,keyasint"`
+}
+
+// Register answers the messages of this package from s.
+func Register(m *transport.Mux, s *Store) {
+	transport.Handle(m, KindFind, func(_ context.Context, _ transport.Peer, r *FindRequest) (*Records, error) {
+		return &Records{s.Find(r.RequestID)}, nil
+	})
+	transport.Handle(m, KindRecent, func(_ context.Context, _ transport.Peer, r *RecentRequest) (*Records, error) {
+		return &Records{s.Recent(r.Class, limit(r.Limit))}, nil
+	})
+	transport.Handle(m, KindEvents, func(_ context.Context, _ transport.Peer, r *EventsRequest) (*EventsReply, error) {
+		return &EventsReply{s.Events(limit(r.Limit))}, nil
+	})
+}
+
+func limit(n int) int { return max(1, min(n, maxListed)) }
+
+// Addresses finds the peer address of a node.
+type Addresses func(node fleet.NodeID) (address string, ok bool)
+
+// Finder looks up a request at the nodes that took part in it.
+type Finder struct {
+	store     *Store
+	client    transport.Client
+	addresses Addresses
+	entryNode func(requestID string) (fleet.NodeID, bool)
+}
+
+// NewFinder returns a Finder that asks other nodes through client. entryNode
+// tells which node made a request id.
+func NewFinder(s *Store, client transport.Client, a Addresses, entryNode func(string) (fleet.NodeID, bool)) *Finder {
+	return &Finder{s, client, a, entryNode}
+}
+
+// Explanation is what is known about a request.
+type Explanation struct {
+	RequestID string    `json:"request_id"`
+	Records   []*Record `json:"records"`           // of the entry node first
+	Missing   []Missing `json:"missing,omitempty"` // nodes that could not be asked
+}
+
+// Missing is a node whose records are not part of an explanation.
+type Missing struct {
+	Node   fleet.NodeID `json:"node"`
+	Reason string       `json:"reason"`
+}
+
+// Find merges the records of the entry node and of the targets of all attempts.
+func (f *Finder) Find(ctx context.Context, id string) (*Explanation, error) {
+	entry, ok := f.entryNode(id)
+	if !ok {
+		return nil, errkind.New(errkind.BadRequest, "%q is not a request id", id)
+	}
+	out := &Explanation{RequestID: id}
+	f.ask(ctx, entry, id, out)
+	asked := []fleet.NodeID{entry}
+	for _, r := range slices.Clone(out.Records) {
+		for _, a := range r.Attempts {
+			if a.Target != "" && !slices.Contains(asked, a.Target) {
+				asked = append(asked, a.Target)
+				f.ask(ctx, a.Target, id, out)
+			}
+		}
+	}
+	if len(out.Records) == 0 && len(out.Missing) == 0 {
+		return nil, errkind.New(errkind.NotFound, "node %s keeps no record of %s; records are kept for recent requests only", entry, id)
+	}
+	return out, nil
+}
+
+func (f *Finder) ask(ctx context.Context, node fleet.NodeID, id string, out *Explanation) {
+	if node == f.store.node {
+		out.Records = append(out.Records, f.store.Find(id)...)
+		return
+	}
+	address, ok := f.addresses(node)
+	if !ok {
+		out.Missing = append(out.Missing, Missing{node, "its address is not known"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var reply Records
+	if err := f.client.Call(ctx, address, KindFind, &FindRequest{id}, &reply); err != nil {
+		out.Missing = append(out.Missing, Missing{node, fmt.Sprintf("it did not answer: %v", err)})
+		return
+	}
+	out.Records = append(out.Records, reply.Records...)
+}
+
+// askTimeout bounds the question to one node.
+const askTimeout = 2 * time.Second
--- a/explain/record.go
+++ b/explain/record.go
@@ -18,7 +18,7 @@
 
 // Bounds of the lists of a record.
 const (
-	MaxCandidates = 8
+	MaxCandidates = 32 // of all attempts
 	MaxAttempts   = 6
 )
 
@@ -70,9 +70,7 @@
 	Candidates    []Candidate   `cbor:"20,keyasint,omitempty" json:"candidates,omitempty"`
 	Attempts      []Attempt     `cbor:"21,keyasint,omitempty" json:"attempts,omitempty"`
 
-	start      time.Time
-	candidates [MaxCandidates]Candidate
-	attempts   [MaxAttempts]Attempt
+	start time.Time
 }
 
 // NewRecord returns the record of a request that starts at now.
@@ -80,10 +78,13 @@
 	return &Record{RequestID: id, Side: side, Start: now.UnixNano(), start: now}
 }
 
-// AddCandidate records a candidate of a choice, up to MaxCandidates.
-func (r *Record) AddCandidate(c Candidate) {
-	if len(r.Candidates) < MaxCandidates {
-		r.Candidates = append(r.candidates[:len(r.Candidates)], c)
+// AddCandidates records the candidates of a choice. It keeps list.
+func (r *Record) AddCandidates(list []Candidate) {
+	switch {
+	case r.Candidates == nil:
+		r.Candidates = list
+	case len(r.Candidates)+len(list) <= MaxCandidates:
+		r.Candidates = append(r.Candidates, list...)
 	}
 }
 
@@ -92,7 +93,7 @@
 func (r *Record) AddAttempt(a Attempt, start, end time.Time) {
 	if len(r.Attempts) < MaxAttempts {
 		a.Start, a.Duration = start.Sub(r.start), end.Sub(start)
-		r.Attempts = append(r.attempts[:len(r.Attempts)], a)
+		r.Attempts = append(r.Attempts, a)
 	}
 }
 
--- a/filter/answer.go
+++ b/filter/answer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"sync/atomic"
+	"time"
 )
 
 // ErrLost is returned by Answer.Begin when another attempt of the same request
@@ -100,6 +101,19 @@
 // Flush sends what is buffered.
 func (w *Writer) Flush() error { return http.NewResponseController(w.rw).Flush() }
 
+// EnableFullDuplex lets the answer begin while the body of the request is still
+// being read. Otherwise the server reads the body first.
+func (w *Writer) EnableFullDuplex() {
+	// A ResponseWriter that does not support it does so without being told.
+	_ = http.NewResponseController(w.rw).EnableFullDuplex()
+}
+
+// SetReadDeadline bounds the reading of the request body.
+func (w *Writer) SetReadDeadline(t time.Time) {
+	// Without the support of the ResponseWriter the context still ends the call.
+	_ = http.NewResponseController(w.rw).SetReadDeadline(t)
+}
+
 // End completes the answer with its trailer.
 func (w *Writer) End(trailer http.Header) error {
 	h := w.rw.Header()
--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -58,7 +58,6 @@
 			return previous // tells more than that no other server is left
 		}
 	}
-	p.Answered(f.clock.Now(), f.clock.Now().Sub(c.Started))
 	return nil
 }
 
@@ -116,6 +115,11 @@
 	return d.Verb == retry.RetryElsewhere, d.Kind
 }
 
+// hasLost reports whether the attempt ended because another one has answered.
+func hasLost(a *Call, err error) bool {
+	return errors.Is(err, ErrLost) || errors.Is(context.Cause(a.Ctx), ErrLost)
+}
+
 func isNoServer(err error) bool {
 	return err != nil && errkind.Of(err).Kind == errkind.NoBackendServer
 }
@@ -139,20 +143,22 @@
 	r.enter(lane.number, cancel)
 	start := f.clock.Now()
 	err := f.next.Serve(a)
+	if err == nil && !a.HeadAt.IsZero() {
+		// The time that the caller takes for the body is no latency of the class.
+		f.policy(c.Class.Name).Answered(a.HeadAt, a.HeadAt.Sub(start))
+	}
 	f.note(c, a, r, start, err)
 	return err
 }
 
 func (f *attempts) note(c, a *Call, r *race, start time.Time, err error) {
 	var kind errkind.Kind
-	lost := errors.Is(err, ErrLost)
+	lost := err != nil && hasLost(a, err)
 	if err != nil && !lost {
 		kind = errkind.Of(err).Kind
 	}
 	r.mu.Lock()
-	for _, candidate := range a.Candidates {
-		c.Record.AddCandidate(candidate)
-	}
+	c.Record.AddCandidates(a.Candidates)
 	c.Record.AddAttempt(explain.Attempt{Number: a.Meta.Attempt, Target: a.Target.Node, Kind: kind,
 		Status: a.Status, Hedge: a.Meta.Hedge, Lost: lost}, start, f.clock.Now())
 	r.mu.Unlock()
--- a/filter/body.go
+++ b/filter/body.go
@@ -36,6 +36,7 @@
 	complete bool
 	rest     io.Reader
 	taken    bool
+	ended    bool // the rest was read to its end
 }
 
 // Replayable reports whether Open will succeed.
@@ -59,6 +60,13 @@
 	return &bodyReader{body: b, prefix: bytes.NewReader(b.prefix)}, nil
 }
 
+// Unread reports whether a part of the body was not read.
+func (b *Body) Unread() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.complete && !b.ended
+}
+
 type bodyReader struct {
 	body   *Body
 	prefix *bytes.Reader
@@ -85,7 +93,17 @@
 		}
 		r.owner = true
 	}
-	return r.body.rest.Read(p)
+	n, err := r.body.rest.Read(p)
+	if errors.Is(err, io.EOF) {
+		r.body.end()
+	}
+	return n, err
+}
+
+func (b *Body) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
 }
 
 // Close does not wait for a Read of the network: the connection of the caller
@@ -173,6 +191,9 @@
 			return err
 		}
 	}
+	if w, ok := c.Answer.(*Writer); ok && !c.Body.Whole() {
+		w.EnableFullDuplex()
+	}
 	c.Meta.Fingerprint = f.fingerprint(c)
 	if c.Key != "" {
 		c.BodyHash = hashRequest(c)
@@ -215,12 +236,9 @@
 }
 
 func setReadDeadline(c *Call, k clock.Clock) {
-	w, ok := c.Answer.(*Writer)
-	if !ok {
-		return
+	if w, ok := c.Answer.(*Writer); ok {
+		w.SetReadDeadline(time.Now().Add(c.Deadline.Sub(k.Now())))
 	}
-	// Not every ResponseWriter supports deadlines; the context still ends the call.
-	_ = http.NewResponseController(w.rw).SetReadDeadline(time.Now().Add(c.Deadline.Sub(k.Now())))
 }
 
 // fingerprint recognises a request that a caller sends again: by its key,
--- a/filter/call.go
+++ b/filter/call.go
@@ -104,6 +104,14 @@
 	t.exclude.Add(node)
 }
 
+// restart allows all targets again. The numbers of the attempts go on, so that a
+// server node does not take a new attempt for a duplicate.
+func (t *tried) restart() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.exclude = pick.Exclude{}
+}
+
 func (t *tried) excluded() pick.Exclude {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -1,7 +1,6 @@
 package filter
 
 import (
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -87,11 +86,14 @@
 	return err
 }
 
+// maxExplained is the size of a pool from which only the chosen server is recorded.
+const maxExplained = 8
+
 // explain records the servers of the pool as they were seen. Only the chosen one
 // is recorded of a pool that is too large.
 func (f *Choose) explain(c *Call, b *pick.Balancer, e *pick.Endpoint) {
 	now := f.clock.Now()
-	if b.Len() > explain.MaxCandidates {
+	if b.Len() > maxExplained {
 		c.Candidates = []explain.Candidate{{Node: e.Server.Node, Age: e.ReportAge(now), Chosen: true}}
 		return
 	}
@@ -114,7 +116,7 @@
 	case err == nil && c.Status >= http.StatusInternalServerError:
 		r.Outcome = pick.Failed
 	case err == nil:
-	case c.SentAt.IsZero() || errors.Is(err, ErrLost):
+	case c.SentAt.IsZero() || hasLost(c, err):
 		r.Outcome = pick.Canceled
 	default:
 		r.Outcome = pick.OutcomeOf(errkind.Of(err).Kind)
--- a/filter/claims.go
+++ b/filter/claims.go
@@ -54,7 +54,7 @@
 		return err
 	}
 	ending := claim.Ambiguous
-	if errkind.Of(err).ProvedNotRun() {
+	if errkind.Lookup(errkind.Of(err).Kind).Outcome != errkind.Unknown {
 		ending = claim.Released
 	}
 	g.finish(ending, nil)
--- a/filter/suspects.go
+++ b/filter/suspects.go
@@ -61,6 +61,9 @@
 	}
 	c.Meta.Confined, c.Record.Confined = true, true
 	c.passes++
+	if c.tried != nil {
+		c.tried.restart()
+	}
 	return f.next.Serve(c)
 }
 
--- a/proxy/backend.go
+++ b/proxy/backend.go
@@ -94,6 +94,10 @@
 		c.HeadAt = time.Time{}
 		return errkind.New(errkind.Draining, "the backend server is draining")
 	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		_ = resp.Body.Close()
+		return errkind.New(errkind.ConnectionLost, "the backend server switched protocols without being asked")
+	}
 	life := b.monitor.Life()
 	return relay(c, resp, endToEnd(resp.Header), func() error {
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && b.monitor.Died(c.Ctx, life) {
--- /dev/null
+++ b/proxy/backend_test.go
@@ -0,0 +1,105 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+	"bramleymill/settings"
+	"bramleymill/strictjson"
+)
+
+// rawBackend is a backend server that controls the bytes of its answers. The
+// script is called for each request with the number of the request, from 1. The
+// connection is closed when it returns false.
+type rawBackend struct {
+	listener net.Listener
+	requests atomic.Int32
+}
+
+func newRawBackend(t testing.TB, script func(c net.Conn, r *http.Request, n int32) bool) *rawBackend {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &rawBackend{listener: l}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			context.AfterFunc(ctx, func() { _ = conn.Close() })
+			go b.serve(conn, script)
+		}
+	}()
+	return b
+}
+
+func (b *rawBackend) serve(conn net.Conn, script func(net.Conn, *http.Request, int32) bool) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil || !script(conn, r, b.requests.Add(1)) {
+			return
+		}
+	}
+}
+
+// with makes a node use the raw backend server.
+func (b *rawBackend) with(c *Config) {
+	c.Backend = &settings.Backend{Service: "shop", Address: b.listener.Addr().String(), Slots: 10, Connections: 32,
+		QueueLength: 20, HealthPath: "/health", CheckEvery: strictjson.Duration(time.Second)}
+}
+
+// write writes a scripted answer.
+func write(c net.Conn, text string) bool {
+	_, err := c.Write([]byte(text))
+	return err == nil
+}
+
+// counted is a backend server that counts its executions.
+type counted struct {
+	runs atomic.Int32
+	next http.Handler
+}
+
+func (b *counted) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b.runs.Add(1)
+	b.next.ServeHTTP(w, r)
+}
+
+// forward sends a request to the peer handler of n as the node called entry would.
+func (n *node) forward(t testing.TB, entry, method string, m fleet.CallMeta) *http.Response {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: testAuthority().config(t, entry), DisableKeepAlives: true}}
+	req := httptest.NewRequest(method, "https://"+n.peer.Listener.Addr().String()+"/x", nil)
+	req.RequestURI = ""
+	v, err := fleet.EncodeHeader(&m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(fleet.HeaderCallMeta, v)
+	resp, err := client.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+// meta is the metadata of an ordinary first attempt for n.
+func (n *node) meta(entry string) fleet.CallMeta {
+	return fleet.CallMeta{RequestID: entry + ".1.1", Class: "order", Attempt: 1, Remaining: 10 * time.Second, Depth: 1,
+		Target: n.name, Incarnation: n.config.Incarnation, Entry: fleet.NodeID(entry), Urgency: fleet.UrgencyNormal}
+}
--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -17,6 +17,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,6 +92,7 @@
 	service *httptest.Server
 	peer    *httptest.Server
 	backend *httptest.Server
+	changes atomic.Uint64
 }
 
 func newCluster(t testing.TB) *cluster {
@@ -103,7 +105,8 @@
 	n := &node{name: fleet.NodeID(name), cluster: c}
 	tlsConfig := testAuthority().config(c.t, name)
 	config := Config{Node: n.name, Incarnation: 7, Zone: "a", Directory: c, Configuration: c, Claims: c.claims, Locks: c.claims,
-		Crashes: (*crashNet)(n), ClientTLS: tlsConfig, Clock: c.clock, Seed: 1, ServiceToken: "service-secret"}
+		StateChanged: func(fleet.ServerState) { n.changes.Add(1) },
+		Crashes:      (*crashNet)(n), ClientTLS: tlsConfig, Clock: c.clock, Seed: 1, ServiceToken: "service-secret"}
 	if h != nil {
 		n.backend = quiet(httptest.NewUnstartedServer(h))
 		n.backend.Start()
@@ -174,8 +177,9 @@
 	return out
 }
 
+// announcement claims to be ready in any state, as one does that is not current.
 func (n *node) announcement() fleet.Server {
-	return fleet.Server{Node: n.name, Incarnation: n.config.Incarnation, Service: "shop", Zone: "a",
+	return fleet.Server{Node: n.name, Incarnation: n.config.Incarnation, Sequence: n.changes.Load(), Service: "shop", Zone: "a",
 		PeerAddress: n.peer.Listener.Addr().String(), State: fleet.Ready, Slots: 10}
 }
 
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -55,8 +55,21 @@
 	}
 }
 
+// unreadGrace bounds the time that a server keeps reading a body that nothing
+// needs any more. Closing the connection at once could destroy an answer that
+// the sender of the body has not read yet.
+const unreadGrace = 500 * time.Millisecond
+
+// stopReading ends the reading of a body after its answer.
+func stopReading(c *filter.Call, w *filter.Writer) {
+	if c.Body != nil && c.Body.Unread() {
+		w.SetReadDeadline(time.Now().Add(unreadGrace))
+	}
+}
+
 // finishEntry records the end of the request, also when its connection is aborted.
 func (p *Proxy) finishEntry(c *filter.Call, w *filter.Writer) {
+	stopReading(c, w)
 	now := p.config.Clock.Now()
 	c.Record.End(now, w.Status())
 	p.store.Add(c.Record)
@@ -128,6 +141,7 @@
 		err = p.serveAttempt(c)
 	}
 	defer func() {
+		stopReading(c, writer)
 		c.Record.End(p.config.Clock.Now(), writer.Status())
 		p.store.Add(c.Record)
 	}()
@@ -166,6 +180,9 @@
 	c.Attempts = retry.NewAttempts(meta.AttemptsLeft)
 	c.Body = filter.NewBody(r)
 	c.Body.Expect = r.Header.Get(headerExpect) != ""
+	if w, ok := c.Answer.(*filter.Writer); ok && !c.Body.Whole() {
+		w.EnableFullDuplex()
+	}
 	rec := c.Record
 	rec.RequestID, rec.Class, rec.ConfigVersion, rec.Depth = meta.RequestID, meta.Class, meta.ConfigVersion, meta.Depth
 	rec.AttemptNumber, rec.ClaimID, rec.Confined = meta.Attempt, meta.ClaimID, meta.Confined
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -16,6 +16,9 @@
 	healthTimeout  = time.Second
 	maxHealthBytes = 512
 	healthRetry    = 50 * time.Millisecond // while the budget refuses a wanted check
+	// unansweredGrace is the time after which a server that accepts connections
+	// is ready although its health is not known, because the budget may be small.
+	unansweredGrace = time.Second
 )
 
 // health checks the health endpoint of the backend server within the measuring
@@ -33,8 +36,10 @@
 	wake    chan struct{}
 
 	mu     sync.Mutex
-	passed bool // the current life was found ready
-	urgent bool // a check is wanted although answers are recent
+	passed bool      // the current life was found ready
+	failed bool      // the newest answer in the current life was a server error
+	urgent bool      // a check is wanted although answers are recent
+	since  time.Time // start of the current life
 }
 
 func newHealth(c *Config, m *monitor, h *drainHints, changed func()) *health {
@@ -55,7 +60,7 @@
 // restart forgets what was found, because the backend server died or appeared.
 func (h *health) restart() {
 	h.mu.Lock()
-	h.passed = false
+	h.passed, h.failed, h.since = false, false, h.config.Clock.Now()
 	h.mu.Unlock()
 	h.soon()
 }
@@ -75,7 +80,10 @@
 func (h *health) ready() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.passed || limits(h.config).ProbesPerSecond == 0
+	if h.passed || limits(h.config).ProbesPerSecond == 0 {
+		return true
+	}
+	return !h.failed && h.config.Clock.Now().Sub(h.since) >= unansweredGrace
 }
 
 func (h *health) run(ctx context.Context) {
@@ -138,11 +146,10 @@
 	}
 	draining := status == http.StatusServiceUnavailable && strings.Contains(strings.ToLower(text), "draining")
 	h.hints.healthy(draining)
-	if status < http.StatusInternalServerError {
-		h.mu.Lock()
-		h.passed = true
-		h.mu.Unlock()
-	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failed = status >= http.StatusInternalServerError
+	h.passed = h.passed || !h.failed
 }
 
 func (h *health) get(ctx context.Context) (status int, text string, err error) {
--- a/proxy/monitor.go
+++ b/proxy/monitor.go
@@ -141,7 +141,7 @@
 	ended := m.endLife()
 	m.mu.Unlock()
 	m.onState()
-	m.onDeath(ended)
+	go m.onDeath(ended)
 }
 
 // endLife starts the next life and returns the one that ended. The caller holds mu.
--- /dev/null
+++ b/proxy/once_test.go
@@ -0,0 +1,293 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+const key = fleet.HeaderIdempotencyKey
+
+func outcome(r *http.Response) errkind.Outcome {
+	return errkind.Outcome(r.Header.Get(fleet.HeaderOutcome))
+}
+
+// Guards against giving up work that provably did not run: nothing listens at
+// the first server, so that nothing was written to it.
+func TestUnsentWorkGoesToAnotherServer(t *testing.T) {
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	dead := &counted{next: answer("dead")}
+	c.node("a", dead).peer.Close()
+	alive := &counted{next: answer("alive")}
+	c.node("b", alive)
+	for range 5 {
+		expect(t, 200, "", "alive", "POST", entry.caller.URL+"/x")
+	}
+	if dead.runs.Load() != 0 || alive.runs.Load() != 5 {
+		t.Errorf("runs: %d and %d", dead.runs.Load(), alive.runs.Load())
+	}
+}
+
+// cutter reads each request and closes the connection without an answer.
+func cutter(_ net.Conn, r *http.Request, _ int32) bool {
+	_, _ = io.Copy(io.Discard, r.Body)
+	return false
+}
+
+// Guards against a second run of non-idempotent work whose connection broke
+// after it was written, and against calling it not run.
+func TestWrittenWorkIsUnknown(t *testing.T) {
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	one, two := newRawBackend(t, cutter), newRawBackend(t, cutter)
+	c.node("a", nil, one.with)
+	c.node("b", nil, two.with)
+	resp := expect(t, 502, "connection_lost", "", "POST", entry.caller.URL+"/x")
+	if outcome(resp) != errkind.Unknown {
+		t.Errorf("outcome %q", outcome(resp))
+	}
+	if n := one.requests.Load() + two.requests.Load(); n != 1 {
+		t.Errorf("%d servers may have run it", n)
+	}
+}
+
+// Guards against not retrying idempotent work, and against retrying it more
+// often than the call tree may.
+func TestIdempotentWorkIsRetried(t *testing.T) {
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	bad := newRawBackend(t, cutter)
+	c.node("a", nil, bad.with)
+	c.node("b", answer("good"))
+	for range 4 {
+		expect(t, 200, "", "good", "GET", entry.caller.URL+"/x")
+	}
+}
+
+// Guards against the repeats of http.Transport: on a reused connection it sends
+// a request without a body again if its method or a key header looks idempotent.
+func TestBrokenReusedConnectionIsNotRepeated(t *testing.T) {
+	for _, tt := range []struct {
+		name, method string
+		header       []string
+	}{
+		{"get", "GET", nil}, {"head", "HEAD", nil}, {"options", "OPTIONS", nil},
+		{"key", "POST", []string{key}}, {"other key", "POST", []string{"X-Idempotency-Key"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t)
+			entry := c.node("entry", nil)
+			raw := newRawBackend(t, func(conn net.Conn, r *http.Request, n int32) bool {
+				return n == 1 && write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			})
+			c.node("a", nil, raw.with)
+			for _, k := range []string{"k1", "k2"} {
+				if resp, _, err := request(t, tt.method, entry.caller.URL+"/x", nil, append(tt.header, k)...); err != nil {
+					t.Fatal(err)
+				} else if n := raw.requests.Load(); n == 1 && resp.StatusCode != 200 {
+					t.Fatalf("first answer %d", resp.StatusCode)
+				}
+			}
+			if n := raw.requests.Load(); n != 2 {
+				t.Errorf("the backend server received %d requests for 2", n)
+			}
+		})
+	}
+}
+
+// Guards against losing work that a server refused before it ran.
+func TestRefusedWorkGoesToAnotherServer(t *testing.T) {
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	a, b := &counted{next: answer("a")}, &counted{next: answer("b")}
+	c.node("a", a).DrainBackend(true)
+	c.node("b", b)
+	for i := range 6 {
+		expect(t, 200, "", "b", "POST", entry.caller.URL+"/x", key, "k"+string(rune('0'+i)))
+	}
+	if a.runs.Load() != 0 || b.runs.Load() != 6 {
+		t.Errorf("runs: %d and %d", a.runs.Load(), b.runs.Load())
+	}
+}
+
+// Guards against a second run, and against a lost order, when the reply of the
+// claims group is lost after the claim was committed.
+func TestLostClaimReply(t *testing.T) {
+	c := newCluster(t)
+	b := &counted{next: answer("done")}
+	n := c.node("a", b)
+	var lost int
+	c.claims.fail = func() error {
+		if lost++; lost == 1 {
+			return errors.New("reply lost")
+		}
+		return nil
+	}
+	expect(t, 200, "", "done", "POST", n.caller.URL+"/x", key, "k")
+	if resp := expect(t, 200, "", "done", "POST", n.caller.URL+"/x", key, "k"); resp.Header.Get(fleet.HeaderReplayed) != "true" {
+		t.Error("the second answer is not marked as replayed")
+	}
+	if b.runs.Load() != 1 {
+		t.Errorf("%d runs", b.runs.Load())
+	}
+}
+
+// Guards against sending an attempt without a committed claim.
+func TestNoClaimNoAttempt(t *testing.T) {
+	c := newCluster(t)
+	b := &counted{next: answer("done")}
+	n := c.node("a", b)
+	c.claims.fail = func() error { return errors.New("reply lost") }
+	resp := expect(t, 503, "claims_unavailable", "", "POST", n.caller.URL+"/x", key, "k", fleet.HeaderTimeoutMillis, "200")
+	if outcome(resp) != errkind.NotRun || b.runs.Load() != 0 {
+		t.Errorf("outcome %q, %d runs", outcome(resp), b.runs.Load())
+	}
+}
+
+// Guards against two runs when the same key arrives at two nodes at once, and
+// against a key that is used for different work.
+func TestTwoNodesRaceWithOneKey(t *testing.T) {
+	c := newCluster(t)
+	arrived, proceed := make(chan struct{}, 2), make(chan struct{})
+	b := &counted{next: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-proceed
+		_, _ = io.WriteString(w, "done")
+	})}
+	one, two := c.node("one", b), c.node("two", b)
+	var wg sync.WaitGroup
+	wg.Go(func() { expect(t, 200, "", "done", "POST", one.caller.URL+"/x", key, "k") })
+	<-arrived
+	expect(t, 409, "in_progress", "", "POST", two.caller.URL+"/x", key, "k")
+	close(proceed)
+	wg.Wait()
+	expect(t, 200, "", "done", "POST", two.caller.URL+"/x", key, "k")
+	expect(t, 422, "key_reused", "", "POST", two.caller.URL+"/other", key, "k")
+	if b.runs.Load() != 1 {
+		t.Errorf("%d runs", b.runs.Load())
+	}
+}
+
+// Guards against a second run of an order with a key whose first run broke off.
+func TestUnknownKeyStaysUnknown(t *testing.T) {
+	c := newCluster(t)
+	raw := newRawBackend(t, cutter)
+	n := c.node("a", nil, raw.with)
+	expect(t, 502, "connection_lost", "", "POST", n.caller.URL+"/x", key, "k")
+	resp := expect(t, 504, "outcome_unknown", "", "POST", n.caller.URL+"/x", key, "k")
+	if outcome(resp) != errkind.Unknown || raw.requests.Load() != 1 {
+		t.Errorf("outcome %q, %d runs", outcome(resp), raw.requests.Load())
+	}
+}
+
+// Guards against a key that stays claimed although every attempt was refused.
+func TestRefusedKeyIsReleased(t *testing.T) {
+	c := newCluster(t)
+	n := c.node("a", answer("done"))
+	n.DrainBackend(true)
+	expect(t, 503, "draining", "", "POST", n.caller.URL+"/x", key, "k")
+	n.DrainBackend(false)
+	expect(t, 200, "", "done", "POST", n.caller.URL+"/x", key, "k")
+}
+
+// Guards against admitting an attempt number twice, and against a server that
+// runs attempts meant for its earlier incarnation or for another node.
+func TestServerNodeChecksAttempts(t *testing.T) {
+	c := newCluster(t)
+	b := &counted{next: answer("done")}
+	n := c.node("a", b)
+	check := func(status int, kind errkind.Kind, m fleet.CallMeta) {
+		t.Helper()
+		resp := n.forward(t, "entry", "POST", m)
+		if got := resp.Header.Get(fleet.HeaderKind); resp.StatusCode != status || got != string(kind) {
+			t.Errorf("got %d %q, want %d %q", resp.StatusCode, got, status, kind)
+		}
+		if resp.Header.Get(fleet.HeaderLoad) == "" {
+			t.Error("no load report")
+		}
+	}
+	m := n.meta("entry")
+	check(200, "", m)
+	check(409, errkind.DuplicateAttempt, m)
+	m.Attempt = 2
+	check(200, "", m)
+	claimed := m
+	claimed.ClaimID = "c1"
+	check(200, "", claimed)
+	claimed.RequestID = "entry.1.2"
+	check(409, errkind.DuplicateAttempt, claimed)
+	for _, change := range []func(*fleet.CallMeta){
+		func(m *fleet.CallMeta) { m.Incarnation-- },
+		func(m *fleet.CallMeta) { m.Target = "b" },
+	} {
+		m := n.meta("entry")
+		m.RequestID = "entry.1.9"
+		change(&m)
+		check(503, errkind.StaleTarget, m)
+	}
+	m = n.meta("entry")
+	m.RequestID, m.Remaining = "entry.1.8", 0
+	check(503, errkind.DeadlineBeforeRun, m)
+	m.RequestID, m.Remaining, m.Depth = "entry.1.7", time.Second, fleet.MaxDepth+1
+	check(508, errkind.DepthExceeded, m)
+	m.Depth, m.Entry = 1, "other"
+	check(401, errkind.Unauthorized, m)
+	if b.runs.Load() != 3 {
+		t.Errorf("%d runs", b.runs.Load())
+	}
+}
+
+// Guards against an entry node that was frozen after its claim and sends the
+// attempt when its deadline has passed.
+func TestFrozenEntryNodeSendsNothing(t *testing.T) {
+	c := newCluster(t)
+	b := &counted{next: answer("done")}
+	n := c.node("a", b)
+	var begun bool
+	c.claims.fail = func() error {
+		if !begun {
+			begun = true
+			c.clock.Advance(time.Minute)
+		}
+		return nil
+	}
+	resp := expect(t, 503, "deadline_before_run", "", "POST", n.caller.URL+"/x", key, "k")
+	if outcome(resp) != errkind.NotRun || b.runs.Load() != 0 {
+		t.Fatalf("outcome %q, %d runs", outcome(resp), b.runs.Load())
+	}
+	expect(t, 200, "", "done", "POST", n.caller.URL+"/x", key, "k")
+}
+
+// Guards against a stored answer that is not the one that was given, and against
+// a replay of an answer that was too large to be kept whole.
+func TestReplayedAnswer(t *testing.T) {
+	c := newCluster(t)
+	large := strings.Repeat("x", 64<<10)
+	b := &counted{next: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Location", "/orders/1")
+		w.WriteHeader(201)
+		if r.URL.Path == "/large" {
+			_, _ = io.WriteString(w, large)
+		}
+	})}
+	n := c.node("a", b)
+	for range 2 {
+		if resp := expect(t, 201, "", "", "POST", n.caller.URL+"/x", key, "k"); resp.Header.Get("Location") != "/orders/1" {
+			t.Error("header lost")
+		}
+	}
+	expect(t, 201, "", large, "POST", n.caller.URL+"/large", key, "l")
+	expect(t, 504, "outcome_unknown", "", "POST", n.caller.URL+"/large", key, "l")
+	if b.runs.Load() != 2 {
+		t.Errorf("%d runs", b.runs.Load())
+	}
+}
