--- a/proxy/backend.go
+++ b/proxy/backend.go
@@ -62,7 +62,9 @@
 	})
 	defer b.tokens.revoke(token)
 	for try := 1; ; try++ {
-		x := &exchange{call: c, scheme: "http", host: b.address, header: b.header(c, token), expect: c.Body.Expect}
+		x := &exchange{call: c, scheme: "http", host: b.address, header: b.header(c, token),
+			expect: c.Body.Expect, expectTimeout: backendExpectTimeout, done: make(chan struct{})}
+		defer x.end()
 		resp, written, err := x.roundTrip(b.transport)
 		switch {
 		case err == nil:
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -10,6 +10,8 @@
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"bramleymill/errkind"
 	"bramleymill/filter"
@@ -27,11 +29,18 @@
 	scheme string
 	host   string // names the connection pool
 	header http.Header
-	expect bool
+	expect bool // the body is sent only when the receiver asks for it
+	// expectTimeout is the Transport's time after which it sends the body of a
+	// request that expects 100 Continue without being asked.
+	expectTimeout time.Duration
 
 	mu     sync.Mutex
 	conn   *countedConn
 	before uint64 // writes of conn before this request
+
+	asked   atomic.Bool  // 100 Continue was received
+	waiting atomic.Int64 // when the wait for it began, in Unix nanoseconds
+	done    chan struct{}
 }
 
 // roundTrip sends the request. written is false only if it is proved that no
@@ -48,6 +57,9 @@
 	return resp, true, nil
 }
 
+// end ends the sending of a body that was not asked for.
+func (x *exchange) end() { close(x.done) }
+
 func (x *exchange) unwritten() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -74,8 +86,12 @@
 func (x *exchange) newRequest() (*http.Request, error) {
 	in, body := x.call.Request, x.call.Body
 	ctx := httptrace.WithClientTrace(x.call.Ctx, &httptrace.ClientTrace{
-		GotConn: x.gotConn,
+		GotConn:         x.gotConn,
+		Wait100Continue: func() { x.waiting.Store(time.Now().UnixNano()) },
 		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
+			if code == http.StatusContinue {
+				x.asked.Store(true)
+			}
 			x.call.Answer.Informational(code, endToEnd(http.Header(h)))
 			return nil
 		},
@@ -138,10 +154,31 @@
 	}
 	if x.expect && !body.Whole() {
 		out.Header["Expect"] = []string{"100-continue"}
+		out.Body = &awaitedBody{ReadCloser: out.Body, exchange: x}
 	}
 	return nil
 }
 
+// awaitedBody is a body that the receiver has to ask for. The Transport also
+// sends it after a final answer, in order to reuse the connection. Reading it
+// then would ask the caller for a body that nothing needs, so that the Transport
+// is kept waiting until the exchange is over.
+type awaitedBody struct {
+	io.ReadCloser
+	exchange *exchange
+}
+
+var errNotAsked = errors.New("the body was not asked for")
+
+func (b *awaitedBody) Read(p []byte) (int, error) {
+	x := b.exchange
+	if !x.asked.Load() && time.Since(time.Unix(0, x.waiting.Load())) < x.expectTimeout {
+		<-x.done
+		return 0, errNotAsked
+	}
+	return b.ReadCloser.Read(p)
+}
+
 // trailerBody copies the trailers of the received request, which are known at
 // the end of its body, to the request that is sent.
 type trailerBody struct {
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -123,7 +123,9 @@
 		return errkind.New(errkind.Internal, "%w", err)
 	}
 	for try := 1; ; try++ {
-		x := &exchange{call: c, scheme: "https", host: r.poolName(&c.Target), header: endToEnd(c.Request.Header), expect: true}
+		x := &exchange{call: c, scheme: "https", host: r.poolName(&c.Target), header: endToEnd(c.Request.Header),
+			expect: true, expectTimeout: expectTimeout, done: make(chan struct{})}
+		defer x.end()
 		x.header[fleet.HeaderCallMeta] = []string{meta}
 		if c.Body.Expect {
 			x.header[headerExpect] = []string{"1"}
