Replay traces against the decision packages and baselines

Cause: a change of a selection rule needs a measurement on equal input. Selecting nodes ask for the counters of another node when its report is 1 s old instead of 0.5 s. Ruled out: recording every arrival as a line, because the files would exceed 700 KB each; arrivals follow from rates and the seed instead.

--- a/probe/wanted.go
+++ b/probe/wanted.go
@@ -11,7 +11,7 @@
 // Defaults of Config.
 const (
 	DefaultServerAge = 2 * time.Second
-	DefaultReportAge = 500 * time.Millisecond
+	DefaultReportAge = time.Second
 )
 
 // WithDefaults returns c with its zero fields set to the defaults.
--- /dev/null
+++ b/replay/arrivals.go
@@ -0,0 +1,75 @@
+package replay
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// arrival is one request of a trace. Work is its service time on a server that
+// is neither slow nor cold.
+type arrival struct {
+	at    time.Duration
+	class int
+	entry int
+	work  time.Duration
+	coin  float64 // decides whether a failing server fails it
+}
+
+// arrivals returns the requests of a trace in order of time. They depend only
+// on the trace, so that every policy meets the same requests.
+func (t *Trace) arrivals() []arrival {
+	var all []arrival
+	for i := range t.Classes {
+		rng := rand.New(rand.NewPCG(t.Deployment.Seed, uint64(i)))
+		all = append(all, t.arrivalsOf(i, rng)...)
+	}
+	slices.SortStableFunc(all, func(a, b arrival) int { return int(a.at - b.at) })
+	return all
+}
+
+func (t *Trace) arrivalsOf(class int, rng *rand.Rand) []arrival {
+	var out []arrival
+	c := &t.Classes[class]
+	end := t.Deployment.For.Std()
+	for at := time.Duration(0); at < end; {
+		rate, until := t.rate(c.Name, at)
+		if rate <= 0 {
+			at = until
+			continue
+		}
+		next := at + time.Duration(rng.ExpFloat64()/rate*float64(time.Second))
+		if next > until {
+			at = until
+			continue
+		}
+		at = next
+		out = append(out, arrival{
+			at: at, class: class, entry: rng.IntN(t.Deployment.Entries),
+			work: draw(rng, c.ServiceTime.Std(), c.Spread), coin: rng.Float64(),
+		})
+	}
+	return out
+}
+
+// draw returns a service time with a log-normal distribution of the given mean.
+func draw(rng *rand.Rand, mean time.Duration, spread float64) time.Duration {
+	return time.Duration(float64(mean) * math.Exp(spread*rng.NormFloat64()-spread*spread/2))
+}
+
+// rate returns the arrival rate of a class and the time until which it holds.
+func (t *Trace) rate(class string, at time.Duration) (perSecond float64, until time.Duration) {
+	until = t.Deployment.For.Std()
+	from := time.Duration(-1)
+	for _, l := range t.Loads {
+		switch start := l.At.Std(); {
+		case l.Name != class:
+		case start <= at && start > from:
+			perSecond, from = l.PerSecond, start
+		case start > at:
+			until = min(until, start)
+		}
+	}
+	return perSecond, until
+}
--- /dev/null
+++ b/replay/entry.go
@@ -0,0 +1,169 @@
+package replay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/pick"
+	"bramleymill/retry"
+)
+
+// request is a request of the trace on its way through an entry node.
+type request struct {
+	arrival
+	deadline time.Duration
+	exclude  pick.Exclude
+	attempts *retry.Attempts
+	live     map[uint64]*attempt
+	done     bool
+}
+
+// attempt is one sending of a request to a server.
+type attempt struct {
+	id       uint64
+	request  *request
+	entry    *entry
+	server   *server
+	picked   pick.Attempt
+	hop      time.Duration // one way
+	sent     time.Duration
+	arrived  time.Duration
+	started  time.Duration
+	end      time.Duration
+	atServer time.Duration
+	running  bool
+}
+
+// entry is a node that receives requests of callers and chooses servers.
+type entry struct {
+	run       *runner
+	zone      string
+	rng       *rand.Rand
+	balancers map[string]*pick.Balancer
+	policies  []*retry.Policy // by class
+	ready     map[string][]*server
+	lastUse   map[string]time.Duration
+	turn      map[string]int
+	inFlight  map[*server]int
+}
+
+// localHop is the one-way delay within a zone.
+const localHop = 100 * time.Microsecond
+
+func (e *entry) hop(s *server) time.Duration {
+	if s.line.Zone == e.zone {
+		return localHop
+	}
+	return localHop + e.run.trace.Deployment.ZoneDelay.Std()
+}
+
+func (e *entry) arrive(a arrival) {
+	c := &e.run.trace.Classes[a.class]
+	r := &request{
+		arrival: a, deadline: a.at + c.Deadline.Std(),
+		attempts: retry.NewAttempts(retry.DefaultAttempts), live: map[uint64]*attempt{},
+	}
+	e.lastUse[c.Service] = e.run.now
+	p := e.policies[a.class]
+	p.Began()
+	e.send(r)
+	if !e.run.options.Hedge {
+		return
+	}
+	if delay, ok := p.HedgeDelay(c.Idempotent, c.Internal, r.deadline-e.run.now); ok {
+		e.run.after(delay, func() { e.hedge(r) })
+	}
+}
+
+func (e *entry) hedge(r *request) {
+	if r.done || len(r.live) != 1 || !e.policies[r.class].Hedge(e.run.time(), r.attempts) {
+		return
+	}
+	for _, a := range r.live {
+		r.exclude.Add(a.server.line.Node)
+	}
+	e.run.result.Hedges++
+	e.send(r)
+}
+
+func (e *entry) send(r *request) {
+	s, picked := e.choose(r)
+	if s == nil {
+		if len(r.live) == 0 {
+			e.finish(r, errkind.NoBackendServer)
+		}
+		return
+	}
+	e.run.nextID++
+	a := &attempt{id: e.run.nextID, request: r, entry: e, server: s, picked: picked, hop: e.hop(s), sent: e.run.now}
+	r.live[a.id] = a
+	e.inFlight[s]++
+	e.run.underWay[s] = append(e.run.underWay[s], a)
+	e.run.after(a.hop, func() {
+		e.run.arrived(s, a)
+		s.offer(a)
+	})
+}
+
+// receive handles the answer to an attempt.
+func (e *entry) receive(a *attempt, kind errkind.Kind, report *fleet.LoadReport) {
+	e.ended(a, kind, report)
+	r := a.request
+	if r.done {
+		return
+	}
+	p := e.policies[r.class]
+	if kind == "" {
+		p.Answered(e.run.time(), e.run.now-r.at)
+		e.finish(r, "")
+		return
+	}
+	if len(r.live) > 0 {
+		return // a hedge is still running
+	}
+	d := p.After(e.run.time(), retry.Failure{
+		Kind: kind, Idempotent: e.run.trace.Classes[r.class].Idempotent, Remaining: r.deadline - e.run.now,
+	}, r.attempts)
+	if d.Verb == retry.GiveUp {
+		e.finish(r, d.Kind)
+		return
+	}
+	e.run.result.Retries++
+	r.exclude.Add(a.server.line.Node)
+	e.send(r)
+}
+
+// ended updates the estimates with the end of an attempt.
+func (e *entry) ended(a *attempt, kind errkind.Kind, report *fleet.LoadReport) {
+	delete(a.request.live, a.id)
+	e.inFlight[a.server]--
+	if e.run.options.Policy != Current {
+		return
+	}
+	outcome := pick.OutcomeOf(kind)
+	b := e.balancers[e.run.trace.Classes[a.request.class].Service]
+	if late := e.run.lateness(); late > 0 {
+		node, old := a.server.line.Node, report
+		e.run.after(late, func() { b.Observe(node, e.run.time(), old) })
+		report = nil
+	}
+	b.Finished(a.picked, e.run.time(), pick.Result{Duration: e.run.now - a.sent, AtServer: a.atServer, Outcome: outcome, Report: report})
+}
+
+// finish ends a request and cancels its other attempts.
+func (e *entry) finish(r *request, kind errkind.Kind) {
+	r.done = true
+	e.run.result.add(Record{Class: r.class, At: r.at, Latency: e.run.now - r.at, Kind: kind})
+	for _, a := range r.live {
+		s := a.server
+		e.run.after(a.hop, func() { s.cancel(a) })
+		if e.run.options.Policy == Current {
+			b := e.balancers[e.run.trace.Classes[r.class].Service]
+			b.Finished(a.picked, e.run.time(), pick.Result{Duration: e.run.now - a.sent, Outcome: pick.Canceled})
+		}
+		e.inFlight[s]--
+	}
+	clear(r.live)
+}
--- /dev/null
+++ b/replay/measure.go
@@ -0,0 +1,51 @@
+package replay
+
+import (
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// Costs and period of measuring.
+const (
+	checkEvery     = 100 * time.Millisecond
+	nodeProbeBytes = 220 // request and answer between two nodes
+)
+
+// measure lets every node measure what piggybacked reports do not tell.
+func (r *runner) measure() {
+	if r.options.Policy != Current {
+		return
+	}
+	for _, s := range r.servers {
+		if r.options.Probe.ServerWanted(r.time(), r.timeAt(s.lastAnswer)) {
+			if s.budget.Probe(r.time()) {
+				s.lastAnswer = r.now
+			}
+		}
+	}
+	for _, e := range r.entries {
+		e.measure()
+	}
+}
+
+func (e *entry) measure() {
+	for _, s := range e.run.servers {
+		used, ok := e.lastUse[s.line.Service]
+		if !ok || s.announced.State != fleet.Ready {
+			continue
+		}
+		b := e.balancers[s.line.Service]
+		p := b.Endpoint(s.line.Node)
+		if p == nil || !e.run.options.Probe.ReportWanted(p.ReportAge(e.run.time()), e.run.now-used) {
+			continue
+		}
+		if !s.budget.Bytes(e.run.time(), nodeProbeBytes) {
+			continue
+		}
+		e.run.after(e.hop(s), func() {
+			report := s.report()
+			e.run.after(e.hop(s), func() { b.Observe(s.line.Node, e.run.time(), report) })
+		})
+	}
+}
--- /dev/null
+++ b/replay/replay_test.go
@@ -0,0 +1,119 @@
+package replay
+
+import (
+	"flag"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+var printTable = flag.Bool("table", false, "print the table of policies for every trace")
+
+// results keeps the replays that several tests look at.
+var results sync.Map
+
+func replayed(t *testing.T, name string, o Options) *Result {
+	t.Helper()
+	type key struct {
+		name string
+		o    Options
+	}
+	once, _ := results.LoadOrStore(key{name, o}, sync.OnceValues(func() (*Result, error) {
+		tr, err := Load(filepath.Join("testdata", name+".jsonl"))
+		if err != nil {
+			return nil, err
+		}
+		return Run(tr, o), nil
+	}))
+	r, err := once.(func() (*Result, error))()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func traces(t *testing.T) []string {
+	files, err := filepath.Glob("testdata/*.jsonl")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no traces: %v", err)
+	}
+	for i, f := range files {
+		files[i] = strings.TrimSuffix(filepath.Base(f), ".jsonl")
+	}
+	return files
+}
+
+// Prints the figures that commits and reports refer to.
+func TestTable(t *testing.T) {
+	if !*printTable {
+		t.Log("run with -v -table to print the table")
+		return
+	}
+	for _, name := range traces(t) {
+		for _, p := range Policies() {
+			t.Logf("%s\n%s", name, replayed(t, name, Options{Policy: p}).Table())
+		}
+		t.Logf("%s with hedge\n%s", name, replayed(t, name, Options{Policy: Current, Hedge: true}).Table())
+	}
+}
+
+// Guards against a replay whose figures differ between runs.
+func TestReplayIsDeterministic(t *testing.T) {
+	t.Parallel()
+	tr, err := Load("testdata/kandyan-late.jsonl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{Policy: Current, Hedge: true}
+	if a, b := Run(tr, o), Run(tr, o); !reflect.DeepEqual(a, b) {
+		t.Fatalf("two replays differ:\n%s%s", a.Table(), b.Table())
+	}
+}
+
+// Guards against more executions than slots, against work for a draining server
+// after 2 s, against lost requests, and against measuring beyond half the budget.
+func TestInvariantsHoldOnEveryTrace(t *testing.T) {
+	for _, name := range traces(t) {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkInvariants(t, replayed(t, name, Options{Policy: Current}))
+		})
+	}
+}
+
+func checkInvariants(t *testing.T, r *Result) {
+	if want := len(r.Trace.arrivals()); len(r.Records) != want {
+		t.Errorf("%d of %d requests ended", len(r.Records), want)
+	}
+	for _, s := range r.Servers {
+		if s.MaxRunning > s.Slots {
+			t.Errorf("%s ran %d requests in %d slots", s.Node, s.MaxRunning, s.Slots)
+		}
+		if s.LateOffers > 0 {
+			t.Errorf("%s received %d requests more than 2 s after its drain", s.Node, s.LateOffers)
+		}
+		if s.Spent.ProbeShare > 0.5 || s.Spent.ByteShare > 0.5 {
+			t.Errorf("%s spent shares of %.2f of its probes and %.2f of its bytes", s.Node, s.Spent.ProbeShare, s.Spent.ByteShare)
+		}
+	}
+}
+
+// Guards against malformed traces being accepted or crashing the parser.
+func FuzzParse(f *testing.F) {
+	f.Add(`{"kind":"deployment","entries":1,"for":"1s"}`)
+	f.Add(`{"kind":"drain","node":"absent"}`)
+	f.Add("{\"kind\":\"deployment\",\"entries\":1,\"for\":\"1s\"}\n{\"kind\":\"class\",\"name\":\"a\"}")
+	f.Add(`{"kind":"class","service_time":"1ms","deadline":"1ms","spread":1e308}`)
+	f.Fuzz(func(t *testing.T, s string) {
+		tr, err := Parse(strings.NewReader(s))
+		if err != nil {
+			return
+		}
+		if tr.Deployment.Entries < 1 || tr.Deployment.For <= 0 || tr.Deployment.For.Std() > 10*time.Minute {
+			t.Fatalf("accepted deployment %+v", tr.Deployment)
+		}
+	})
+}
--- /dev/null
+++ b/replay/result.go
@@ -0,0 +1,117 @@
+package replay
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/probe"
+)
+
+// Record is the end of one request.
+type Record struct {
+	Class   int
+	At      time.Duration
+	Latency time.Duration
+	Kind    errkind.Kind // empty: answered
+}
+
+// ServerResult is what happened at one server.
+type ServerResult struct {
+	Node       fleet.NodeID
+	Offers     int // attempts that arrived
+	MaxRunning int
+	Slots      int
+	LateOffers int // arrived more than 2 s after the start of a drain
+	Spent      probe.Spent
+}
+
+// Result is the outcome of a replay.
+type Result struct {
+	Trace   *Trace
+	Policy  Policy
+	Records []Record
+	Servers []ServerResult
+	Retries int
+	Hedges  int
+}
+
+func (r *Result) add(rec Record) { r.Records = append(r.Records, rec) }
+
+func (r *Result) collect(run *runner) {
+	for _, s := range run.servers {
+		r.Servers = append(r.Servers, ServerResult{
+			Node: s.line.Node, Offers: s.offers, MaxRunning: s.maxRunning,
+			Slots:      s.controller.Load(run.time()).Slots,
+			LateOffers: s.lateOffers, Spent: s.budget.Spent(run.timeAt(r.Trace.Deployment.For.Std())),
+		})
+	}
+}
+
+// Between returns the records of a class that arrived in a period.
+func (r *Result) Between(class string, from, to time.Duration) []Record {
+	var out []Record
+	i := r.Trace.class(class)
+	for _, rec := range r.Records {
+		if rec.Class == i && rec.At >= from && rec.At < to {
+			out = append(out, rec)
+		}
+	}
+	return out
+}
+
+// Of returns all records of a class.
+func (r *Result) Of(class string) []Record { return r.Between(class, 0, r.Trace.Deployment.For.Std()) }
+
+// Quantile returns a quantile of the latency. A request that ended at its
+// deadline counts with its latency; one that was refused has none.
+func Quantile(records []Record, q float64) time.Duration {
+	var all []time.Duration
+	for _, r := range records {
+		if r.Kind == "" || r.Kind == errkind.DeadlineExceeded {
+			all = append(all, r.Latency)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[min(int(q*float64(len(all))), len(all)-1)]
+}
+
+// Answered returns the number of answered requests.
+func Answered(records []Record) int {
+	n := 0
+	for _, r := range records {
+		if r.Kind == "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Table returns one line for each class: quantiles, requests without an answer,
+// and the cost of measuring for each server.
+func (r *Result) Table() string {
+	var b strings.Builder
+	var probes, bytes uint64
+	var share float64
+	for _, s := range r.Servers {
+		probes, bytes = max(probes, s.Spent.Probes), max(bytes, s.Spent.Bytes)
+		share = max(share, s.Spent.ProbeShare)
+	}
+	for _, c := range r.Trace.Classes {
+		recs := r.Of(c.Name)
+		fmt.Fprintf(&b, "%-12s %-10s n=%-6d p50=%-8s p99=%-8s p99.9=%-8s unanswered=%-5d retries=%d hedges=%d probes/server=%d bytes/server=%d probe-share=%.2f\n",
+			r.Policy, c.Name, len(recs), millis(Quantile(recs, 0.5)), millis(Quantile(recs, 0.99)), millis(Quantile(recs, 0.999)),
+			len(recs)-Answered(recs), r.Retries, r.Hedges, probes, bytes, share)
+	}
+	return b.String()
+}
+
+func millis(d time.Duration) string {
+	return fmt.Sprintf("%.1fms", float64(d)/float64(time.Millisecond))
+}
--- /dev/null
+++ b/replay/run.go
@@ -0,0 +1,181 @@
+package replay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bramleymill/admit"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/pick"
+	"bramleymill/probe"
+	"bramleymill/retry"
+)
+
+// epoch is the wall clock at the start of a trace.
+var epoch = time.Unix(1_700_000_000, 0)
+
+// Options select what is replayed.
+type Options struct {
+	Policy Policy
+	Hedge  bool
+	Pick   pick.Config
+	Admit  admit.Config // limits come from the trace
+	Retry  retry.Config
+	Probe  probe.Config
+}
+
+// runner holds the state of one replay.
+type runner struct {
+	events
+	trace    *Trace
+	options  Options
+	servers  []*server
+	byNode   map[fleet.NodeID]*server
+	entries  []*entry
+	underWay map[*server][]*attempt // sent and not yet arrived
+	nextID   uint64
+	result   *Result
+}
+
+// Run replays a trace with a policy.
+func Run(t *Trace, o Options) *Result {
+	r := &runner{
+		trace: t, options: o,
+		byNode:   map[fleet.NodeID]*server{},
+		underWay: map[*server][]*attempt{},
+		result:   &Result{Trace: t, Policy: o.Policy},
+	}
+	r.options.Probe = o.Probe.WithDefaults()
+	r.addServers()
+	r.addEntries()
+	for _, a := range t.arrivals() {
+		r.at(a.at, func() { r.entries[a.entry].arrive(a) })
+	}
+	r.schedule()
+	r.run()
+	r.result.collect(r)
+	return r.result
+}
+
+func (r *runner) time() time.Time                  { return epoch.Add(r.now) }
+func (r *runner) timeAt(t time.Duration) time.Time { return epoch.Add(t) }
+
+func (r *runner) addServers() {
+	for i := range r.trace.Servers {
+		l := &r.trace.Servers[i]
+		c := r.options.Admit
+		c.Slots, c.Connections, c.QueueLength = l.Slots, l.Connections, 2*l.Slots
+		s := &server{
+			run: r, line: l, controller: admit.NewController(c),
+			budget:   probe.NewBudget(epoch, probe.Limits{ProbesPerSecond: r.trace.Deployment.ProbesPerSecond, BytesPerSecond: r.trace.Deployment.BytesPerSecond}),
+			attempts: map[uint64]*attempt{}, drainAt: -1,
+			announced: fleet.Server{
+				Node: l.Node, Incarnation: 1, Sequence: 1, Service: l.Service, Zone: l.Zone,
+				State: fleet.Ready, Slots: l.Slots, ReadySince: epoch.Add(-time.Hour).UnixMilli(),
+			},
+		}
+		r.servers = append(r.servers, s)
+		r.byNode[l.Node] = s
+	}
+	for _, e := range r.trace.Events {
+		if e.Kind == KindCold {
+			r.byNode[e.Node].announced.State = fleet.Starting
+		}
+	}
+}
+
+func (r *runner) addEntries() {
+	for i := range r.trace.Deployment.Entries {
+		e := &entry{
+			run: r, zone: r.servers[i%len(r.servers)].line.Zone,
+			rng:       rand.New(rand.NewPCG(r.trace.Deployment.Seed, 1000+uint64(i))),
+			balancers: map[string]*pick.Balancer{}, ready: map[string][]*server{},
+			lastUse: map[string]time.Duration{}, turn: map[string]int{}, inFlight: map[*server]int{},
+		}
+		for range r.trace.Classes {
+			e.policies = append(e.policies, retry.New(epoch, r.options.Retry))
+		}
+		for _, s := range r.servers {
+			if e.balancers[s.line.Service] == nil {
+				e.balancers[s.line.Service] = pick.New(r.options.Pick)
+			}
+		}
+		r.entries = append(r.entries, e)
+		e.update()
+	}
+}
+
+// update publishes the current announcements to the entry node.
+func (e *entry) update() {
+	for service, b := range e.balancers {
+		var list []fleet.Server
+		e.ready[service] = nil
+		for _, s := range e.run.servers {
+			if s.line.Service != service {
+				continue
+			}
+			list = append(list, s.announced)
+			if s.announced.State == fleet.Ready {
+				e.ready[service] = append(e.ready[service], s)
+			}
+		}
+		b.Update(e.run.time(), list, e.zone)
+	}
+}
+
+// Times in which a change of a server's state reaches the entry nodes.
+const (
+	fastestUpdate = 100 * time.Millisecond
+	slowestUpdate = 1500 * time.Millisecond
+)
+
+func (r *runner) announce(s *server, state fleet.ServerState) {
+	s.announced.State = state
+	s.announced.Sequence++
+	s.announced.ReadySince = r.time().UnixMilli()
+	for i, e := range r.entries {
+		spread := slowestUpdate - fastestUpdate
+		r.after(fastestUpdate+spread*time.Duration(i)/time.Duration(len(r.entries)), e.update)
+	}
+}
+
+func (r *runner) schedule() {
+	for i := range r.trace.Events {
+		e := &r.trace.Events[i]
+		switch e.Kind {
+		case KindDrain:
+			s := r.byNode[e.Node]
+			r.at(e.At.Std(), func() {
+				s.drainAt = r.now
+				s.perform(s.controller.Close(errkind.Draining))
+				r.announce(s, fleet.Draining)
+			})
+		case KindCold:
+			r.at(e.At.Std(), func() { r.announce(r.byNode[e.Node], fleet.Ready) })
+		}
+	}
+	for t := checkEvery; t < r.trace.Deployment.For.Std(); t += checkEvery {
+		r.at(t, r.measure)
+	}
+}
+
+// lateness returns the delay of reports now.
+func (r *runner) lateness() time.Duration {
+	for i := range r.trace.Events {
+		if e := &r.trace.Events[i]; e.Kind == KindLate && e.active(r.now) {
+			return e.Delay.Std()
+		}
+	}
+	return 0
+}
+
+func (r *runner) arrived(s *server, a *attempt) {
+	list := r.underWay[s]
+	for i := range list {
+		if list[i] == a {
+			r.underWay[s] = append(list[:i:i], list[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/replay/trace.go
@@ -0,0 +1,174 @@
+package replay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"bramleymill/fleet"
+	"bramleymill/strictjson"
+)
+
+// Kind names the kind of a line of a trace.
+type Kind string
+
+// The kinds of lines. A disturbance lasts from At for the time For.
+const (
+	KindDeployment Kind = "deployment" // Name, Seed, Entries, For, ZoneDelay, ProbesPerSecond, BytesPerSecond
+	KindServer     Kind = "server"     // Node, Service, Zone, Slots, Connections
+	KindClass      Kind = "class"      // Name, Service, Urgency, Idempotent, Internal, Deadline, ServiceTime, Spread
+	KindLoad       Kind = "load"       // At, Name of a class, PerSecond until the next load line of the class
+	KindSwing      Kind = "swing"      // At, For, Node, Factor of the service time
+	KindStraggler  Kind = "straggler"  // as swing
+	KindDrain      Kind = "drain"      // At, Node
+	KindCold       Kind = "cold"       // At, For, Node joins; Factor falls to 1
+	KindFail       Kind = "fail"       // At, For, Node; Factor is the share of requests that fail at once
+	KindLate       Kind = "late"       // At, For; reports arrive later by Delay
+)
+
+// Line is one line of a trace. Fields that its kind does not use are empty.
+type Line struct {
+	Kind            Kind                `json:"kind"`
+	Name            string              `json:"name,omitempty"`
+	Seed            uint64              `json:"seed,omitempty"`
+	Entries         int                 `json:"entries,omitempty"`
+	At              strictjson.Duration `json:"at,omitempty"`
+	For             strictjson.Duration `json:"for,omitempty"`
+	ZoneDelay       strictjson.Duration `json:"zone_delay,omitempty"` // one way between zones
+	ProbesPerSecond float64             `json:"probes_per_second,omitempty"`
+	BytesPerSecond  int64               `json:"bytes_per_second,omitempty"`
+	Node            fleet.NodeID        `json:"node,omitempty"`
+	Service         string              `json:"service,omitempty"`
+	Zone            string              `json:"zone,omitempty"`
+	Slots           int                 `json:"slots,omitempty"`
+	Connections     int                 `json:"connections,omitempty"`
+	Urgency         fleet.Urgency       `json:"urgency,omitempty"`
+	Idempotent      bool                `json:"idempotent,omitempty"`
+	Internal        bool                `json:"internal,omitempty"`
+	Deadline        strictjson.Duration `json:"deadline,omitempty"`
+	ServiceTime     strictjson.Duration `json:"service_time,omitempty"` // mean
+	Spread          float64             `json:"spread,omitempty"`       // of the logarithm of the service time
+	PerSecond       float64             `json:"per_second,omitempty"`
+	Factor          float64             `json:"factor,omitempty"`
+	Delay           strictjson.Duration `json:"delay,omitempty"`
+}
+
+// active reports whether a disturbance is in force at a time of the trace.
+func (l *Line) active(t time.Duration) bool {
+	return t >= l.At.Std() && t < l.At.Std()+l.For.Std()
+}
+
+// Trace is a parsed trace.
+type Trace struct {
+	Deployment Line
+	Servers    []Line
+	Classes    []Line
+	Loads      []Line
+	Events     []Line // disturbances
+}
+
+// Limits of a trace, so that a mistyped file does not exhaust memory.
+const (
+	maxEntries  = 1000
+	maxRequests = 2_000_000
+	maxDuration = 10 * time.Minute
+)
+
+// Load parses the trace file at path.
+func Load(path string) (*Trace, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("open trace: %w", err)
+	}
+	defer f.Close()
+	t, err := Parse(f)
+	if err != nil {
+		return nil, fmt.Errorf("trace %s: %w", path, err)
+	}
+	return t, nil
+}
+
+// Parse reads a trace and checks that its lines refer to each other.
+func Parse(r io.Reader) (*Trace, error) {
+	t := &Trace{}
+	s := bufio.NewScanner(r)
+	for n := 1; s.Scan(); n++ {
+		var l Line
+		if err := strictjson.Decode(s.Bytes(), &l); err != nil {
+			return nil, fmt.Errorf("line %d: %w", n, err)
+		}
+		if err := t.add(l); err != nil {
+			return nil, fmt.Errorf("line %d: %w", n, err)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return nil, fmt.Errorf("read trace: %w", err)
+	}
+	return t, t.check()
+}
+
+func (t *Trace) add(l Line) error {
+	switch l.Kind {
+	case KindDeployment:
+		t.Deployment = l
+	case KindServer:
+		t.Servers = append(t.Servers, l)
+	case KindClass:
+		t.Classes = append(t.Classes, l)
+	case KindLoad:
+		if t.class(l.Name) < 0 {
+			return fmt.Errorf("load of unknown class %q", l.Name)
+		}
+		t.Loads = append(t.Loads, l)
+	case KindLate:
+		t.Events = append(t.Events, l)
+	case KindSwing, KindStraggler, KindDrain, KindCold, KindFail:
+		if t.server(l.Node) < 0 {
+			return fmt.Errorf("%s of unknown server %q", l.Kind, l.Node)
+		}
+		t.Events = append(t.Events, l)
+	default:
+		return fmt.Errorf("unknown kind %q", l.Kind)
+	}
+	return nil
+}
+
+func (t *Trace) check() error {
+	d := t.Deployment
+	if d.Entries < 1 || d.Entries > maxEntries || d.For <= 0 || d.For.Std() > maxDuration {
+		return fmt.Errorf("deployment: entries must be 1 to %d, and for above 0 and at most %v", maxEntries, maxDuration)
+	}
+	expected := 0.0
+	for _, l := range t.Loads {
+		expected += l.PerSecond * d.For.Std().Seconds()
+	}
+	if expected > maxRequests {
+		return fmt.Errorf("%.0f requests exceed the limit of %d", expected, maxRequests)
+	}
+	for _, c := range t.Classes {
+		if c.ServiceTime <= 0 || c.Deadline <= 0 || c.Spread < 0 {
+			return fmt.Errorf("class %s: service_time and deadline must be positive", c.Name)
+		}
+	}
+	return nil
+}
+
+func (t *Trace) class(name string) int {
+	for i := range t.Classes {
+		if t.Classes[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (t *Trace) server(node fleet.NodeID) int {
+	for i := range t.Servers {
+		if t.Servers[i].Node == node {
+			return i
+		}
+	}
+	return -1
+}
