Estimate service times from load reports

Cause: the time of an answer at its server contains its wait in the queue, and the cost multiplies the estimate by the queue again. Each selecting node also sees only its own share of the answers. Change: the mean service time of a load report replaces the estimate; the times of answers count only without a report. Ruled out: dividing the time of an answer by the reported queue, because the report describes the end of the request and not its arrival.

--- a/pick/load.go
+++ b/pick/load.go
@@ -140,6 +140,10 @@
 	if r.Slots > 0 {
 		l.slots.Store(int64(r.Slots))
 	}
+	if r.ServiceTime > 0 {
+		l.service.Store(float64(r.ServiceTime))
+		l.serviceAt.Store(now)
+	}
 	l.baseline.Store(l.started.Load())
 	l.reportAt.Store(now)
 	l.draining.Store(r.Draining)
--- a/pick/result.go
+++ b/pick/result.go
@@ -110,7 +110,9 @@
 	}
 	switch r.Outcome {
 	case Succeeded:
-		e.load.served(t, at)
+		if r.Report == nil || r.Report.ServiceTime <= 0 {
+			e.load.served(t, at)
+		}
 		mean := b.service.Load()
 		b.service.Store(mean + poolWeight*(float64(at)-mean))
 	case Canceled, Failed:
