Weigh the age of outstanding requests more in selection

Cause: a straggler sends neither answers nor reports, so that the age of the oldest outstanding request is the first sign of it. An age below the usual service time changed nothing. Change: the age counts 1.5 times, because the request has still to end.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -136,9 +136,13 @@
 	return c0 + l.failureRate(t, int64(c.FailureTrust))*float64(c.FailurePenalty)
 }
 
+// outstandingFactor is the expected service time of a server in multiples of the
+// age of its oldest outstanding request, which has still to end.
+const outstandingFactor = 1.5
+
 // serviceTime returns the estimate of l, which returns to the mean of the pool
-// as it ages, so that a straggler is eventually tried again. The age of the
-// oldest outstanding request is a lower bound of the service time it will show.
+// as it ages, so that a straggler is eventually tried again. The oldest
+// outstanding request raises it before any answer tells that the server is slow.
 func (b *Balancer) serviceTime(l *load, t int64) float64 {
 	mean := b.service.Load()
 	service := l.service.Load()
@@ -147,5 +151,5 @@
 	} else {
 		service = mean + (service-mean)*decay(t-l.serviceAt.Load(), int64(b.config.EstimateTrust))
 	}
-	return max(service, float64(l.oldest(t)))
+	return max(service, outstandingFactor*float64(l.oldest(t)))
 }
