--- a/proxy/backend.go
+++ b/proxy/backend.go
@@ -62,7 +62,9 @@
 	})
 	defer b.tokens.revoke(token)
 	for try := 1; ; try++ {
-		x := &exchange{call: c, scheme: "http", host: b.address, header: b.header(c, token), expect: c.Body.Expect}
+		x := &exchange{call: c, scheme: "http", host: b.address, header: b.header(c, token),
+			expect: c.Body.Expect, expectTimeout: backendExpectTimeout, done: make(chan struct{})}
+		defer x.end()
 		resp, written, err := x.roundTrip(b.transport)
 		switch {
 		case err == nil:
@@ -94,6 +96,10 @@
 		c.HeadAt = time.Time{}
 		return errkind.New(errkind.Draining, "the backend server is draining")
 	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		_ = resp.Body.Close()
+		return errkind.New(errkind.ConnectionLost, "the backend server switched protocols without being asked")
+	}
 	life := b.monitor.Life()
 	return relay(c, resp, endToEnd(resp.Header), func() error {
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && b.monitor.Died(c.Ctx, life) {
