Add a link stand-in and the advertised address

Cause: partitions between real processes need something between them that drops, delays and duplicates. Change: package faultlink; setting advertised_address, under which a node that listens behind a link or address translation is reached.

--- /dev/null
+++ b/faultlink/link.go
@@ -0,0 +1,135 @@
+package faultlink
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// maxDatagram is the largest payload of a UDP datagram.
+const maxDatagram = 64 << 10
+
+// Link passes traffic for one node on.
+type Link struct {
+	target   string
+	udp      net.PacketConn
+	tcp      net.Listener
+	faults   *faults
+	mu       sync.Mutex
+	sessions map[string]*net.UDPConn
+	conns    map[net.Conn]struct{}
+	closed   bool
+	done     sync.WaitGroup
+}
+
+// Open listens on address for UDP and TCP and passes traffic on to target.
+func Open(address, target string, seed uint64) (*Link, error) {
+	tcp, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("open link: %w", err)
+	}
+	udp, err := net.ListenPacket("udp", tcp.Addr().String())
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("open link: %w", err), tcp.Close())
+	}
+	l := &Link{target: target, udp: udp, tcp: tcp, faults: newFaults(seed),
+		sessions: map[string]*net.UDPConn{}, conns: map[net.Conn]struct{}{}}
+	l.done.Go(l.receive)
+	l.done.Go(l.accept)
+	return l, nil
+}
+
+// Address returns the address that the link listens on.
+func (l *Link) Address() string { return l.tcp.Addr().String() }
+
+// Set replaces the faults of datagrams in a direction. An empty source applies
+// to all senders without faults of their own.
+func (l *Link) Set(source string, d Direction, f Faults) {
+	l.faults.set(source, d, f)
+	if source == "" && f.Drop >= 1 {
+		l.closeConnections()
+	}
+}
+
+// Heal removes all faults.
+func (l *Link) Heal() { l.faults.clear() }
+
+// Close ends the link and everything that it carries.
+func (l *Link) Close() error {
+	l.mu.Lock()
+	l.closed = true
+	for _, s := range l.sessions {
+		s.Close()
+	}
+	l.mu.Unlock()
+	l.closeConnections()
+	err := errors.Join(l.udp.Close(), l.tcp.Close())
+	l.done.Wait()
+	return err
+}
+
+func (l *Link) receive() {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := l.udp.ReadFrom(buffer)
+		if err != nil {
+			return
+		}
+		s, err := l.session(from)
+		if err != nil {
+			continue
+		}
+		l.deliver(from.String(), Forward, buffer[:n], func(b []byte) { s.Write(b) })
+	}
+}
+
+func (l *Link) session(from net.Addr) (*net.UDPConn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s, ok := l.sessions[from.String()]; ok {
+		return s, nil
+	}
+	if l.closed {
+		return nil, net.ErrClosed
+	}
+	to, err := net.ResolveUDPAddr("udp", l.target)
+	if err != nil {
+		return nil, err
+	}
+	s, err := net.DialUDP("udp", nil, to)
+	if err != nil {
+		return nil, err
+	}
+	l.sessions[from.String()] = s
+	l.done.Go(func() { l.answer(s, from) })
+	return s, nil
+}
+
+// answer passes datagrams back. A read error that is not the end of the session,
+// such as a refused port while the node restarts, is passed over.
+func (l *Link) answer(s *net.UDPConn, to net.Addr) {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, err := s.Read(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		l.deliver(to.String(), Backward, buffer[:n], func(b []byte) { l.udp.WriteTo(b, to) })
+	}
+}
+
+func (l *Link) deliver(source string, d Direction, b []byte, send func([]byte)) {
+	for _, delay := range l.faults.plan(source, d) {
+		if delay == 0 {
+			send(b)
+			continue
+		}
+		late := append([]byte(nil), b...)
+		time.AfterFunc(delay, func() { send(late) })
+	}
+}
--- a/node/control.go
+++ b/node/control.go
@@ -41,7 +41,7 @@
 	claimSet *claim.Machine
 	bundle   atomic.Pointer[encodedBundle]
 	proved   atomic.Pointer[time.Time] // start of the newest successful confirmation as a follower
-	changed  func() // wakes the membership
+	changed  func()                    // wakes the membership
 	limits   claim.Limits
 	logger   *slog.Logger
 }
@@ -78,7 +78,7 @@
 	return replica.Open(replica.Config{
 		Group:         group,
 		Node:          nodeID(s),
-		Address:       s.PeerAddress,
+		Address:       s.AdvertisedAddress,
 		Folder:        s.Control.DataFolder,
 		Machine:       machine,
 		Client:        client,
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -109,7 +109,7 @@
 	files := keys.FilesOf(f.keys, name)
 	f.settings = append(f.settings, &settings.Settings{
 		Node: string(name), Region: "r", Zone: fmt.Sprintf("z%d", i),
-		CallerAddress: freePort(f.t), PeerAddress: seeds[i], AdminAddress: freePort(f.t), ServiceAddress: freePort(f.t),
+		CallerAddress: freePort(f.t), PeerAddress: seeds[i], AdvertisedAddress: seeds[i], AdminAddress: freePort(f.t), ServiceAddress: freePort(f.t),
 		Seeds:        seeds,
 		Backend:      &settings.Backend{Service: "shop", Address: f.backends[i].Address(), Slots: 10, Connections: 250, QueueLength: 20, HealthPath: "/health", LoadPath: "/load", CheckEvery: strictjson.Duration(time.Second)},
 		Control:      &settings.Control{DataFolder: f.t.TempDir(), MaxChildren: 48, MaxClaims: 1000, MaxClaimBytes: 1 << 20, ClaimRetention: strictjson.Duration(time.Hour), SnapshotInterval: 1000},
--- a/node/node.go
+++ b/node/node.go
@@ -134,7 +134,7 @@
 		Sequence:    1,
 		Region:      s.Region,
 		Zone:        s.Zone,
-		PeerAddress: s.PeerAddress,
+		PeerAddress: s.AdvertisedAddress,
 		State:       fleet.Starting,
 		Control:     s.Control != nil,
 	}
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -22,6 +22,9 @@
 	if s.DrainTimeout == 0 {
 		s.DrainTimeout = strictjson.Duration(DefaultDrainTimeout)
 	}
+	if s.AdvertisedAddress == "" {
+		s.AdvertisedAddress = s.PeerAddress
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = "info"
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -12,21 +12,22 @@
 
 // Settings are the static settings of one node.
 type Settings struct {
-	Node           string              `json:"node"`
-	Region         string              `json:"region"`
-	Zone           string              `json:"zone"`
-	CallerAddress  string              `json:"caller_address"`            // HTTP for callers
-	ServiceAddress string              `json:"service_address,omitempty"` // HTTP for calls by the own backend server
-	PeerAddress    string              `json:"peer_address"`              // TCP and UDP, other nodes
-	AdminAddress   string              `json:"admin_address"`             // operator interface and metrics
-	MetricsAddress string              `json:"metrics_address,omitempty"` // plain HTTP, metrics only
-	Backend        *Backend            `json:"backend,omitempty"`
-	Control        *Control            `json:"control,omitempty"`
-	Seeds          []string            `json:"seeds"` // peer addresses of control instances
-	Keys           Keys                `json:"keys"`
-	DrainTimeout   strictjson.Duration `json:"drain_timeout,omitempty"`
-	RecordFile     string              `json:"record_file,omitempty"` // decision record for replay
-	LogLevel       string              `json:"log_level,omitempty"`
+	Node              string              `json:"node"`
+	Region            string              `json:"region"`
+	Zone              string              `json:"zone"`
+	CallerAddress     string              `json:"caller_address"`               // HTTP for callers
+	ServiceAddress    string              `json:"service_address,omitempty"`    // HTTP for calls by the own backend server
+	PeerAddress       string              `json:"peer_address"`                 // TCP and UDP, other nodes
+	AdvertisedAddress string              `json:"advertised_address,omitempty"` // at which other nodes reach peer_address; the same if empty
+	AdminAddress      string              `json:"admin_address"`                // operator interface and metrics
+	MetricsAddress    string              `json:"metrics_address,omitempty"`    // plain HTTP, metrics only
+	Backend           *Backend            `json:"backend,omitempty"`
+	Control           *Control            `json:"control,omitempty"`
+	Seeds             []string            `json:"seeds"` // peer addresses of control instances
+	Keys              Keys                `json:"keys"`
+	DrainTimeout      strictjson.Duration `json:"drain_timeout,omitempty"`
+	RecordFile        string              `json:"record_file,omitempty"` // decision record for replay
+	LogLevel          string              `json:"log_level,omitempty"`
 }
 
 // Backend describes the backend server beside the node.
@@ -95,6 +96,7 @@
 	checkAddress(&errs, "caller_address", s.CallerAddress, true)
 	checkAddress(&errs, "peer_address", s.PeerAddress, true)
 	checkAddress(&errs, "admin_address", s.AdminAddress, true)
+	checkAddress(&errs, "advertised_address", s.AdvertisedAddress, false)
 	checkAddress(&errs, "service_address", s.ServiceAddress, false)
 	checkAddress(&errs, "metrics_address", s.MetricsAddress, false)
 	s.checkDistinct(&errs)
