Make the keys of the demo with one command

Cause: 'keys issue' takes the name as an argument; the script used a flag. Ruled out: an alias flag.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -73,13 +73,11 @@
 seeds=$(printf '"%s",' "${peer[${controls[0]}]}" "${peer[${controls[1]}]}" "${peer[${controls[2]}]}")
 seeds=${seeds%,}
 
-"$bin/bramleymillctl" keys init --folder "$run/keys" >/dev/null
+fleet=(operator-1:operator)
 for id in "${names[@]}"; do
-  role=node
-  if is_control "$id"; then role=control; fi
-  "$bin/bramleymillctl" keys issue --folder "$run/keys" --name "$id" --role "$role" --ip "$host" >/dev/null
+  if is_control "$id"; then fleet+=("$id:control"); else fleet+=("$id"); fi
 done
-"$bin/bramleymillctl" keys issue --folder "$run/keys" --name operator-1 --role operator >/dev/null
+"$bin/bramleymillctl" keys fleet --folder "$run/keys" "${fleet[@]}" >/dev/null
 
 write_settings() {
   local id=$1 control=""
