Serve the thin whole path in separate processes

Cause: everything else grows on a request served end to end. Change: a small operator interface (init, apply, status) and command, until the full one lands; the demo waits for the processes. Ruled out: starting the log without an operator's command, because a lost disk could then found a second fleet.

--- a/cmd/bramleymillctl/main.go
+++ b/cmd/bramleymillctl/main.go
@@ -15,6 +15,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newKeysCommand())
+	addThinCommands(root)
 	return root
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -123,6 +123,7 @@
 		add("service_address", s.ServiceAddress, p.Service(), nil),
 		add("peer_address", s.PeerAddress, p.Peer(), n.keys.PeerServer()),
 		add("metrics_address", s.MetricsAddress, n.metrics.Handler(), nil),
+		add("admin_address", s.AdminAddress, n.adminHandler(), n.keys.AdminServer()),
 	)
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -126,7 +126,19 @@
 done
 for id in "${names[@]}"; do start_node "$id"; done
 
-ctl init
+# Tries a command again while processes start.
+eventually() {
+  local n
+  for ((n = 0; n < 100; n++)); do
+    if "$@" >"$run/logs/last-try.log" 2>&1; then return 0; fi
+    sleep 0.1
+  done
+  cat "$run/logs/last-try.log" >&2
+  return 1
+}
+
+eventually ctl init
+sleep 2
 ctl apply "examples/$deployment/classes.json" --wait --reason "first classes"
 
 all_callers=$(for id in "${names[@]}"; do printf '"%s",' "${caller[$id]}"; done)
