Bound each step of a stop and close listeners side by side

Cause: one time limit was shared by all steps, so that idle connections of other nodes used it up and three nodes exited with an error. Change: each step has its own limit; a failed step after the drain is a warning. Ruled out: a longer shared limit; the last control instance can never hand over.

--- a/node/control.go
+++ b/node/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -180,9 +181,13 @@
 
 // close hands leadership over and closes the replicas.
 func (c *control) close(ctx context.Context) error {
-	err := errors.Join(c.config.TransferAndClose(ctx), c.claims.TransferAndClose(ctx))
+	var config, claims error
+	var closing sync.WaitGroup
+	closing.Go(func() { config = c.config.TransferAndClose(ctx) })
+	closing.Go(func() { claims = c.claims.TransferAndClose(ctx) })
+	closing.Wait()
 	c.host.Close()
-	return err
+	return errors.Join(config, claims)
 }
 
 var _ member.ConfigSource = (*control)(nil)
--- a/node/run.go
+++ b/node/run.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net/http"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -21,8 +22,8 @@
 
 	usageInterval = 5 * time.Second
 
-	// closeTimeout bounds the steps of a stop that follow the drain.
-	closeTimeout = 3 * time.Second
+	// closeTimeout bounds each step of a stop that follows the drain.
+	closeTimeout = time.Second
 )
 
 func (n *Node) start() (*running, error) {
@@ -167,19 +168,35 @@
 	for _, c := range report.CutOff {
 		n.logger.Warn("request cut off", "method", c.Method, "path", c.Path)
 	}
-	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancelClosing()
-	var errs []error
-	for _, l := range r.listeners {
-		errs = append(errs, l.shutdown(closing))
-	}
+	n.closeListeners(r)
 	r.proxy.Close()
-	errs = append(errs, n.member.Leave(closing))
+	n.step("announce departure", n.member.Leave)
 	if n.control != nil {
-		errs = append(errs, n.control.close(closing))
+		n.step("hand leadership over", n.control.close)
 	}
 	r.cancel()
-	errs = append(errs, n.endpoint.Close(closing), n.metrics.Close())
+	n.step("close endpoint", n.endpoint.Close)
 	n.logger.Info("node stopped", "drain", report.Duration, "cut_off", len(report.CutOff))
-	return errors.Join(errs...)
+	return n.metrics.Close()
+}
+
+// closeListeners closes the listeners side by side. After the drain only idle
+// connections are left, some of which http.Server counts as new for seconds.
+func (n *Node) closeListeners(r *running) {
+	var closing sync.WaitGroup
+	for _, l := range r.listeners {
+		closing.Go(func() { n.step("close "+l.name, l.shutdown) })
+	}
+	closing.Wait()
+}
+
+// step runs one step of a stop within closeTimeout. A step that fails, such as
+// announcing the departure when no other node is left, does not make the stop
+// ungraceful, because no work is lost by it.
+func (n *Node) step(name string, f func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := f(ctx); err != nil {
+		n.logger.Warn("step of the stop failed", "step", name, "error", err)
+	}
 }
