proxy: test trust, hedging, crashes and draining

Cause: these promises had no tests. They showed that a confined attempt that was refused before it ran was not made elsewhere.

Change: a positive refusal of a confined attempt may be followed by another one; a cancelled request is blamed for 10 s, because a backend server may run it on and die later; tests for forged headers, proof of internal calls, limits of the call tree, hedges, crashes, drains and the monitor.

--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -101,12 +101,14 @@
 		return false, ""
 	}
 	now := f.clock.Now()
+	e := errkind.Of(err)
 	failure := retry.Failure{
-		Kind:       errkind.Of(err).Kind,
+		Kind:       e.Kind,
 		Idempotent: c.Class.Idempotent,
 		BytesSent:  !r.open(),
-		Confined:   c.Meta.Confined,
-		Remaining:  c.Deadline.Sub(now),
+		// A confined attempt that was refused has not been made.
+		Confined:  c.Meta.Confined && !e.ProvedNotRun(),
+		Remaining: c.Deadline.Sub(now),
 	}
 	if isNoServer(err) || !c.Body.Replayable() || c.Ctx.Err() != nil {
 		return false, failure.Kind
--- a/filter/crashguard.go
+++ b/filter/crashguard.go
@@ -48,11 +48,22 @@
 
 	mu       sync.Mutex
 	inFlight map[*guarded]struct{}
+	recent   []*guarded               // cancelled, oldest first
 	reported map[uint64]chan struct{} // by life; closed when the report was made
 }
 
 // guarded is a request in flight at one life of the backend server.
-type guarded struct{ report fleet.CrashReport }
+type guarded struct {
+	report fleet.CrashReport
+	until  time.Time // end of the blame for a cancelled request
+}
+
+// A cancelled request may still run at a backend server that does not honour
+// the cancellation, and crash it later.
+const (
+	cancelledBlame = 10 * time.Second
+	maxCancelled   = 128
+)
 
 // CrashGuardConfig holds what a CrashGuard needs.
 type CrashGuardConfig struct {
@@ -85,9 +96,9 @@
 		return errkind.New(errkind.CrashSuspect, "the request is suspected of crashing a %s server and is not confined", f.service)
 	}
 	g := f.enter(c)
-	defer f.leave(g)
 	start := f.clock.Now()
 	err := f.next.Serve(c)
+	defer func() { f.leave(g, c.Ctx.Err() != nil && !errkind.Of(err).ProvedNotRun()) }()
 	if err == nil {
 		if clearance, ok := f.suspects.Finished(f.clock.Now(), key, start); ok {
 			f.publisher.ReportClear(clearance)
@@ -101,7 +112,7 @@
 }
 
 func (f *CrashGuard) enter(c *Call) *guarded {
-	g := &guarded{fleet.CrashReport{Service: f.service, Fingerprint: c.Meta.Fingerprint, Node: f.node, Incarnation: f.inc,
+	g := &guarded{report: fleet.CrashReport{Service: f.service, Fingerprint: c.Meta.Fingerprint, Node: f.node, Incarnation: f.inc,
 		Life: f.liveness.Life(), Confined: c.Meta.Confined, Class: c.Meta.Class, Path: c.Request.URL.Path}}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -109,10 +120,18 @@
 	return g
 }
 
-func (f *CrashGuard) leave(g *guarded) {
+func (f *CrashGuard) leave(g *guarded, cancelled bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.inFlight, g)
+	if !cancelled {
+		return
+	}
+	g.until = f.clock.Now().Add(cancelledBlame)
+	if len(f.recent) >= maxCancelled {
+		f.recent = append(f.recent[:0], f.recent[1:]...)
+	}
+	f.recent = append(f.recent, g)
 }
 
 // Report reports the requests that were in flight when a life ended, once for
@@ -149,11 +168,19 @@
 func (f *CrashGuard) blame(life uint64) []fleet.CrashReport {
 	var found []fleet.CrashReport
 	seen := map[uint64]bool{}
-	for g := range f.inFlight {
-		if g.report.Life == life && !(seen[g.report.Fingerprint] && !g.report.Confined) {
+	add := func(g *guarded) {
+		if g.report.Life == life && (!seen[g.report.Fingerprint] || g.report.Confined) {
 			seen[g.report.Fingerprint] = true
 			found = append(found, g.report)
 		}
 	}
+	for g := range f.inFlight {
+		add(g)
+	}
+	for now, i := f.clock.Now(), 0; i < len(f.recent); i++ {
+		if now.Before(f.recent[i].until) {
+			add(f.recent[i])
+		}
+	}
 	return suspect.Blame(found)
 }
--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -78,7 +78,7 @@
 type cluster struct {
 	t       testing.TB
 	clock   *clock.Manual
-	classes string
+	classes atomic.Pointer[class.Set]
 	claims  *fakeClaims
 	mu      sync.Mutex
 	nodes   []*node
@@ -92,11 +92,22 @@
 	service *httptest.Server
 	peer    *httptest.Server
 	backend *httptest.Server
-	changes atomic.Uint64
+	ready   atomic.Uint64 // times that the state became Ready
 }
 
 func newCluster(t testing.TB) *cluster {
-	return &cluster{t: t, clock: clock.NewManual(time.Now()), classes: testClasses, claims: newFakeClaims()}
+	c := &cluster{t: t, clock: clock.NewManual(time.Now()), claims: newFakeClaims()}
+	c.configure(testClasses)
+	return c
+}
+
+func (c *cluster) configure(document string) {
+	c.t.Helper()
+	d, err := class.Parse([]byte(document))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.classes.Store(class.NewSet(3, d))
 }
 
 // node adds a node. A nil handler gives one without a backend server.
@@ -105,8 +116,12 @@
 	n := &node{name: fleet.NodeID(name), cluster: c}
 	tlsConfig := testAuthority().config(c.t, name)
 	config := Config{Node: n.name, Incarnation: 7, Zone: "a", Directory: c, Configuration: c, Claims: c.claims, Locks: c.claims,
-		StateChanged: func(fleet.ServerState) { n.changes.Add(1) },
-		Crashes:      (*crashNet)(n), ClientTLS: tlsConfig, Clock: c.clock, Seed: 1, ServiceToken: "service-secret"}
+		StateChanged: func(s fleet.ServerState) {
+			if s == fleet.Ready {
+				n.ready.Add(1)
+			}
+		},
+		Crashes: (*crashNet)(n), ClientTLS: tlsConfig, Clock: c.clock, Seed: 1, ServiceToken: "service-secret"}
 	if h != nil {
 		n.backend = quiet(httptest.NewUnstartedServer(h))
 		n.backend.Start()
@@ -177,19 +192,13 @@
 	return out
 }
 
-// announcement claims to be ready in any state, as one does that is not current.
+// announcement is not current: only the state Ready reaches the other nodes.
 func (n *node) announcement() fleet.Server {
-	return fleet.Server{Node: n.name, Incarnation: n.config.Incarnation, Sequence: n.changes.Load(), Service: "shop", Zone: "a",
+	return fleet.Server{Node: n.name, Incarnation: n.config.Incarnation, Sequence: n.ready.Load(), Service: "shop", Zone: "a",
 		PeerAddress: n.peer.Listener.Addr().String(), State: fleet.Ready, Slots: 10}
 }
 
-func (c *cluster) Current() *class.Set {
-	d, err := class.Parse([]byte(c.classes))
-	if err != nil {
-		panic(err)
-	}
-	return class.NewSet(3, d)
-}
+func (c *cluster) Current() *class.Set { return c.classes.Load() }
 
 func (c *cluster) Confirmed() time.Duration { return 0 }
 
--- /dev/null
+++ b/proxy/crash_test.go
@@ -0,0 +1,143 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"bramleymill/fleet"
+)
+
+// fragile is the backend server of a node that dies when it runs a poisonous
+// request: it closes its listener and all of its connections at once.
+type fragile struct {
+	listener net.Listener
+	server   *http.Server
+	crashes  *atomic.Int32
+	once     sync.Once
+}
+
+func newFragile(t *testing.T, crashes *atomic.Int32, work http.HandlerFunc) *fragile {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fragile{listener: l, crashes: crashes}
+	f.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/poison" {
+			f.die()
+			panic(http.ErrAbortHandler)
+		}
+		work(w, r)
+	})}
+	go func() { _ = f.server.Serve(l) }()
+	t.Cleanup(func() { _ = f.server.Close() })
+	return f
+}
+
+func (f *fragile) die() {
+	f.once.Do(func() {
+		f.crashes.Add(1)
+		_ = f.server.Close()
+	})
+}
+
+// Guards against a request that crashes one backend server after the other when
+// its caller sends it again through different nodes.
+func TestPoisonousRequestCrashesAtMostTwoServers(t *testing.T) {
+	for _, tt := range []struct {
+		name, method string
+		header       []string
+		crashes      int32
+		kind         string // of every resend after the crashes
+	}{
+		{"idempotent", "GET", nil, 2, "crash_suspect"},
+		{"at most once", "POST", nil, 2, "crash_suspect"},
+		{"with a key", "POST", []string{key, "k"}, 1, "outcome_unknown"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t)
+			var crashes atomic.Int32
+			for i := range 5 {
+				f := newFragile(t, &crashes, func(w http.ResponseWriter, r *http.Request) { _, _ = io.WriteString(w, "ok") })
+				c.node(fmt.Sprintf("n%d", i), nil, (&rawBackend{listener: f.listener}).with)
+			}
+			for i := range 10 {
+				resp, body, err := request(t, tt.method, c.nodes[i%5].caller.URL+"/poison", nil, tt.header...)
+				if err != nil || resp.StatusCode == 200 {
+					t.Fatalf("%v %v %q", resp, err, body)
+				}
+				if kind := resp.Header.Get(fleet.HeaderKind); i >= 2 && kind != tt.kind {
+					t.Errorf("resend %d: kind %q", i, kind)
+				}
+			}
+			if n := crashes.Load(); n != tt.crashes {
+				t.Errorf("%d crashes", n)
+			}
+			for _, n := range c.nodes {
+				expect(t, 200, "", "ok", "GET", n.caller.URL+"/x")
+			}
+		})
+	}
+}
+
+// Guards against innocent requests that stay suspect after they were in flight
+// during a crash, and against blaming them for the crash of a confined request.
+func TestInnocentRequestsRecover(t *testing.T) {
+	c := newCluster(t)
+	var crashes atomic.Int32
+	arrived := make(chan struct{}, 1)
+	var wait atomic.Bool
+	wait.Store(true)
+	for i := range 3 {
+		f := newFragile(t, &crashes, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/innocent" && wait.CompareAndSwap(true, false) {
+				arrived <- struct{}{}
+				<-r.Context().Done()
+			}
+			_, _ = io.WriteString(w, "ok")
+		})
+		c.node(fmt.Sprintf("n%d", i), nil, (&rawBackend{listener: f.listener}).with)
+	}
+	result := make(chan string, 1)
+	go func() {
+		resp, _, err := request(t, "POST", c.nodes[0].caller.URL+"/innocent", nil, "X", "1")
+		result <- fmt.Sprint(err == nil && resp.StatusCode == 502)
+	}()
+	<-arrived
+	// Every server runs the poison until the one with the innocent request has died.
+	for _, n := range c.nodes {
+		m := n.meta("entry")
+		m.RequestID, m.Fingerprint, m.Confined = "entry.1."+string(n.name), 99, false
+		if n.Admission().InFlight == 1 {
+			poison(t, n, m)
+		}
+	}
+	if <-result != "true" {
+		t.Error("the innocent request was not answered as unknown")
+	}
+	if crashes.Load() != 1 || len(c.nodes[0].Suspects().List(c.clock.Now())) != 2 {
+		t.Fatalf("%d crashes, suspects %+v", crashes.Load(), c.nodes[0].Suspects().List(c.clock.Now()))
+	}
+	expect(t, 200, "", "ok", "POST", c.nodes[1].caller.URL+"/innocent", "X", "1")
+}
+
+// poison runs the poisonous path at the server of n.
+func poison(t *testing.T, n *node, m fleet.CallMeta) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: testAuthority().config(t, "entry"), DisableKeepAlives: true}}
+	req, _ := http.NewRequest("POST", "https://"+n.peer.Listener.Addr().String()+"/poison", nil)
+	v, _ := fleet.EncodeHeader(&m)
+	req.Header.Set(fleet.HeaderCallMeta, v)
+	resp, err := client.Do(req)
+	if err != nil || resp.StatusCode != 502 {
+		t.Errorf("%v %v", resp, err)
+		return
+	}
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/proxy/drain_test.go
@@ -0,0 +1,214 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/explain"
+	"bramleymill/fleet"
+)
+
+// Guards against a drain that accepts new work or cuts off work in flight.
+func TestDrainFinishesWorkInFlight(t *testing.T) {
+	c := newCluster(t)
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	n := c.node("a", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		arrived <- struct{}{}
+		<-proceed
+		_, _ = fmt.Fprint(w, "done")
+	}))
+	first, drained := make(chan struct{}), make(chan DrainReport)
+	go func() { expect(t, 200, "", "done", "POST", n.caller.URL+"/x"); close(first) }()
+	<-arrived
+	go func() { drained <- n.Drain(t.Context()) }()
+	n.await(fleet.Draining)
+	<-closed(&n.work)
+	expect(t, 503, "draining", "", "POST", n.caller.URL+"/x")
+	if resp := n.forward(t, "entry", "POST", n.meta("entry")); resp.Header.Get(fleet.HeaderKind) != "draining" {
+		t.Errorf("forwarded work: kind %q", resp.Header.Get(fleet.HeaderKind))
+	}
+	close(proceed)
+	<-first
+	if r := <-drained; len(r.CutOff) != 0 {
+		t.Errorf("cut off %v", r.CutOff)
+	}
+}
+
+// closed returns a channel that is closed when w refuses new work.
+func closed(w *work) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for refuses := false; !refuses; time.Sleep(time.Millisecond) {
+			w.mu.Lock()
+			refuses = w.closed
+			w.mu.Unlock()
+		}
+	}()
+	return done
+}
+
+// Guards against a drain that does not end or does not tell what it cut off.
+func TestDrainReportsWhatItCutsOff(t *testing.T) {
+	c := newCluster(t)
+	arrived := make(chan struct{})
+	n := c.node("a", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // a server notices that a caller left after it has read the body
+		close(arrived)
+		<-r.Context().Done()
+	}))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		expect(t, 504, "outcome_unknown", "", "POST", n.caller.URL+"/slow", key, "k")
+	}()
+	<-arrived
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if r := n.Drain(ctx); len(r.CutOff) != 1 || r.CutOff[0].Path != "/slow" {
+		t.Errorf("cut off %v", r.CutOff)
+	}
+	<-done
+}
+
+// Guards against calls of work in flight that a draining node refuses, so that
+// the work cannot finish.
+func TestDrainServesCallsOfWorkInFlight(t *testing.T) {
+	c := newCluster(t)
+	var n *node
+	c.node("b", answer("leaf"))
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	n = c.node("a", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-proceed
+		w.WriteHeader(parentCall(t, n, r, "/leaf").StatusCode)
+	}))
+	answered := make(chan int)
+	go func() { answered <- n.forward(t, "entry", "POST", n.meta("entry")).StatusCode }()
+	<-arrived
+	go n.Drain(t.Context())
+	n.await(fleet.Draining)
+	close(proceed)
+	if status := <-answered; status != 200 {
+		t.Errorf("status %d", status)
+	}
+}
+
+// Guards against an outage by forged answers: hints count only without another
+// answer in between, are ignored after a good health answer, and end by themselves.
+func TestDrainHintsCannotBeForgedIntoAnOutage(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	var checks int
+	d := newDrainHints(k, func() { checks++ })
+	for range 5 {
+		d.answered(503, true)
+		d.answered(503, true)
+		d.answered(200, false)
+	}
+	if d.draining() {
+		t.Error("hints count although other answers came between them")
+	}
+	for range hintsNeeded {
+		d.answered(503, true)
+	}
+	if !d.draining() || checks != 1 {
+		t.Errorf("draining %v, %d checks", d.draining(), checks)
+	}
+	k.Advance(hintHold)
+	if d.draining() {
+		t.Error("the guess does not end by itself")
+	}
+	d.answered(503, true)
+	d.healthy(false)
+	for range 2 * hintsNeeded {
+		d.answered(503, true)
+	}
+	if d.draining() {
+		t.Error("a good health answer does not end the guess")
+	}
+	d.healthy(true)
+	if !d.draining() {
+		t.Error("the health answer is ignored")
+	}
+}
+
+// Guards against sending work to a backend server that drains by itself, and
+// against losing idempotent work that it refuses.
+func TestBackendServerDrainsByItself(t *testing.T) {
+	c := newCluster(t)
+	raw := newRawBackend(t, func(conn net.Conn, r *http.Request, _ int32) bool {
+		write(conn, "HTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 9\r\n\r\ndraining\n")
+		return false
+	})
+	entry := c.node("entry", nil)
+	c.node("a", nil, raw.with)
+	c.node("b", answer("b"))
+	for range 8 {
+		expect(t, 200, "", "b", "GET", entry.caller.URL+"/x")
+	}
+}
+
+// Guards against a dead backend server that its node takes for alive, and
+// against one that stays refused after its return.
+func TestBackendServerDiesAndReturns(t *testing.T) {
+	c := newCluster(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: answer("ok")}
+	go func() { _ = server.Serve(l) }()
+	n := c.node("a", nil, (&rawBackend{listener: l}).with)
+	expect(t, 200, "", "ok", "POST", n.caller.URL+"/x")
+	_ = server.Close()
+	n.await(fleet.Down)
+	expect(t, 503, "backend_down", "", "POST", n.caller.URL+"/x")
+	again, err := net.Listen("tcp", l.Addr().String())
+	if err != nil {
+		t.Skipf("the port was taken by another process: %v", err)
+	}
+	server = &http.Server{Handler: answer("ok")}
+	go func() { _ = server.Serve(again) }()
+	t.Cleanup(func() { _ = server.Close() })
+	n.await(fleet.Ready)
+	expect(t, 200, "", "ok", "POST", n.caller.URL+"/x")
+	var crashes int
+	for _, e := range n.Explain().Events(100) {
+		if e.Kind == explain.CrashDetected {
+			crashes++
+		}
+	}
+	if crashes != 1 {
+		t.Errorf("%d crashes recorded", crashes)
+	}
+}
+
+// Guards against taking a server that closes idle connections for dead.
+func TestIdleConnectionClosedByAliveServer(t *testing.T) {
+	closing, dials := make(chan struct{}), make(chan struct{}, 16)
+	m := newMonitor("backend", newDrainHints(clock.System{}, func() {}), func() {}, func(life uint64) { t.Errorf("life %d ended", life) })
+	m.dial = func(context.Context, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go func() { <-closing; _ = far.Close() }()
+		dials <- struct{}{}
+		return near, nil
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); m.run(ctx) }()
+	<-dials
+	close(closing)
+	<-dials
+	<-dials
+	if !m.Alive() || m.Life() != 1 {
+		t.Errorf("alive %v, life %d", m.Alive(), m.Life())
+	}
+	cancel()
+	<-done
+}
--- /dev/null
+++ b/proxy/hedge_test.go
@@ -0,0 +1,76 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Guards against mixing the answers of two attempts, and against a losing
+// attempt that keeps running.
+func TestHedgeLoserIsCancelledAndNeverMixed(t *testing.T) {
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	var slow atomic.Bool
+	cancelled := make(chan struct{}, 1)
+	handler := func(name string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if slow.CompareAndSwap(true, false) {
+				<-r.Context().Done()
+				_, _ = io.WriteString(w, "answer of the loser")
+				cancelled <- struct{}{}
+				return
+			}
+			_, _ = io.WriteString(w, strings.Repeat(name, 1000))
+		})
+	}
+	c.node("a", handler("a"))
+	c.node("b", handler("b"))
+	for range 40 { // a hedge needs to know the latency of the class
+		expect(t, 200, "", "", "GET", entry.caller.URL+"/x")
+	}
+	c.clock.Advance(6 * time.Second) // the requests above may have spent the budget of hedges
+	slow.Store(true)
+	resp, body, err := request(t, "GET", entry.caller.URL+"/x", nil)
+	if err != nil || resp.StatusCode != 200 || body != strings.Repeat(body[:1], 1000) {
+		t.Fatalf("%v %v %q", resp, err, body)
+	}
+	<-cancelled
+	for _, r := range entry.Explain().Recent("browse", 1) {
+		if len(r.Attempts) != 2 || !r.Attempts[0].Lost && !r.Attempts[1].Lost {
+			t.Errorf("attempts %+v", r.Attempts)
+		}
+	}
+}
+
+// Guards against hedging work that may run at most once.
+func TestOnlyIdempotentWorkIsHedged(t *testing.T) {
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	var runs atomic.Int32
+	arrived, proceed := make(chan struct{}, 64), make(chan struct{}, 64)
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		arrived <- struct{}{}
+		<-proceed
+	})
+	c.node("a", h)
+	c.node("b", h)
+	for i := range 40 {
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			expect(t, 200, "", "", "POST", fmt.Sprintf("%s/%d", entry.caller.URL, i))
+		}()
+		<-arrived
+		proceed <- struct{}{}
+		<-done
+	}
+	if runs.Load() != 40 {
+		t.Errorf("%d runs of 40 requests", runs.Load())
+	}
+}
--- /dev/null
+++ b/proxy/trust_test.go
@@ -0,0 +1,176 @@
+package proxy
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// Guards against headers of the project that callers or backend servers forge,
+// and against passing on headers that concern one connection only.
+func TestForgedAndHopByHopHeaders(t *testing.T) {
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	var got http.Header
+	c.node("a", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got = r.Header.Clone()
+		h := w.Header()
+		for _, name := range []string{fleet.HeaderKind, fleet.HeaderOutcome, fleet.HeaderLoad, fleet.HeaderCallMeta, headerAttemptsLeft} {
+			h.Set(name, "draining")
+		}
+		h["bramleymill-kind"] = []string{"queue_full"}
+		h.Set("Connection", "X-Hop")
+		h.Set("X-Hop", "1")
+		h.Set("Keep-Alive", "timeout=5")
+		h.Set("X-End", "2")
+	}))
+	for _, n := range []*node{entry, c.nodes[1]} {
+		resp := expect(t, 200, "", "", "POST", n.caller.URL+"/x",
+			fleet.HeaderCallMeta, "forged", fleet.HeaderCall, "forged", "bramleymill-kind", "forged", fleet.HeaderDeadlineMillis, "1",
+			headerExpect, "1", "Connection", "x-hop, keep-alive", "X-Hop", "1", "Te", "trailers", "Proxy-Authorization", "secret", "X-End", "2")
+		if resp.Header.Get(fleet.HeaderLoad) != "" || resp.Header.Get(fleet.HeaderCallMeta) != "" || resp.Header.Get(headerAttemptsLeft) != "" ||
+			resp.Header.Get("X-Hop") != "" || resp.Header.Get("Keep-Alive") != "" || resp.Header.Get("X-End") != "2" {
+			t.Errorf("node %s: answer %v", n.name, resp.Header)
+		}
+		for _, name := range []string{fleet.HeaderCallMeta, fleet.HeaderKind, headerExpect, "X-Hop", "Keep-Alive", "Proxy-Authorization"} {
+			if got.Get(name) != "" {
+				t.Errorf("node %s: %s reached the backend server: %q", n.name, name, got.Get(name))
+			}
+		}
+		if got.Get(fleet.HeaderCall) == "forged" || got.Get(fleet.HeaderDeadlineMillis) == "1" || got.Get("X-End") != "2" || got.Get("Te") != "trailers" {
+			t.Errorf("node %s: request %v", n.name, got)
+		}
+	}
+}
+
+// Guards against a request id of the caller that replaces the one of the node.
+func TestCallerRequestIDIsAnAttribute(t *testing.T) {
+	c := newCluster(t)
+	n := c.node("a", answer("ok"))
+	for sent, kept := range map[string]string{"abc-1": "abc-1", "bad id\t": ""} {
+		id := expect(t, 200, "", "ok", "GET", n.caller.URL+"/x", fleet.HeaderRequestID, sent).Header.Get(fleet.HeaderRequestID)
+		records := n.Explain().Find(id)
+		if id == sent || len(records) != 1 || records[0].CallerID != kept {
+			t.Errorf("sent %q: id %q, records %+v", sent, id, records)
+		}
+	}
+}
+
+// parentCall runs inside a backend server's handler and sends a call with the
+// token of the request in flight.
+func parentCall(t *testing.T, n *node, r *http.Request, path string) *http.Response {
+	t.Helper()
+	resp, _, err := request(t, "GET", n.service.URL+path, nil, fleet.HeaderCall, r.Header.Get(fleet.HeaderCall))
+	if err != nil {
+		t.Error(err)
+		return &http.Response{Header: http.Header{}}
+	}
+	return resp
+}
+
+// Guards against internal-only classes that are served without proof, and
+// against proof that outlives the request in flight.
+func TestInternalOnlyNeedsProof(t *testing.T) {
+	c := newCluster(t)
+	var n *node
+	var token string
+	n = c.node("a", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/check" {
+			return
+		}
+		token = r.Header.Get(fleet.HeaderCall)
+		if resp := parentCall(t, n, r, "/check"); resp.StatusCode != 200 {
+			t.Errorf("call with the token of a request in flight: %d", resp.StatusCode)
+		}
+		expect(t, 403, "internal_only", "", "GET", n.caller.URL+"/check", fleet.HeaderCall, token)
+	}))
+	expect(t, 200, "", "", "GET", n.caller.URL+"/x")
+	expect(t, 403, "internal_only", "", "GET", n.service.URL+"/check", fleet.HeaderCall, token)
+	expect(t, 403, "internal_only", "", "GET", n.service.URL+"/check")
+	expect(t, 200, "", "", "GET", n.service.URL+"/check", fleet.HeaderCall, "service-secret")
+	expect(t, 403, "internal_only", "", "GET", n.caller.URL+"/check", fleet.HeaderCall, "service-secret")
+}
+
+// Guards against an empty service token that any call without a token matches.
+func TestEmptyServiceTokenProvesNothing(t *testing.T) {
+	c := newCluster(t)
+	n := c.node("a", answer("ok"), func(c *Config) { c.ServiceToken = "" })
+	expect(t, 403, "internal_only", "", "GET", n.service.URL+"/check", fleet.HeaderCall, "")
+}
+
+// Guards against call chains that never end, and against calls that outlive or
+// outspend the request that they are made for.
+func TestCallTreeInheritsLimits(t *testing.T) {
+	c := newCluster(t)
+	var n *node
+	status := make(chan int, 1)
+	var left int64
+	n = c.node("a", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/leaf" {
+			left, _ = strconv.ParseInt(r.Header.Get(fleet.HeaderDeadlineMillis), 10, 64)
+			return
+		}
+		status <- parentCall(t, n, r, "/leaf").StatusCode
+	}))
+	for depth, want := range map[uint8]int{fleet.MaxDepth - 1: 200, fleet.MaxDepth: 508} {
+		m := n.meta("entry")
+		m.RequestID += strconv.Itoa(int(depth))
+		m.Depth, m.Remaining = depth, 3*time.Second
+		n.forward(t, "entry", "POST", m)
+		if got := <-status; got != want {
+			t.Errorf("call below depth %d: %d, want %d", depth, got, want)
+		}
+	}
+	if left <= 0 || left > 3000 {
+		t.Errorf("the call below has %d ms left of 3000", left)
+	}
+}
+
+// Guards against a retry below a call that has no attempts left, and against
+// attempts that are lost when an answer reports them unused.
+func TestAttemptsOfTheCallTree(t *testing.T) {
+	c := newCluster(t)
+	var n *node
+	bad := newRawBackend(t, cutter)
+	codes := make(chan int, 1)
+	n = c.node("a", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		resp, _, err := request(t, "GET", n.service.URL+"/x", nil, fleet.HeaderCall, r.Header.Get(fleet.HeaderCall))
+		if err == nil {
+			codes <- resp.StatusCode
+		}
+	}))
+	c.configure(`{"classes":[{"name":"browse","service":"other","match":{"methods":["GET"],"path_prefix":"/"},"idempotent":true,"latency_target":"1s","deadline":"20s","urgency":"normal"}]}`)
+	for _, name := range []string{"x", "y", "z"} {
+		c.node(name, nil, bad.with, func(c *Config) { c.Backend.Service = "other" })
+	}
+	for attemptsLeft, want := range map[uint32]int32{0: 1, 1: 2} {
+		before := bad.requests.Load()
+		m := n.meta("entry")
+		m.RequestID += strconv.Itoa(int(attemptsLeft))
+		m.AttemptsLeft = attemptsLeft
+		resp := n.forward(t, "entry", "POST", m)
+		if code := <-codes; code != 502 || bad.requests.Load()-before != want {
+			t.Errorf("%d attempts left: %d attempts, want %d (status %d)", attemptsLeft, bad.requests.Load()-before, want, code)
+		}
+		if unused := resp.Header.Get(headerAttemptsLeft); unused != "0" {
+			t.Errorf("%s attempts reported unused", unused)
+		}
+	}
+}
+
+// Guards against a body that is sent although its class refuses it.
+func TestBodyLimitWithKey(t *testing.T) {
+	c := newCluster(t)
+	b := &counted{next: answer("ok")}
+	n := c.node("a", b)
+	for _, body := range []io.Reader{io.LimitReader(&endless{}, 2<<20)} {
+		resp, _, err := request(t, "POST", n.caller.URL+"/x", body, key, "k")
+		if err != nil || resp.StatusCode != 413 || b.runs.Load() != 0 {
+			t.Errorf("%v %v, %d runs", resp, err, b.runs.Load())
+		}
+	}
+}
