--- /dev/null
+++ b/filter/body_test.go
@@ -0,0 +1,181 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/suspect"
+)
+
+// Guards against bodies that are sent again although a part of them is gone, and
+// against bodies that are not sent again although they could be.
+func TestBodyIsReplayedOnlyWhole(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	long := strings.Repeat("y", prefixBytes+1)
+	for _, tt := range []struct {
+		name, method, body string
+		unknownLength      bool
+		whole              bool
+	}{
+		{"empty", "GET", "", false, true}, {"short", "GET", "abc", false, true}, {"short, length unknown", "GET", "abc", true, true},
+		{"above the limit of the class", "PUT", "more than sixteen bytes", false, false},
+		{"long, length unknown", "GET", long, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCall(t, tt.method, "", k)
+			c.Request = httptest.NewRequest(tt.method, "/x", iotest.HalfReader(strings.NewReader(tt.body)))
+			c.Request.ContentLength = int64(len(tt.body))
+			if tt.unknownLength {
+				c.Request.ContentLength = -1
+			}
+			c.Deadline = k.Now().Add(time.Second)
+			next := &passed{}
+			if err := NewBodyFilter(next, k).Serve(c); err != nil {
+				t.Fatal(err)
+			}
+			b := next.last.Body
+			if b.Whole() != tt.whole {
+				t.Fatalf("whole: %v", b.Whole())
+			}
+			for range 2 { // reading only the prefix leaves the body replayable
+				r, err := b.Open()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(b.prefix) > 0 {
+					_, _ = r.Read(make([]byte, 1))
+				}
+				_ = r.Close()
+			}
+			r, err := b.Open()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := io.ReadAll(r); err != nil || string(got) != tt.body {
+				t.Errorf("%v, %d bytes of %d", err, len(got), len(tt.body))
+			}
+			if _, err := b.Open(); (err == nil) != tt.whole {
+				t.Errorf("open again: %v", err)
+			}
+		})
+	}
+}
+
+// Guards against a claim without the whole body, and against a body that ends early.
+func TestBodyWithKey(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	serve := func(body string, length int64) (Call, errkind.Kind) {
+		c := newCall(t, "POST", "", k)
+		c.Request = httptest.NewRequest("POST", "/x", iotest.OneByteReader(strings.NewReader(body)))
+		c.Request.ContentLength, c.Key, c.Deadline = length, "k", k.Now().Add(time.Second)
+		next := &passed{}
+		err := NewBodyFilter(next, k).Serve(c)
+		return next.last, kindOf(err)
+	}
+	limit := strings.Repeat("x", 16)
+	for _, tt := range []struct {
+		body   string
+		length int64
+		want   errkind.Kind
+	}{
+		{limit, 16, ""}, {limit, -1, ""}, {limit + "x", 17, errkind.BodyTooLarge}, {limit + "x", -1, errkind.BodyTooLarge}, {"short", 16, errkind.BadRequest},
+	} {
+		if _, kind := serve(tt.body, tt.length); kind != tt.want {
+			t.Errorf("%d bytes, length %d: %q, want %q", len(tt.body), tt.length, kind, tt.want)
+		}
+	}
+	a, _ := serve("abc", 3)
+	b, _ := serve("abd", 3)
+	same, _ := serve("abc", -1)
+	if a.BodyHash == b.BodyHash || a.BodyHash != same.BodyHash || a.Meta.Fingerprint != b.Meta.Fingerprint {
+		t.Error("the claim does not follow the body, or the suspicion does not follow the key")
+	}
+}
+
+// Guards against requests that share a suspicion although they differ, and the reverse.
+func TestFingerprint(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	seen := map[uint64]string{}
+	for _, tt := range []struct{ method, target, body string }{
+		{"GET", "/x", ""}, {"GET", "/y", ""}, {"GET", "/x?q=1", ""}, {"GET", "/x", "b"}, {"PUT", "/x", "b"},
+	} {
+		c := newCall(t, tt.method, "", k)
+		c.Request = httptest.NewRequest(tt.method, tt.target, strings.NewReader(tt.body))
+		next := &passed{}
+		if err := NewBodyFilter(next, k).Serve(c); err != nil {
+			t.Fatal(err)
+		}
+		name := tt.method + tt.target + tt.body
+		if other, ok := seen[next.last.Meta.Fingerprint]; ok {
+			t.Errorf("%q and %q share a fingerprint", name, other)
+		}
+		seen[next.last.Meta.Fingerprint] = name
+	}
+}
+
+// Guards against a caller error that is called unknown.
+func TestBrokenBodyIsRejected(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	c := newCall(t, "PUT", "", k)
+	c.Request = httptest.NewRequest("PUT", "/x", iotest.ErrReader(errors.New("connection reset")))
+	c.Request.ContentLength, c.Deadline = 3, k.Now().Add(time.Second)
+	if kind := kindOf(NewBodyFilter(&passed{}, k).Serve(c)); kind != errkind.BadRequest {
+		t.Errorf("kind %q", kind)
+	}
+}
+
+// blamed returns the fingerprints that a guard would blame for the end of a life.
+func blamed(g *CrashGuard, life uint64) map[uint64]bool {
+	out := map[uint64]bool{}
+	for _, r := range g.blame(life) {
+		out[r.Fingerprint] = true
+	}
+	return out
+}
+
+// stub is a Liveness without deaths.
+type stub struct{ fixedLife }
+
+func (stub) Died(context.Context, uint64) bool { return false }
+
+type fixedLife uint64
+
+func (l fixedLife) Life() uint64 { return uint64(l) }
+
+// Guards against blaming innocent requests beside a confined one, requests of
+// another life, or nobody when the request was cancelled just before the crash.
+func TestBlame(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	g := NewCrashGuard(&passed{}, CrashGuardConfig{Service: "shop", Suspects: suspect.New(suspect.Config{}), Liveness: stub{fixedLife(3)}, Clock: k})
+	enter := func(fingerprint uint64, confined bool) *guarded {
+		c := newCall(t, "PUT", "", k)
+		c.Meta.Fingerprint, c.Meta.Confined = fingerprint, confined
+		return g.enter(c)
+	}
+	enter(1, false)
+	g.leave(enter(2, false), true)
+	g.leave(enter(3, false), false)
+	if b := blamed(g, 3); len(b) != 2 || !b[1] || !b[2] || len(blamed(g, 2)) != 0 {
+		t.Errorf("blamed %v, in another life %v", b, blamed(g, 2))
+	}
+	enter(4, true)
+	if b := blamed(g, 3); len(b) != 1 || !b[4] {
+		t.Errorf("beside a confined request: %v", b)
+	}
+	k.Advance(cancelledBlame)
+	g.leave(enter(5, false), true)
+	for i := range uint64(maxCancelled) {
+		g.leave(enter(100+i, false), true)
+	}
+	if len(g.recent) != maxCancelled {
+		t.Errorf("%d cancelled requests are kept", len(g.recent))
+	}
+}
--- /dev/null
+++ b/filter/chain_test.go
@@ -0,0 +1,222 @@
+package filter
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleymill/class"
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/explain"
+	"bramleymill/fleet"
+	"bramleymill/retry"
+)
+
+const testDocument = `{"classes":[
+ {"name":"browse","service":"shop","match":{"methods":["GET"],"path_prefix":"/"},"idempotent":true,"latency_target":"1s","deadline":"10s","urgency":"normal","when_unconfirmed":"serve"},
+ {"name":"order","service":"shop","match":{"methods":["POST"],"path_prefix":"/"},"idempotent":false,"latency_target":"1s","deadline":"10s","urgency":"high","key":"required","max_body":"16B"},
+ {"name":"note","service":"shop","match":{"methods":["PUT"],"path_prefix":"/"},"idempotent":false,"latency_target":"1s","deadline":"10s","urgency":"high","max_body":"16B"}]}`
+
+type fakeConfig struct {
+	set *class.Set
+	age time.Duration
+}
+
+func (f *fakeConfig) Current() *class.Set      { return f.set }
+func (f *fakeConfig) Confirmed() time.Duration { return f.age }
+
+func testSet(t testing.TB) *class.Set {
+	t.Helper()
+	d, err := class.Parse([]byte(testDocument))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return class.NewSet(5, d)
+}
+
+func newCall(t testing.TB, method, body string, k clock.Clock) *Call {
+	t.Helper()
+	r := httptest.NewRequest(method, "/x", strings.NewReader(body))
+	return &Call{Ctx: t.Context(), Request: r, Answer: NewWriter(httptest.NewRecorder(), nil), Started: k.Now(),
+		Record: explain.NewRecord(explain.Entry, "e.1.1", k.Now()), Class: testSet(t).Match(method, "/x")}
+}
+
+// kindOf returns the kind of an error, or the empty kind.
+func kindOf(err error) errkind.Kind {
+	if err == nil {
+		return ""
+	}
+	return errkind.Of(err).Kind
+}
+
+// passed is the next handler of a tested filter.
+type passed struct {
+	calls int
+	last  Call
+}
+
+func (p *passed) Serve(c *Call) error {
+	p.calls++
+	p.last = *c
+	return nil
+}
+
+// Guards against serving work that has no class, no key or no configuration.
+func TestClassify(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	config := &fakeConfig{}
+	next := &passed{}
+	f := NewClassify(next, config)
+	if kind := kindOf(f.Serve(newCall(t, "GET", "", k))); kind != errkind.ConfigAbsent {
+		t.Errorf("without a configuration: %q", kind)
+	}
+	config.set = testSet(t)
+	for _, tt := range []struct {
+		method string
+		keys   []string
+		want   errkind.Kind
+	}{
+		{"GET", nil, ""}, {"DELETE", nil, errkind.NoClass}, {"POST", nil, errkind.KeyRequired}, {"POST", []string{"k"}, ""},
+		{"POST", []string{"k", "l"}, errkind.BadRequest}, {"POST", []string{strings.Repeat("k", MaxKeyBytes+1)}, errkind.BadRequest},
+		{"GET", []string{"ignored"}, ""}, {"PUT", nil, ""},
+	} {
+		c := newCall(t, tt.method, "", k)
+		c.Request.Header[fleet.HeaderIdempotencyKey] = tt.keys
+		if kind := kindOf(f.Serve(c)); kind != tt.want {
+			t.Errorf("%s with keys %q: %q, want %q", tt.method, tt.keys, kind, tt.want)
+		}
+		if c.Class != nil && c.Class.Idempotent && c.Key != "" {
+			t.Error("an idempotent class uses the key")
+		}
+	}
+}
+
+// Guards against work under a configuration that may have been superseded.
+func TestConfirmed(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	config := &fakeConfig{age: MaxUnconfirmed}
+	f := NewConfirmed(&passed{}, config)
+	if kind := kindOf(f.Serve(newCall(t, "POST", "", k))); kind != "" {
+		t.Errorf("at the bound: %q", kind)
+	}
+	config.age++
+	if kind := kindOf(f.Serve(newCall(t, "POST", "", k))); kind != errkind.ConfigUnconfirmed {
+		t.Errorf("above the bound: %q", kind)
+	}
+	if kind := kindOf(f.Serve(newCall(t, "GET", "", k))); kind != "" {
+		t.Errorf("class that may be served stale: %q", kind)
+	}
+}
+
+// Guards against deadlines that a caller extends or that are not inherited.
+func TestDeadline(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	next := &passed{}
+	f := NewDeadline(next, k, 3)
+	for _, tt := range []struct {
+		sent   string
+		parent time.Duration
+		want   time.Duration
+		kind   errkind.Kind
+	}{
+		{"", 0, 10 * time.Second, ""}, {"500", 0, 500 * time.Millisecond, ""}, {"60000", 0, 10 * time.Second, ""},
+		{"60000", time.Second, time.Second, ""}, {"", time.Minute, 10 * time.Second, ""}, {"", -1, 0, errkind.DeadlineBeforeRun},
+		{"0", 0, 0, errkind.BadRequest}, {"-1", 0, 0, errkind.BadRequest}, {"x", 0, 0, errkind.BadRequest}, {"99999999999", 0, 0, errkind.BadRequest},
+	} {
+		c := newCall(t, "GET", "", k)
+		if tt.sent != "" {
+			c.Request.Header.Set(fleet.HeaderTimeoutMillis, tt.sent)
+		}
+		if tt.parent != 0 {
+			c.Parent = &Parent{Deadline: k.Now().Add(tt.parent), Depth: 4, Attempts: retry.NewAttempts(1)}
+		}
+		kind := kindOf(f.Serve(c))
+		if kind != tt.kind || kind == "" && next.last.Deadline.Sub(k.Now()) != tt.want {
+			t.Errorf("sent %q parent %v: %q, deadline in %v", tt.sent, tt.parent, kind, next.last.Deadline.Sub(k.Now()))
+		}
+		if c.Parent != nil && (c.Meta.Depth != 5 || c.Attempts != c.Parent.Attempts) {
+			t.Errorf("depth %d", c.Meta.Depth)
+		}
+	}
+}
+
+// Guards against ids that are not unique or do not lead to the entry node.
+func TestRequestID(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	next := &passed{}
+	f := NewRequestID(next, "node-1", 35, k)
+	for _, want := range []string{"node-1.z.1", "node-1.z.2"} {
+		if err := f.Serve(newCall(t, "GET", "", k)); err != nil || next.last.Meta.RequestID != want {
+			t.Errorf("id %q: %v", next.last.Meta.RequestID, err)
+		}
+	}
+	if node, ok := EntryNode("node-1.z.2"); !ok || node != "node-1" {
+		t.Errorf("entry node %q", node)
+	}
+	for _, id := range []string{"", "x", "x.1", ".1.2"} {
+		if node, ok := EntryNode(id); ok {
+			t.Errorf("%q leads to %q", id, node)
+		}
+	}
+}
+
+// Guards against duplicates after the first generation of numbers, and against
+// numbers that are kept for ever.
+func TestDuplicates(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	next := &passed{}
+	f := NewDuplicates(next, k)
+	serve := func(id string, attempt uint32, idempotent bool) errkind.Kind {
+		c := newCall(t, "PUT", "", k)
+		c.Meta.RequestID, c.Meta.Attempt, c.Meta.Idempotent = id, attempt, idempotent
+		return kindOf(f.Serve(c))
+	}
+	if serve("a", 1, false) != "" || serve("a", 2, false) != "" || serve("b", 1, false) != "" || serve("c", 1, true) != "" || serve("c", 1, true) != "" {
+		t.Error("a first attempt was refused")
+	}
+	k.Advance(class.MaxDeadline + 1)
+	serve("d", 1, false)
+	if serve("a", 1, false) != errkind.DuplicateAttempt {
+		t.Error("an attempt within the longest deadline was forgotten")
+	}
+	k.Advance(class.MaxDeadline + 1)
+	serve("e", 1, false)
+	if serve("a", 1, false) != "" {
+		t.Error("an attempt number is kept after two generations")
+	}
+}
+
+// Guards against two attempts that both answer.
+func TestRaceHasOneWinner(t *testing.T) {
+	rec := httptest.NewRecorder()
+	r := &race{answer: NewWriter(rec, nil)}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	r.enter(1, cancel)
+	r.enter(2, func(error) { t.Error("the winner was cancelled") })
+	loser, winner := &lane{race: r, number: 1}, &lane{race: r, number: 2}
+	if err := winner.Begin(Head{Status: 200}); err != nil {
+		t.Fatal(err)
+	}
+	if err := loser.Begin(Head{Status: 500}); !errors.Is(err, ErrLost) || !errors.Is(context.Cause(ctx), ErrLost) {
+		t.Errorf("begin of the loser: %v, cause %v", err, context.Cause(ctx))
+	}
+	loser.Informational(103, http.Header{})
+	for _, f := range []func() error{loser.Flush, func() error { return loser.End(nil) }, func() error { _, err := loser.Write([]byte("x")); return err }} {
+		if err := f(); !errors.Is(err, ErrLost) {
+			t.Errorf("the loser was not stopped: %v", err)
+		}
+	}
+	if _, err := winner.Write([]byte("won")); err != nil || rec.Body.String() != "won" || rec.Code != 200 {
+		t.Errorf("%v %d %q", err, rec.Code, rec.Body)
+	}
+	late := false
+	r.enter(3, func(error) { late = true })
+	if !late {
+		t.Error("an attempt that starts after the end of the race is not cancelled")
+	}
+}
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"bramleymill/clock"
 	"bramleymill/errkind"
@@ -25,6 +26,7 @@
 
 	services sync.Map // name -> *pool
 	seeds    atomic.Uint64
+	chosen   atomic.Uint64
 	random   sync.Pool
 }
 
@@ -79,21 +81,25 @@
 	c.tried.add(e.Server.Node)
 	c.Target = e.Server
 	c.Meta.Target, c.Meta.Incarnation = e.Server.Node, e.Server.Incarnation
-	f.explain(c, b, e)
+	f.explain(c, b, e, now)
 	a := b.Started(e, now)
 	err := f.next.Serve(c)
 	b.Finished(a, f.clock.Now(), result(c, err))
 	return err
 }
 
-// maxExplained is the size of a pool from which only the chosen server is recorded.
-const maxExplained = 8
+// Computing the costs of all candidates again for the record takes 1 µs to 2.5 µs
+// for 3 to 8 servers, which is more than a record may add to each request.
+const (
+	maxExplained = 8  // size of a pool from which only the chosen server is recorded
+	explainEvery = 16 // first attempts, of which one is recorded with all candidates
+)
 
-// explain records the servers of the pool as they were seen. Only the chosen one
-// is recorded of a pool that is too large.
-func (f *Choose) explain(c *Call, b *pick.Balancer, e *pick.Endpoint) {
-	now := f.clock.Now()
-	if b.Len() > maxExplained {
+// explain records the servers of the pool as they were seen. They are recorded
+// for every retry and hedge and for one in explainEvery first attempts; any other
+// attempt is recorded with the chosen server only.
+func (f *Choose) explain(c *Call, b *pick.Balancer, e *pick.Endpoint, now time.Time) {
+	if b.Len() > maxExplained || c.Meta.Attempt == 1 && f.chosen.Add(1)%explainEvery != 0 {
 		c.Candidates = []explain.Candidate{{Node: e.Server.Node, Age: e.ReportAge(now), Chosen: true}}
 		return
 	}
