Let a server refuse what the selecting node can send elsewhere

Change: a request marked Movable is refused when its expected wait exceeds 0.7 of the mean service time, or when it has waited for 1.4 of it. Policy.CanMove allows the mark while the retry budget has tokens to spare. The replay marks idempotent classes only, since moving a keyed order costs a commit.

--- a/admit/config.go
+++ b/admit/config.go
@@ -66,6 +66,10 @@
 	Internal bool // proved internal
 	Deadline time.Time
 	Class    string
+	// Movable is set when the selecting node can send the request elsewhere
+	// after a refusal, as told by retry.Policy.CanMove for idempotent classes.
+	// Such a request is refused rather than made to wait long.
+	Movable bool
 }
 
 // privileged reports whether r may use the reserved slots.
--- a/admit/controller.go
+++ b/admit/controller.go
@@ -87,14 +87,20 @@
 func (c *Controller) enqueue(now time.Time, id uint64, r Request) (Verdict, errkind.Kind) {
 	c.sequence++
 	w := waiting{id: id, request: r, rank: r.rank(), arrived: now, giveUp: r.Deadline, sequence: c.sequence}
-	if r.Internal && now.Add(c.config.InternalWait).Before(w.giveUp) {
-		w.giveUp = now.Add(c.config.InternalWait)
+	if r.Internal {
+		w.giveUp = earlier(w.giveUp, now.Add(c.config.InternalWait))
 	}
 	position := c.queue.position(&w)
 	wait := c.expectedWait(now, r, position)
 	if now.Add(wait + c.classTime(now, r.Class)).After(r.Deadline) {
 		return Refused, errkind.DeadlineBeforeRun
 	}
+	if limit := c.movableWait(now); r.Movable && limit > 0 {
+		if wait > limit {
+			return Refused, c.fullKind(r)
+		}
+		w.giveUp = earlier(w.giveUp, now.Add(movableStay*limit))
+	}
 	if c.delay.overloaded && position > 0 && wait > c.allowedWait(w.rank) {
 		return Refused, errkind.QueueFull
 	}
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -42,7 +42,9 @@
 	id := g.nextID
 	verdict, kind, actions := g.controller.Offer(now, id, r)
 	var decided chan errkind.Kind
+	var limit time.Duration
 	if verdict == Queued {
+		limit = g.controller.giveUp(id).Sub(now)
 		decided = make(chan errkind.Kind, 1)
 		g.waiters[id] = decided
 	}
@@ -52,7 +54,7 @@
 	case Refused:
 		return nil, errkind.New(kind, "class %s refused at admission", r.Class)
 	case Queued:
-		if err := g.wait(ctx, id, r, now, decided); err != nil {
+		if err := g.wait(ctx, id, r, limit, decided); err != nil {
 			return nil, err
 		}
 	}
@@ -61,11 +63,7 @@
 
 // wait blocks a queued request until it is decided. It sets a timer for the end
 // of its own wait, because no other event may come before.
-func (g *Gate) wait(ctx context.Context, id uint64, r Request, now time.Time, decided chan errkind.Kind) *errkind.Error {
-	limit := r.Deadline.Sub(now)
-	if r.Internal {
-		limit = min(limit, g.controller.config.InternalWait)
-	}
+func (g *Gate) wait(ctx context.Context, id uint64, r Request, limit time.Duration, decided chan errkind.Kind) *errkind.Error {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	for {
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -14,7 +14,7 @@
 	request  Request
 	rank     fleet.Urgency
 	arrived  time.Time
-	giveUp   time.Time // the deadline, or earlier for internal requests
+	giveUp   time.Time // the deadline, or earlier for internal and movable requests
 	sequence uint64
 }
 
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -84,6 +84,9 @@
 	}
 }
 
+// giveUp returns when a queued request is refused at the latest.
+func (c *Controller) giveUp(id uint64) time.Time { return c.queue[c.queue.index(id)].giveUp }
+
 // NextExpiry returns the earliest time at which Tick would refuse a request.
 func (c *Controller) NextExpiry() (time.Time, bool) {
 	var first time.Time
@@ -134,3 +137,25 @@
 	left := r.Deadline.Sub(now)
 	return left <= 0 || left < need
 }
+
+// A movable request is refused when its expected wait exceeds movableShare of the
+// mean service time: the choice was made on old information, and a second choice
+// costs less than the wait. One that has waited movableStay times as long is
+// refused too, because the server has become slow since.
+const (
+	movableShare = 0.7
+	movableStay  = 2
+)
+
+// movableWait returns the longest expected wait of a movable request, or zero
+// when the service time is not known.
+func (c *Controller) movableWait(now time.Time) time.Duration {
+	return time.Duration(movableShare * float64(c.service.value(now, c.config.EstimateTrust)))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -34,6 +34,8 @@
 	end      time.Duration
 	atServer time.Duration
 	running  bool
+	movable  bool // its server may refuse it instead of queueing it
+	hedge    bool
 }
 
 // entry is a node that receives requests of callers and chooses servers.
@@ -68,7 +70,7 @@
 	e.lastUse[c.Service] = e.run.now
 	p := e.policies[a.class]
 	p.Began()
-	e.send(r)
+	e.send(r, false)
 	if !e.run.options.Hedge {
 		return
 	}
@@ -85,10 +87,10 @@
 		r.exclude.Add(a.server.line.Node)
 	}
 	e.run.result.Hedges++
-	e.send(r)
+	e.send(r, true)
 }
 
-func (e *entry) send(r *request) {
+func (e *entry) send(r *request, hedge bool) {
 	s, picked := e.choose(r)
 	if s == nil {
 		if len(r.live) == 0 {
@@ -97,7 +99,8 @@
 		return
 	}
 	e.run.nextID++
-	a := &attempt{id: e.run.nextID, request: r, entry: e, server: s, picked: picked, hop: e.hop(s), sent: e.run.now}
+	a := &attempt{id: e.run.nextID, request: r, entry: e, server: s, picked: picked, hop: e.hop(s), sent: e.run.now, hedge: hedge}
+	a.movable = e.run.options.Policy == Current && e.run.trace.Classes[r.class].Idempotent && e.policies[r.class].CanMove(r.attempts)
 	r.live[a.id] = a
 	e.inFlight[s]++
 	e.run.underWay[s] = append(e.run.underWay[s], a)
@@ -132,7 +135,7 @@
 	}
 	e.run.result.Retries++
 	r.exclude.Add(a.server.line.Node)
-	e.send(r)
+	e.send(r, false)
 }
 
 // ended updates the estimates with the end of an attempt.
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -116,6 +116,17 @@
 	return Decision{Verb: RetryElsewhere}
 }
 
+// moveReserve is the number of tokens above RetryReserve that are left to
+// failures.
+const moveReserve = 4
+
+// CanMove reports whether a positive refusal of the next attempt would be
+// followed by a retry, so that its server may refuse it instead of queueing it.
+// Without a good stock of tokens the attempt is better queued.
+func (p *Policy) CanMove(attempts *Attempts) bool {
+	return attempts.Left() > 0 && p.retries.Tokens() >= float64(p.config.RetryReserve+moveReserve)
+}
+
 // retryable reports whether a further attempt is safe and may end differently.
 func retryable(f Failure) bool {
 	if f.BytesSent || f.Confined || f.Remaining <= 0 {
