Never queue a hedge

Cause: a hedge that waits adds load when the pool is busy and rarely ends first. Change: admission refuses a request marked Hedge unless a slot is free. The test script movable fails without the refusal of hedges.

--- a/admit/config.go
+++ b/admit/config.go
@@ -70,6 +70,7 @@
 	// after a refusal, as told by retry.Policy.CanMove for idempotent classes.
 	// Such a request is refused rather than made to wait long.
 	Movable bool
+	Hedge   bool // second attempt of a request that is running elsewhere; never queued
 }
 
 // privileged reports whether r may use the reserved slots.
--- a/admit/controller.go
+++ b/admit/controller.go
@@ -85,6 +85,9 @@
 }
 
 func (c *Controller) enqueue(now time.Time, id uint64, r Request) (Verdict, errkind.Kind) {
+	if r.Hedge {
+		return Refused, c.fullKind(r)
+	}
 	c.sequence++
 	w := waiting{id: id, request: r, rank: r.rank(), arrived: now, giveUp: r.Deadline, sequence: c.sequence}
 	if r.Internal {
