Add failure tests in separate processes

Cause: the promises have to hold when processes are killed, frozen and restarted. Change: package e2e runs the commands on loopback: orders while nodes and backend servers are killed or frozen, replay after the loss of the entry node, a request that crashes servers, graceful stop under load, drain. Package freeport returns ports below the ephemeral range.

--- a/cmd/millload/main.go
+++ b/cmd/millload/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/spf13/cobra"
 
+	"bramleymill/freeport"
 	"bramleymill/loadgen"
 )
 
@@ -124,26 +125,17 @@
 	}
 }
 
-func freePorts(n int) ([]int, error) {
-	var ports []int
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			l.Close()
-		}
-	}()
-	for len(ports) < n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+func freePorts(n int) ([]string, error) {
+	ports := make([]string, 0, n)
+	for range n {
+		address, err := freeport.Address()
 		if err != nil {
 			return nil, err
 		}
-		open = append(open, l)
-		port := l.Addr().(*net.TCPAddr).Port
-		u, err := net.ListenPacket("udp", l.Addr().String())
+		_, port, err := net.SplitHostPort(address)
 		if err != nil {
-			continue
+			return nil, err
 		}
-		u.Close()
 		ports = append(ports, port)
 	}
 	return ports, nil
--- /dev/null
+++ b/e2e/traffic_test.go
@@ -0,0 +1,163 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"bramleymill/errkind"
+	wire "bramleymill/fleet"
+	"bramleymill/loadgen"
+	"bramleymill/standin"
+	"bramleymill/strictjson"
+)
+
+const classes = `{"classes":[
+ {"name":"browse","service":"shop","match":{"methods":["GET","HEAD"],"path_prefix":"/"},"idempotent":true,
+  "latency_target":"%s","deadline":"20s","urgency":"normal"},
+ {"name":"order","service":"shop","match":{"methods":["POST"],"path_prefix":"/orders"},"idempotent":false,
+  "latency_target":"5s","deadline":"20s","urgency":"high","key":"required"}]}`
+
+// document writes a class document that differs by its number.
+func (f *fleet) document(number int) string {
+	f.t.Helper()
+	name := f.path(fmt.Sprintf("classes-%d.json", number))
+	text := fmt.Sprintf(classes, fmt.Sprintf("%dms", 1000+number))
+	if err := os.WriteFile(name, []byte(text), 0o644); err != nil {
+		f.t.Fatal(err)
+	}
+	return name
+}
+
+// begin starts the replicated logs, applies the first classes and waits until
+// every node serves.
+func (f *fleet) begin() {
+	f.t.Helper()
+	f.await("init", func() bool {
+		_, code := f.try("bramleymillctl", f.operate("init")...)
+		return code == 0
+	})
+	f.await("first classes", func() bool {
+		_, code := f.try("bramleymillctl", f.operate("apply", f.document(0), "--wait")...)
+		return code == 0
+	})
+	for _, in := range f.instances {
+		f.awaitServing(in)
+	}
+}
+
+func (f *fleet) awaitServing(in *instance) {
+	f.t.Helper()
+	f.await(in.name+" serving", func() bool {
+		a := f.send(in, http.MethodGet, "/page", "probe", "", nil)
+		return a.status == http.StatusOK
+	})
+}
+
+type answer struct {
+	status int
+	kind   errkind.Kind
+	header http.Header
+	body   string
+	err    error
+}
+
+// send sends a request to a node as a caller would.
+func (f *fleet) send(in *instance, method, path, work, key string, change func(http.Header)) answer {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+in.address["caller"]+path, bytes.NewReader([]byte("body")))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Header.Set(standin.HeaderWorkID, work)
+	if key != "" {
+		req.Header.Set(wire.HeaderIdempotencyKey, fmt.Sprintf("%q", key))
+	}
+	if change != nil {
+		change(req.Header)
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	var body bytes.Buffer
+	_, err = body.ReadFrom(resp.Body)
+	return answer{resp.StatusCode, errkind.Kind(resp.Header.Get(wire.HeaderKind)), resp.Header, body.String(), err}
+}
+
+// executions returns how often each work id was started.
+func (f *fleet) executions() map[string]int {
+	f.t.Helper()
+	started, err := loadgen.ReadExecutions(f.dir)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return started
+}
+
+// executionsAt returns how often any work was started at one backend server.
+func (f *fleet) executionsAt(in *instance) int {
+	f.t.Helper()
+	b, err := os.ReadFile(filepath.Join(f.dir, in.name+".records"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	recs, err := standin.ReadRecords(bytes.NewReader(b))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n := 0
+	for _, r := range recs {
+		if r.Event == standin.Started {
+			n++
+		}
+	}
+	return n
+}
+
+// load sends browsing and orders for a while, during which fault is called, and
+// checks the outcomes against the execution records.
+func (f *fleet) load(d time.Duration, fault func()) loadgen.Check {
+	f.t.Helper()
+	p := &loadgen.Plan{Seed: 1, Duration: strictjson.Duration(d), Streams: []loadgen.Stream{
+		{Class: "browse", Method: http.MethodGet, Path: "/page", Rate: 100, Idempotent: true, Resends: 3, Timeout: strictjson.Duration(patience)},
+		{Class: "order", Method: http.MethodPost, Path: "/orders", Rate: 60, BodyBytes: 100, Key: true, Resends: 8, Timeout: strictjson.Duration(patience)},
+	}}
+	for _, in := range f.instances {
+		p.Nodes = append(p.Nodes, in.address["caller"])
+	}
+	r, err := loadgen.NewRunner(p, "load")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	finished := make(chan *loadgen.Result, 1)
+	go func() {
+		result, err := r.Run(context.Background())
+		if err != nil {
+			result = nil
+		}
+		finished <- result
+	}()
+	fault()
+	result := <-finished
+	if result == nil {
+		f.t.Fatal("load did not run to its end")
+	}
+	check := loadgen.Verify(result.Outcomes(), f.executions())
+	f.t.Log(check.Line())
+	if !check.Passed() {
+		f.t.Errorf("broken promise: %+v", check)
+	}
+	if check.Answered == 0 {
+		f.t.Error("nothing was answered")
+	}
+	return check
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,6 +14,7 @@
 
 	"bramleymill/configstate"
 	"bramleymill/fleet"
+	"bramleymill/freeport"
 	"bramleymill/keys"
 	"bramleymill/settings"
 	"bramleymill/standin"
@@ -46,19 +46,11 @@
 
 func freePort(t *testing.T) string {
 	t.Helper()
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		u, err := net.ListenPacket("udp", l.Addr().String())
-		l.Close()
-		if err != nil {
-			continue
-		}
-		u.Close()
-		return l.Addr().String()
+	a, err := freeport.Address()
+	if err != nil {
+		t.Fatal(err)
 	}
+	return a
 }
 
 func newTestFleet(t *testing.T, size int) *testFleet {
