operator: add the operator interface and its client

Cause: operators need to change the configuration, give orders and look into the fleet, and a resend after a lost answer must be safe. Change: an HTTP server with JSON over small interfaces (state, confirmer, proposer, fleet view, explainer, suspects, bootstrapper); operators are authenticated by a verified client certificate; errors carry kind, outcome, message and remedy. The client tries its addresses in rounds with one change id and reports "not made" only when no try may have been executed. Ruled out: retrying init at a second address, because two instances that both start a log form two groups. Waiting for all nodes inside the change request: the change would be resent when the wait is cut off, so the wait is a request of its own. Measured: two operators racing 200 times at the same version through two servers gave 200 winners and 200 conflicts with the winner's document.

--- /dev/null
+++ b/operator/change.go
@@ -0,0 +1,138 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"bramleymill/class"
+	"bramleymill/configstate"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+func (s *Server) apply(r *http.Request, by Identity) (any, error) {
+	var q ApplyRequest
+	if err := readBody(r, &q); err != nil {
+		return nil, err
+	}
+	if q.DryRun {
+		return s.dryRun(r.Context(), &q)
+	}
+	return s.change(r, by, configstate.Change{ID: q.ChangeID, Action: configstate.ApplyDocument,
+		Expected: q.Expected, Reason: q.Reason, Document: []byte(q.Document)})
+}
+
+func (s *Server) rollback(r *http.Request, by Identity) (any, error) {
+	var q RollbackRequest
+	if err := readBody(r, &q); err != nil {
+		return nil, err
+	}
+	return s.change(r, by, configstate.Change{ID: q.ChangeID, Action: configstate.Rollback,
+		Expected: q.Expected, Reason: q.Reason, Version: q.Version})
+}
+
+func (s *Server) order(action configstate.Action) handler {
+	return func(r *http.Request, by Identity) (any, error) {
+		var q OrderRequest
+		if err := readBody(r, &q); err != nil {
+			return nil, err
+		}
+		return s.change(r, by, configstate.Change{ID: q.ChangeID, Action: action,
+			Reason: q.Reason, Node: fleet.NodeID(r.PathValue("node"))})
+	}
+}
+
+func (s *Server) release(r *http.Request, by Identity) (any, error) {
+	var q ReleaseRequest
+	if err := readBody(r, &q); err != nil {
+		return nil, err
+	}
+	return s.change(r, by, configstate.Change{ID: q.ChangeID, Action: configstate.ReleaseSuspect,
+		Reason: q.Reason, Service: q.Service, Fingerprint: uint64(q.Fingerprint)})
+}
+
+// change proposes c in the name of the operator and converts the answer.
+func (s *Server) change(r *http.Request, by Identity, c configstate.Change) (any, error) {
+	if s.config.Proposer == nil {
+		return nil, errorf(errkind.ControlUnavailable, "node %s does not reach the configuration group", s.config.Node)
+	}
+	c.Operator, c.Origin = by.Name, r.RemoteAddr
+	command, err := configstate.EncodeChange(c)
+	if err != nil {
+		return nil, errorf(errkind.BadRequest, "%v", err)
+	}
+	out, err := s.config.Proposer.Propose(r.Context(), command)
+	if err != nil {
+		return nil, proposalError(c.ID, err)
+	}
+	a, err := configstate.DecodeAnswer(out)
+	if err != nil {
+		return nil, errorf(errkind.OutcomeUnknown, "change %s: %v", c.ID, err)
+	}
+	s.config.Log.Info("operator change", "operator", by.Name, "from", r.RemoteAddr, "action", c.Action,
+		"change", c.ID, "outcome", a.Outcome, "version", a.Version, "orders", a.OrdersVersion, "repeated", a.Repeated)
+	return s.changeResult(&c, &a)
+}
+
+// proposalError tells a change that was not proposed from one whose outcome is
+// not known.
+func proposalError(id string, err error) error {
+	var e *errkind.Error
+	if errors.As(err, &e) && e.Kind == errkind.ControlUnavailable {
+		return errorf(errkind.ControlUnavailable, "change %s was not made: %v", id, err)
+	}
+	return errorf(errkind.OutcomeUnknown, "change %s may have been made: %v", id, err)
+}
+
+func (s *Server) changeResult(c *configstate.Change, a *configstate.Answer) (any, error) {
+	switch a.Outcome {
+	case configstate.Accepted:
+		return ChangeResult{ChangeID: c.ID, Version: a.Version, OrdersVersion: a.OrdersVersion,
+			Sequence: a.Sequence, Repeated: a.Repeated, Message: a.Message}, nil
+	case configstate.Conflict:
+		return nil, s.conflict(c.Expected, a.Version, a.Document, a.Message)
+	case configstate.IDReused:
+		return nil, errorf(errkind.BadRequest, "change id %s: %s", c.ID, a.Message)
+	}
+	if c.Action == configstate.ApplyDocument {
+		return nil, errorf(errkind.InvalidDocument, "%s", a.Message)
+	}
+	return nil, errorf(errkind.BadRequest, "%s", a.Message)
+}
+
+func (s *Server) conflict(expected, version uint64, document []byte, message string) error {
+	e := errorf(errkind.VersionConflict, "%s", message)
+	e.Conflict = &Conflict{Version: version, Document: string(document)}
+	base := []byte{}
+	if expected > 0 && s.config.State != nil {
+		v, ok := s.config.State.Version(expected)
+		if !ok {
+			return e
+		}
+		base = v.Document
+	}
+	e.Conflict.Diff = configstate.Diff(versionLabel(expected), versionLabel(version), base, document)
+	return e
+}
+
+// dryRun decides as the state machine would, without a change.
+func (s *Server) dryRun(ctx context.Context, q *ApplyRequest) (any, error) {
+	if err := s.confirm(ctx); err != nil {
+		return nil, err
+	}
+	v := s.config.State.View()
+	if q.Expected != v.Version {
+		return nil, s.conflict(q.Expected, v.Version, v.Document, "the expected version is not in force")
+	}
+	if len(q.Document) > configstate.MaxDocumentBytes {
+		return nil, errorf(errkind.InvalidDocument, "the document has %d bytes; use at most %d", len(q.Document), configstate.MaxDocumentBytes)
+	}
+	if _, err := class.Parse([]byte(q.Document)); err != nil {
+		return nil, errorf(errkind.InvalidDocument, "%v", err)
+	}
+	return ChangeResult{ChangeID: q.ChangeID, Version: v.Version, OrdersVersion: v.Orders.Version, DryRun: true,
+		Diff: configstate.Diff(versionLabel(v.Version), "proposed document", v.Document, []byte(q.Document))}, nil
+}
+
+var _ http.Handler = (*Server)(nil)
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,150 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"bramleymill/configstate"
+	"bramleymill/fleet"
+)
+
+// ErrUnreachable is wrapped by the error of a request that no node received.
+var ErrUnreachable = errors.New("no node is reachable")
+
+// Client sends requests to the operator interface of the first node that
+// answers. It is safe for concurrent use.
+type Client struct {
+	http      *http.Client
+	addresses []string
+	pause     time.Duration // between two rounds over the addresses
+}
+
+// NewClient returns a Client for nodes at the given admin addresses, which are
+// tried in order. An address is host:port or a URL.
+func NewClient(h *http.Client, addresses []string) *Client {
+	return &Client{http: h, addresses: addresses, pause: defaultPause}
+}
+
+// Init starts the replicated log at the only address of the client. It is never
+// sent to a second address: two instances that both start a log would form two
+// groups.
+func (c *Client) Init(ctx context.Context) error {
+	if len(c.addresses) != 1 {
+		return fmt.Errorf("init is for one instance, but %d addresses are given", len(c.addresses))
+	}
+	_, err := c.try(ctx, c.addresses[0], request{method: http.MethodPost, path: "/v1/init", body: struct{}{}}, nil)
+	return err
+}
+
+// Apply replaces the class document.
+func (c *Client) Apply(ctx context.Context, q ApplyRequest) (ChangeResult, error) {
+	return c.change(ctx, "/v1/config", q)
+}
+
+// Rollback puts the document of an older version in force again.
+func (c *Client) Rollback(ctx context.Context, q RollbackRequest) (ChangeResult, error) {
+	return c.change(ctx, "/v1/config/rollback", q)
+}
+
+// Drain adds a drain order for a node.
+func (c *Client) Drain(ctx context.Context, node fleet.NodeID, q OrderRequest) (ChangeResult, error) {
+	return c.change(ctx, "/v1/nodes/"+url.PathEscape(string(node))+"/drain", q)
+}
+
+// Undrain removes the drain order of a node.
+func (c *Client) Undrain(ctx context.Context, node fleet.NodeID, q OrderRequest) (ChangeResult, error) {
+	return c.change(ctx, "/v1/nodes/"+url.PathEscape(string(node))+"/undrain", q)
+}
+
+// Release allows a crash suspect to run again.
+func (c *Client) Release(ctx context.Context, q ReleaseRequest) (ChangeResult, error) {
+	return c.change(ctx, "/v1/suspects/release", q)
+}
+
+func (c *Client) change(ctx context.Context, path string, body any) (ChangeResult, error) {
+	var out ChangeResult
+	err := c.do(ctx, request{method: http.MethodPost, path: path, body: body}, &out)
+	return out, err
+}
+
+func (c *Client) read(ctx context.Context, path string, query url.Values, out any) error {
+	if len(query) > 0 {
+		path += "?" + query.Encode()
+	}
+	return c.do(ctx, request{method: http.MethodGet, path: path}, out)
+}
+
+func decimal(v uint64) string { return strconv.FormatUint(v, 10) }
+
+// Current returns the configuration in force. Its version is 0 before the first.
+func (c *Client) Current(ctx context.Context) (Configuration, error) {
+	var out Configuration
+	err := c.read(ctx, "/v1/config", nil, &out)
+	return out, err
+}
+
+// Version returns one version of the configuration.
+func (c *Client) Version(ctx context.Context, version uint64) (Configuration, error) {
+	var out Configuration
+	err := c.read(ctx, "/v1/config", url.Values{"version": {decimal(version)}}, &out)
+	return out, err
+}
+
+// Diff returns the difference between two versions. Zero for to stands for the
+// version in force, and zero for both for the difference to the one before it.
+func (c *Client) Diff(ctx context.Context, from, to uint64) (DiffResult, error) {
+	query := url.Values{}
+	if to != 0 {
+		query.Set("to", decimal(to))
+	}
+	if from != 0 {
+		query.Set("from", decimal(from))
+	}
+	var out DiffResult
+	err := c.read(ctx, "/v1/config/diff", query, &out)
+	return out, err
+}
+
+// History returns up to limit audit entries after a sequence number.
+func (c *Client) History(ctx context.Context, after uint64, limit int) (configstate.Trail, error) {
+	var out configstate.Trail
+	err := c.read(ctx, "/v1/history", url.Values{"after": {decimal(after)}, "limit": {strconv.Itoa(limit)}}, &out)
+	return out, err
+}
+
+// Status returns the state of the fleet.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+	err := c.read(ctx, "/v1/status", nil, &out)
+	return out, err
+}
+
+// Wait returns when every live node has applied the versions, or after timeout,
+// which is at most MaxWait, with the nodes that have not.
+func (c *Client) Wait(ctx context.Context, version, orders uint64, timeout time.Duration) (WaitResult, error) {
+	var out WaitResult
+	query := url.Values{"version": {decimal(version)}, "orders": {decimal(orders)},
+		"timeout_ms": {strconv.FormatInt(timeout.Milliseconds(), 10)}}
+	err := c.do(ctx, request{method: http.MethodGet, path: "/v1/config/wait?" + query.Encode(), timeout: timeout + tryTimeout}, &out)
+	return out, err
+}
+
+// Explain returns the record of a request. Every address is asked until one
+// has the record.
+func (c *Client) Explain(ctx context.Context, requestID string) (Explanation, error) {
+	var out Explanation
+	err := c.do(ctx, request{method: http.MethodGet, path: "/v1/explain/" + url.PathEscape(requestID), askAll: true}, &out)
+	return out, err
+}
+
+// Suspects returns the crash suspects.
+func (c *Client) Suspects(ctx context.Context) ([]Suspect, error) {
+	var out []Suspect
+	err := c.read(ctx, "/v1/suspects", nil, &out)
+	return out, err
+}
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,287 @@
+package operator
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleymill/configstate"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+// group is a configuration group of one replica. script lists how the next
+// proposals fail: "unavailable" (proved not made) or "lost" (made, reply lost).
+type group struct {
+	mu      sync.Mutex
+	machine *configstate.Machine
+	script  []string
+	index   uint64
+}
+
+func (g *group) Propose(_ context.Context, command []byte) ([]byte, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	step := ""
+	if len(g.script) > 0 {
+		step, g.script = g.script[0], g.script[1:]
+	}
+	if step == "unavailable" {
+		return nil, errkind.New(errkind.ControlUnavailable, "no leader")
+	}
+	g.index++
+	out := g.machine.Apply(g.index, time.Unix(int64(g.index), 0), command)
+	if step == "lost" {
+		return nil, errkind.New(errkind.OutcomeUnknown, "connection lost")
+	}
+	return out, nil
+}
+
+type confirmer struct{ err error }
+
+func (c confirmer) Confirm(context.Context) error { return c.err }
+
+type fleetView []NodeStatus
+
+func (f fleetView) Nodes() []NodeStatus { return f }
+
+func identity(name string, role fleet.Role) Identify {
+	return func(*tls.ConnectionState) (Identity, error) { return Identity{Name: name, Role: role}, nil }
+}
+
+// serve starts a node of g whose sender is the operator name.
+func serve(t *testing.T, g *group, name string, change func(*Config)) string {
+	c := Config{Node: "control-1", Identify: identity(name, fleet.RoleOperator), State: g.machine,
+		Confirmer: confirmer{}, Proposer: g, PollInterval: time.Millisecond}
+	if change != nil {
+		change(&c)
+	}
+	s := httptest.NewServer(New(c))
+	t.Cleanup(s.Close)
+	return s.URL
+}
+
+func client(addresses ...string) *Client {
+	c := NewClient(http.DefaultClient, addresses)
+	c.pause = time.Millisecond
+	return c
+}
+
+func newGroup() *group { return &group{machine: configstate.New(nil)} }
+
+func document(n int) string {
+	return fmt.Sprintf(`{"classes":[{"name":"browse","service":"katalog",
+ "match":{"methods":["GET"],"path_prefix":"/"},"idempotent":true,
+ "latency_target":"%dms","deadline":"20s","urgency":"normal"}]}
+`, n+1)
+}
+
+func kindOf(err error) errkind.Kind {
+	if err == nil {
+		return ""
+	}
+	if errors.Is(err, ErrUnreachable) {
+		return "unreachable"
+	}
+	return errkind.Of(err).Kind
+}
+
+// Guards against a request by anyone but an operator having an effect or an
+// answer, on any route.
+func TestOnlyOperatorsAreServed(t *testing.T) {
+	g := newGroup()
+	for _, role := range []fleet.Role{fleet.RoleNode, fleet.RoleControl, ""} {
+		url := serve(t, g, "n1", func(c *Config) { c.Identify = identity("n1", role) })
+		c, ctx := client(url), context.Background()
+		_, apply := c.Apply(ctx, ApplyRequest{ChangeID: "a", Document: document(1)})
+		_, drain := c.Drain(ctx, "n1", OrderRequest{ChangeID: "b"})
+		_, get := c.Current(ctx)
+		_, status := c.Status(ctx)
+		_, history := c.History(ctx, 0, 10)
+		_, unknown := c.try(ctx, url, request{method: http.MethodGet, path: "/other"}, nil)
+		for i, err := range []error{apply, drain, get, status, history, unknown, c.Init(ctx)} {
+			if kindOf(err) != errkind.Unauthorized {
+				t.Errorf("role %q, request %d: error %v, want unauthorized", role, i, err)
+			}
+		}
+	}
+	if g.index != 0 {
+		t.Errorf("%d changes were proposed", g.index)
+	}
+}
+
+// Guards against a client certificate that was sent but not verified.
+func TestCertificateMustBeVerified(t *testing.T) {
+	id := IdentifyByCertificate(func(*x509.Certificate) (fleet.Role, error) { return fleet.RoleOperator, nil })
+	ada := &x509.Certificate{Subject: pkix.Name{CommonName: "ada"}}
+	for _, state := range []*tls.ConnectionState{nil, {}, {PeerCertificates: []*x509.Certificate{ada}}} {
+		if _, err := id(state); kindOf(err) != errkind.Unauthorized {
+			t.Errorf("error %v, want unauthorized", err)
+		}
+	}
+	got, err := id(&tls.ConnectionState{VerifiedChains: [][]*x509.Certificate{{ada}}})
+	if err != nil || got.Name != "ada" || got.Role != fleet.RoleOperator {
+		t.Errorf("identity %+v, error %v", got, err)
+	}
+}
+
+// Guards against a change that is reported as not made although it may have
+// been, against a resend that applies twice, and against giving up while
+// another address can answer.
+func TestResendAfterFailure(t *testing.T) {
+	down := httptest.NewServer(nil)
+	down.Close()
+	cases := []struct {
+		name    string
+		script  []string
+		down    bool // the first address refuses connections
+		only    bool // there is no other address
+		denied  bool // the other address refuses the certificate
+		kind    errkind.Kind
+		version uint64
+	}{
+		{name: "success", version: 1},
+		{name: "first address down", down: true, version: 1},
+		{name: "all addresses down", down: true, only: true, kind: "unreachable"},
+		{name: "answer lost, resent", script: []string{"lost"}, version: 1},
+		{name: "election", script: []string{"unavailable", "unavailable", "unavailable"}, version: 1},
+		{name: "no majority", script: []string{"unavailable", "unavailable", "unavailable", "unavailable"}, only: true, kind: errkind.ControlUnavailable},
+		{name: "lost, then denied", script: []string{"lost"}, denied: true, kind: errkind.OutcomeUnknown, version: 1},
+		{name: "lost, then no majority", script: []string{"lost", "unavailable", "unavailable", "unavailable"}, only: true, kind: errkind.OutcomeUnknown, version: 1},
+	}
+	for _, c := range cases {
+		g := newGroup()
+		g.script = c.script
+		addresses := []string{serve(t, g, "ada", nil), serve(t, g, "ada", nil)}
+		if c.down {
+			addresses[0] = down.URL
+		}
+		if c.denied {
+			addresses[1] = serve(t, g, "ada", func(c *Config) { c.Identify = identity("ada", fleet.RoleNode) })
+		}
+		if c.only {
+			addresses = addresses[:1]
+		}
+		r, err := client(addresses...).Apply(context.Background(), ApplyRequest{ChangeID: "a", Document: document(1)})
+		if kindOf(err) != c.kind || err == nil && r.Version != c.version {
+			t.Errorf("%s: %+v, error %v, want kind %q", c.name, r, err, c.kind)
+		}
+		if v := g.machine.View().Version; v != c.version {
+			t.Errorf("%s: version %d, want %d", c.name, v, c.version)
+		}
+	}
+}
+
+type bootstrapper struct{ calls int }
+
+func (b *bootstrapper) Bootstrap(context.Context) error { b.calls++; return nil }
+
+// Guards against init at a second instance, which would form a second group.
+func TestInitIsForOneAddress(t *testing.T) {
+	b := &bootstrapper{}
+	url := serve(t, newGroup(), "ada", func(c *Config) { c.Bootstrapper = b })
+	if err := client(url, url).Init(context.Background()); err == nil || b.calls != 0 {
+		t.Errorf("init with two addresses: error %v, %d calls", err, b.calls)
+	}
+	if err := client(url).Init(context.Background()); err != nil || b.calls != 1 {
+		t.Errorf("init: error %v, %d calls", err, b.calls)
+	}
+}
+
+// Guards against two operators who both win, or a loser who does not learn what
+// the other changed. Both use the same version 200 times.
+func TestOperatorsRace(t *testing.T) {
+	g := newGroup()
+	names := []string{"ada", "eva"}
+	clients := []*Client{client(serve(t, g, "ada", nil)), client(serve(t, g, "eva", nil))}
+	for round := range 200 {
+		var wait sync.WaitGroup
+		results, errs := make([]ChangeResult, 2), make([]error, 2)
+		for i, c := range clients {
+			wait.Go(func() {
+				results[i], errs[i] = c.Apply(context.Background(), ApplyRequest{
+					ChangeID: fmt.Sprint(names[i], round), Expected: uint64(round), Document: document(2*round + i)})
+			})
+		}
+		wait.Wait()
+		winner := 0
+		if errs[0] != nil {
+			winner = 1
+		}
+		var lost *Error
+		if errs[winner] != nil || results[winner].Version != uint64(round+1) || !errors.As(errs[1-winner], &lost) {
+			t.Fatalf("round %d: %+v, errors %v, want one winner", round, results, errs)
+		}
+		if lost.Kind != errkind.VersionConflict || lost.Conflict == nil || lost.Conflict.Document != document(2*round+winner) ||
+			!strings.Contains(lost.Conflict.Diff, fmt.Sprintf(`+ "latency_target":"%dms"`, 2*round+winner+1)) {
+			t.Fatalf("round %d: the loser got %+v", round, lost)
+		}
+	}
+	if err := g.machine.Verify(); err != nil || len(g.machine.History(0, 1000).Entries) != 400 {
+		t.Errorf("the trail has %d entries, error %v", len(g.machine.History(0, 1000).Entries), err)
+	}
+}
+
+// Guards against answers from a state that is not confirmed, and against a
+// status that is missing when it is needed most.
+func TestUnconfirmedStateIsNotRead(t *testing.T) {
+	g := newGroup()
+	c := client(serve(t, g, "ada", func(c *Config) { c.Confirmer = confirmer{errors.New("no majority")} }))
+	ctx := context.Background()
+	_, get := c.Current(ctx)
+	_, diff := c.Diff(ctx, 0, 0)
+	_, history := c.History(ctx, 0, 10)
+	_, dryRun := c.Apply(ctx, ApplyRequest{Document: document(1), DryRun: true})
+	for i, err := range []error{get, diff, history, dryRun} {
+		if kindOf(err) != errkind.ControlUnavailable {
+			t.Errorf("request %d: error %v, want control_unavailable", i, err)
+		}
+	}
+	if s, err := c.Status(ctx); err != nil || s.Confirmed || s.Message == "" {
+		t.Errorf("status %+v, error %v, want an unconfirmed one with a message", s, err)
+	}
+}
+
+// Guards against a dry run that changes something or accepts what apply refuses.
+func TestDryRun(t *testing.T) {
+	g := newGroup()
+	c := client(serve(t, g, "ada", nil))
+	ctx := context.Background()
+	r, err := c.Apply(ctx, ApplyRequest{Document: document(1), DryRun: true})
+	if err != nil || !r.DryRun || !strings.Contains(r.Diff, "+{") || g.index != 0 {
+		t.Errorf("dry run %+v, error %v, %d proposals", r, err, g.index)
+	}
+	_, invalid := c.Apply(ctx, ApplyRequest{Document: "{", DryRun: true})
+	_, conflict := c.Apply(ctx, ApplyRequest{Expected: 7, Document: document(1), DryRun: true})
+	_, large := c.Apply(ctx, ApplyRequest{Document: strings.Repeat("x", MaxBodyBytes)})
+	if kindOf(invalid) != errkind.InvalidDocument || kindOf(conflict) != errkind.VersionConflict || kindOf(large) != errkind.BodyTooLarge {
+		t.Errorf("errors %v; %v; %v", invalid, conflict, large)
+	}
+}
+
+// Guards against a wait that ends early, that waits for nodes that are gone, or
+// that does not name the nodes that lag.
+func TestWaitNamesLaggingNodes(t *testing.T) {
+	nodes := fleetView{
+		{Node: "n2", Live: true, ConfigVersion: 3}, {Node: "n1", Live: true, ConfigVersion: 4, OrdersVersion: 1},
+		{Node: "n3", Live: false, ConfigVersion: 1}}
+	c := client(serve(t, newGroup(), "ada", func(c *Config) { c.Fleet = nodes }))
+	for _, want := range []struct {
+		version, orders uint64
+		lagging         string
+	}{{3, 0, "[]"}, {4, 0, "[n2]"}, {3, 1, "[n2]"}, {5, 0, "[n1 n2]"}} {
+		r, err := c.Wait(context.Background(), want.version, want.orders, 10*time.Millisecond)
+		if err != nil || fmt.Sprint(r.Lagging) != want.lagging || r.Applied+len(r.Lagging) != 2 {
+			t.Errorf("version %d, orders %d: %+v, error %v, want lagging %s", want.version, want.orders, r, err, want.lagging)
+		}
+	}
+}
--- /dev/null
+++ b/operator/request.go
@@ -0,0 +1,209 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"bramleymill/errkind"
+)
+
+const (
+	// maxRounds over the addresses bridge the election of a leader, which takes
+	// about 1 s.
+	maxRounds    = 4
+	defaultPause = 500 * time.Millisecond
+	// tryTimeout leaves time for other addresses when a node is frozen.
+	tryTimeout = 5 * time.Second
+	// maxAnswerBytes holds MaxHistoryEntries entries of the largest size.
+	maxAnswerBytes = 16 << 20
+)
+
+// request is one request of the client. Changes carry a change id in the body,
+// so that every request may be sent more than once.
+type request struct {
+	method, path string
+	body         any           // sent as JSON unless nil
+	askAll       bool          // NotFound at one node does not speak for the others
+	timeout      time.Duration // of one try; zero means tryTimeout
+}
+
+// delivery tells how far a try got.
+type delivery int
+
+const (
+	notSent  delivery = iota // the node did not get the request
+	unclear                  // the node may have executed the request
+	answered                 // the node answered
+)
+
+// do tries the addresses in order until one gives a final answer.
+func (c *Client) do(ctx context.Context, q request, out any) error {
+	if len(c.addresses) == 0 {
+		return fmt.Errorf("%w: no address is given", ErrUnreachable)
+	}
+	var f failures
+	for round := range maxRounds {
+		if round > 0 && !sleep(ctx, c.pause) {
+			break
+		}
+		again := false
+		for _, address := range c.addresses {
+			got, err := c.try(ctx, address, q, out)
+			if err == nil {
+				return nil
+			}
+			if got == answered && !tryNext(err, q) {
+				return f.final(q, err)
+			}
+			f.add(got, err)
+			again = again || got != answered || errkind.Of(err).Kind != errkind.NotFound
+		}
+		if !again {
+			break
+		}
+	}
+	return f.verdict(q)
+}
+
+// failures collects what the failed tries of one request tell.
+type failures struct {
+	answer    error // latest answer of a node
+	failure   error // latest failure without an answer
+	uncertain bool  // a try may have been executed
+}
+
+func (f *failures) add(got delivery, err error) {
+	if got == answered {
+		f.answer = err
+		f.uncertain = f.uncertain || errkind.Lookup(errkind.Of(err).Kind).Outcome == errkind.Unknown
+		return
+	}
+	f.failure = err
+	f.uncertain = f.uncertain || got == unclear
+}
+
+// final returns the answer of a node. After an uncertain try only a decision of
+// the state machine, which holds for all tries, settles a change.
+func (f *failures) final(q request, err error) error {
+	kind := errkind.Of(err).Kind
+	if q.change() && f.uncertain && kind != errkind.VersionConflict && kind != errkind.InvalidDocument {
+		return errorf(errkind.OutcomeUnknown, "an earlier try may have been executed, and a later one was refused: %v", err)
+	}
+	return err
+}
+
+// verdict is the error after all tries failed.
+func (f *failures) verdict(q request) error {
+	switch {
+	case q.change() && f.uncertain:
+		return errorf(errkind.OutcomeUnknown, "the request may have been executed: %v", errors.Join(f.failure, f.answer))
+	case f.answer != nil:
+		return f.answer
+	}
+	return fmt.Errorf("%w: %w", ErrUnreachable, f.failure)
+}
+
+func (q request) change() bool { return q.method != http.MethodGet }
+
+// tryNext reports whether another node may give a better answer.
+func tryNext(err error, q request) bool {
+	switch errkind.Of(err).Kind {
+	case errkind.ControlUnavailable, errkind.OutcomeUnknown, errkind.Internal:
+		return true
+	case errkind.NotFound:
+		return q.askAll
+	}
+	return false
+}
+
+// try sends q to one address.
+func (c *Client) try(ctx context.Context, address string, q request, out any) (delivery, error) {
+	if !strings.Contains(address, "://") {
+		address = "https://" + address
+	}
+	var body io.Reader
+	if q.body != nil {
+		b, err := json.Marshal(q.body)
+		if err != nil {
+			return notSent, fmt.Errorf("encode request: %w", err)
+		}
+		body = bytes.NewReader(b)
+	}
+	if q.timeout == 0 {
+		q.timeout = tryTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, q.timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, q.method, address+q.path, body)
+	if err != nil {
+		return notSent, fmt.Errorf("address %s: %w", address, err)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(r)
+	if err != nil {
+		return sentBefore(err), fmt.Errorf("request to %s: %w", address, err)
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return unclear, fmt.Errorf("answer of %s: %w", address, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return readError(address, response.StatusCode, data)
+	}
+	if out != nil {
+		if err := json.Unmarshal(data, out); err != nil {
+			return unclear, fmt.Errorf("decode answer of %s: %w", address, err)
+		}
+	}
+	return answered, nil
+}
+
+// sentBefore tells a failure to connect from a failure after the request was sent.
+func sentBefore(err error) delivery {
+	var op *net.OpError
+	var verification *tls.CertificateVerificationError
+	var alert tls.AlertError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial", errors.As(err, &verification):
+		return notSent
+	case errors.As(err, &alert) && certificateAlerts[alert]:
+		return notSent
+	}
+	return unclear
+}
+
+// certificateAlerts are the TLS alerts by which a server refuses the client
+// certificate in the handshake (RFC 8446, section 6.2).
+var certificateAlerts = map[tls.AlertError]bool{42: true, 43: true, 44: true, 45: true, 46: true, 48: true, 49: true, 116: true}
+
+// readError converts the answer of a failed request. An answer that is not from
+// the operator interface leaves open what happened.
+func readError(address string, status int, data []byte) (delivery, error) {
+	var b ErrorBody
+	if err := json.Unmarshal(data, &b); err != nil || !errkind.Known(errkind.Kind(b.Kind)) {
+		return unclear, fmt.Errorf("%s answered with status %d and no error kind", address, status)
+	}
+	return answered, &Error{Kind: errkind.Kind(b.Kind), Message: b.Message, Remedy: b.Remedy, Conflict: b.Conflict}
+}
+
+// sleep reports whether the context still runs after d.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/operator/server.go
@@ -0,0 +1,158 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"bramleymill/configstate"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/replica"
+)
+
+// MaxBodyBytes bounds a request body. A document in JSON text may need up to
+// two bytes for each of its own, because quotes and line ends are escaped.
+const MaxBodyBytes = 2*configstate.MaxDocumentBytes + 16<<10
+
+// State is the configuration held by a control instance. *configstate.Machine
+// implements it.
+type State interface {
+	View() *configstate.View
+	Version(version uint64) (configstate.Version, bool)
+	History(after uint64, limit int) configstate.Trail
+	Diff(from, to uint64) (string, error)
+}
+
+// Confirmer proves that the local state is current.
+type Confirmer interface {
+	// Confirm returns nil when the local state holds every change that was
+	// accepted before the call.
+	Confirm(ctx context.Context) error
+}
+
+// FleetView lists the nodes of the fleet.
+type FleetView interface {
+	Nodes() []NodeStatus
+}
+
+// Explainer finds the record of a request. It returns an error of kind NotFound
+// when no node keeps it.
+type Explainer interface {
+	Explain(ctx context.Context, requestID string) (Explanation, error)
+}
+
+// SuspectList lists the crash suspects known at this node.
+type SuspectList interface {
+	Suspects() []Suspect
+}
+
+// Bootstrapper starts the replicated log with this instance as its only voter.
+type Bootstrapper interface {
+	Bootstrap(ctx context.Context) error
+}
+
+// Config is what a Server needs. The fields from State to Bootstrapper are nil
+// on a node without the control role, where their requests are refused.
+type Config struct {
+	Node     fleet.NodeID
+	Identify Identify
+	Log      *slog.Logger
+
+	State        State
+	Confirmer    Confirmer
+	Proposer     replica.Proposer // of the configuration group; forwards to its leader
+	Bootstrapper Bootstrapper
+
+	Fleet     FleetView
+	Explainer Explainer
+	Suspects  SuspectList
+
+	// PollInterval is the time between looks at the fleet view during a wait.
+	// Zero means DefaultPollInterval.
+	PollInterval time.Duration
+}
+
+// DefaultPollInterval is short compared with the heartbeat of 500 ms that
+// carries the applied version.
+const DefaultPollInterval = 100 * time.Millisecond
+
+// Server is the http.Handler of the operator interface.
+type Server struct {
+	config Config
+	mux    *http.ServeMux
+}
+
+// New returns a Server.
+func New(c Config) *Server {
+	if c.PollInterval == 0 {
+		c.PollInterval = DefaultPollInterval
+	}
+	if c.Log == nil {
+		c.Log = slog.New(slog.DiscardHandler)
+	}
+	s := &Server{config: c, mux: http.NewServeMux()}
+	for pattern, h := range map[string]handler{
+		"POST /v1/init":                 s.init,
+		"GET /v1/config":                s.get,
+		"POST /v1/config":               s.apply,
+		"POST /v1/config/rollback":      s.rollback,
+		"GET /v1/config/diff":           s.diff,
+		"GET /v1/config/wait":           s.wait,
+		"GET /v1/history":               s.history,
+		"GET /v1/status":                s.status,
+		"GET /v1/explain/{request}":     s.explain,
+		"POST /v1/nodes/{node}/drain":   s.order(configstate.Drain),
+		"POST /v1/nodes/{node}/undrain": s.order(configstate.Undrain),
+		"GET /v1/suspects":              s.suspects,
+		"POST /v1/suspects/release":     s.release,
+	} {
+		s.mux.HandleFunc(pattern, s.authenticated(h))
+	}
+	s.mux.HandleFunc("/", s.authenticated(func(r *http.Request, _ Identity) (any, error) {
+		return nil, errorf(errkind.NotFound, "there is no %s %s", r.Method, r.URL.Path)
+	}))
+	return s
+}
+
+// ServeHTTP answers one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// confirm makes sure that the state is current.
+func (s *Server) confirm(ctx context.Context) error {
+	if s.config.State == nil || s.config.Confirmer == nil {
+		return errorf(errkind.ControlUnavailable, "node %s has no control role", s.config.Node)
+	}
+	if err := s.config.Confirmer.Confirm(ctx); err != nil {
+		return errorf(errkind.ControlUnavailable, "the configuration of node %s is not confirmed by a majority: %v", s.config.Node, err)
+	}
+	return nil
+}
+
+func readBody(r *http.Request, v any) error {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	err := d.Decode(v)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return errorf(errkind.BodyTooLarge, "the request has more than %d bytes", tooLarge.Limit)
+	case err != nil:
+		return errorf(errkind.BadRequest, "decode the request: %v", err)
+	}
+	return nil
+}
+
+func (s *Server) init(r *http.Request, by Identity) (any, error) {
+	if s.config.Bootstrapper == nil {
+		return nil, errorf(errkind.ControlUnavailable, "node %s has no control role", s.config.Node)
+	}
+	if err := s.config.Bootstrapper.Bootstrap(r.Context()); err != nil {
+		return nil, err
+	}
+	s.config.Log.Info("replicated log started", "operator", by.Name, "from", r.RemoteAddr)
+	return struct{}{}, nil
+}
