Measure nodes from outside and the spread of changes

Ruled out: measuring inside the nodes only, which leaves out what the runtime and the kernel use for them.

--- a/cmd/millload/main.go
+++ b/cmd/millload/main.go
@@ -28,7 +28,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newRunCommand(), newFreePortsCommand())
+	root.AddCommand(newRunCommand(), newFreePortsCommand(), newObserveCommand())
 	return root
 }
 
--- /dev/null
+++ b/cmd/millload/observe.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bramleymill/observe"
+)
+
+// newObserveCommand groups the measurements of running nodes.
+func newObserveCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "observe", Short: "Measure running nodes listed in a manifest"}
+	cmd.AddCommand(newRestCommand(), newSpreadCommand())
+	return cmd
+}
+
+func newRestCommand() *cobra.Command {
+	var d time.Duration
+	cmd := &cobra.Command{
+		Use:   "rest MANIFEST",
+		Short: "Measure processor time, memory and control traffic for a while",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			targets, err := observe.ReadManifest(args[0])
+			if err != nil {
+				return err
+			}
+			node, control, err := observe.Rest(cmd.Context(), targets, d)
+			if err != nil {
+				return err
+			}
+			return printJSON(cmd.OutOrStdout(), map[string]observe.Cost{"node": node, "control": control})
+		},
+	}
+	cmd.Flags().DurationVar(&d, "for", 20*time.Second, "duration")
+	return cmd
+}
+
+func newSpreadCommand() *cobra.Command {
+	var first uint64
+	cmd := &cobra.Command{
+		Use:   "spread MANIFEST",
+		Short: "Read from the logs how long changes took to be in force everywhere",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			targets, err := observe.ReadManifest(args[0])
+			if err != nil {
+				return err
+			}
+			s, err := observe.ReadSpread(targets, first)
+			if err != nil {
+				return err
+			}
+			return printJSON(cmd.OutOrStdout(), s)
+		},
+	}
+	cmd.Flags().Uint64Var(&first, "after", 0, "leave out versions up to this one")
+	return cmd
+}
+
+func printJSON(w io.Writer, v any) error { return json.NewEncoder(w).Encode(v) }
--- a/node/admin.go
+++ b/node/admin.go
@@ -1,73 +1,131 @@
 package node
 
 import (
+	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
-	"io"
+	"fmt"
 	"net/http"
+	"time"
 
-	"bramleymill/configstate"
-	"bramleymill/errkind"
+	"bramleymill/explain"
+	"bramleymill/filter"
+	"bramleymill/fleet"
 	"bramleymill/keys"
+	"bramleymill/member"
+	"bramleymill/operator"
+	"bramleymill/replica"
 )
 
-// adminHandler serves the operator interface of a control instance.
+// adminHandler serves the operator interface.
 func (n *Node) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/init", n.serveInit)
-	mux.HandleFunc("POST /v1/apply", n.serveApply)
-	mux.HandleFunc("GET /v1/status", n.serveStatus)
-	return mux
+	c := operator.Config{
+		Node:      nodeID(n.settings),
+		Log:       n.logger,
+		Identify:  identify,
+		Fleet:     n,
+		Explainer: n,
+		Suspects:  n,
+	}
+	if n.control != nil {
+		c.State = n.control.machine
+		c.Confirmer = n.control.config
+		c.Proposer = n.control.config
+		c.Bootstrapper = n.control
+	}
+	return operator.New(c)
+}
+
+func identify(s *tls.ConnectionState) (operator.Identity, error) {
+	if s == nil {
+		return operator.Identity{}, errors.New("the request came without TLS")
+	}
+	name, role, err := keys.PeerOf(*s)
+	return operator.Identity{Name: string(name), Role: role}, err
 }
 
-func (n *Node) serveInit(w http.ResponseWriter, r *http.Request) {
-	if n.control == nil {
-		adminError(w, errkind.New(errkind.ControlUnavailable, "this node has no control role"))
-		return
+// Bootstrap starts both replicated groups with this instance as the only voter.
+// A repetition after the first group was started starts the second one.
+func (c *control) Bootstrap(ctx context.Context) error {
+	err := c.config.Bootstrap(ctx)
+	if err != nil && !errors.Is(err, replica.ErrHasGroup) {
+		return err
 	}
-	if err := errors.Join(n.control.config.Bootstrap(r.Context()), n.control.claims.Bootstrap(r.Context())); err != nil {
-		adminError(w, err)
+	if claimsErr := c.claims.Bootstrap(ctx); claimsErr != nil && !errors.Is(claimsErr, replica.ErrHasGroup) {
+		return claimsErr
 	}
+	return err
 }
 
-func (n *Node) serveApply(w http.ResponseWriter, r *http.Request) {
-	document, err := io.ReadAll(http.MaxBytesReader(w, r.Body, configstate.MaxDocumentBytes))
-	if err != nil || n.control == nil {
-		adminError(w, errkind.New(errkind.BadRequest, "read document: %v", err))
-		return
+// Nodes lists the nodes as the membership of this node knows them.
+func (n *Node) Nodes() []operator.NodeStatus {
+	view := n.member.View()
+	out := make([]operator.NodeStatus, 0, len(view))
+	for _, v := range view {
+		out = append(out, n.statusOf(v))
 	}
-	name, _, err := keys.PeerOf(*r.TLS)
-	if err != nil {
-		adminError(w, errkind.New(errkind.Unauthorized, "%w", err))
-		return
+	return out
+}
+
+func (n *Node) statusOf(v member.NodeView) operator.NodeStatus {
+	s := operator.NodeStatus{
+		Node:       v.Server.Node,
+		Region:     v.Server.Region,
+		Zone:       v.Server.Zone,
+		Service:    v.Server.Service,
+		State:      v.Server.State.String(),
+		Control:    v.Server.Control,
+		Live:       !v.Lost && v.Server.State != fleet.Left,
+		LeaseAgeMs: v.LeaseAge.Milliseconds(),
 	}
-	command, err := configstate.EncodeChange(configstate.Change{ID: r.Header.Get("Change-Id"), Action: configstate.ApplyDocument,
-		Operator: string(name), Origin: r.RemoteAddr, Expected: n.control.machine.View().Version, Document: document})
-	if err != nil {
-		adminError(w, err)
-		return
+	if n.control != nil {
+		applied := n.control.versions.of(v.Applied)
+		s.ConfigVersion, s.OrdersVersion = applied.document, applied.orders
 	}
-	result, err := n.control.config.Propose(r.Context(), command)
+	return s
+}
+
+// Explain collects the records of a request from the nodes that took part in it.
+func (n *Node) Explain(ctx context.Context, requestID string) (operator.Explanation, error) {
+	finder := explain.NewFinder(n.store, n.endpoint, n.addressOf, filter.EntryNode)
+	found, err := finder.Find(ctx, requestID)
 	if err != nil {
-		adminError(w, err)
-		return
+		return nil, err
 	}
-	answer, err := configstate.DecodeAnswer(result)
+	b, err := json.Marshal(found)
 	if err != nil {
-		adminError(w, err)
-		return
+		return nil, fmt.Errorf("encode explanation: %w", err)
 	}
-	writeJSON(w, answer)
+	return b, nil
 }
 
-func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.member.View()) }
-
-func adminError(w http.ResponseWriter, err error) {
-	e := errkind.Of(err)
-	http.Error(w, e.Error(), errkind.Lookup(e.Kind).Status)
+func (n *Node) addressOf(node fleet.NodeID) (string, bool) {
+	for _, v := range n.member.View() {
+		if v.Server.Node == node {
+			return v.Server.PeerAddress, true
+		}
+	}
+	return "", false
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // the operator may have gone
+// Suspects lists the requests that are suspected of crashing backend servers.
+func (n *Node) Suspects() []operator.Suspect {
+	p := n.path.Load()
+	if p == nil {
+		return nil
+	}
+	entries := p.Suspects().List(time.Now())
+	out := make([]operator.Suspect, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, operator.Suspect{
+			Service:     e.Service,
+			Fingerprint: operator.Fingerprint(e.Fingerprint),
+			Class:       e.Class,
+			Path:        e.Path,
+			Crashes:     len(e.Crashes),
+			Refused:     e.Refused,
+		})
+	}
+	return out
 }
--- a/node/control.go
+++ b/node/control.go
@@ -42,7 +42,8 @@
 	claimSet *claim.Machine
 	bundle   atomic.Pointer[encodedBundle]
 	proved   atomic.Pointer[time.Time] // start of the newest successful confirmation as a follower
-	changed  func()                    // wakes the membership
+	versions *versionLog
+	changed  func() // wakes the membership
 	limits   claim.Limits
 	logger   *slog.Logger
 }
@@ -61,7 +62,8 @@
 			MaxBytes:  int64(s.Control.MaxClaimBytes),
 			Retention: s.Control.ClaimRetention.Std(),
 		},
-		changed: func() {},
+		versions: newVersionLog(),
+		changed:  func() {},
 	}
 	c.machine = configstate.New(c.onChange)
 	c.host = replica.NewHost(mux, client)
@@ -102,6 +104,7 @@
 		c.logger.Error("configuration not distributed", "version", v.Version, "error", err)
 		return
 	}
+	c.versions.add(revision(v), v.Version, v.Orders.Version)
 	c.bundle.Store(&encodedBundle{revision(v), document})
 	c.changed()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 
 	"bramleymill/claim"
 	"bramleymill/configstate"
+	"bramleymill/explain"
 	"bramleymill/fleet"
 	"bramleymill/keys"
 	"bramleymill/member"
@@ -38,6 +39,7 @@
 	claims    *claim.Client
 	crashes   *crashes
 	metrics   *metrics.Metrics
+	store     *explain.Store
 	path      atomic.Pointer[proxy.Proxy]
 	seed      uint64
 	seenOrder atomic.Uint64 // version of the orders acted on
@@ -116,6 +118,8 @@
 	}
 	n.crashes = &crashes{client: n.endpoint, member: m, self: nodeID(s), logger: n.logger}
 	receiveCrashes(mux, m, n.path.Load, n.logger)
+	n.store = explain.NewStore(nodeID(s), explain.DefaultRecords, explain.DefaultEvents)
+	explain.Register(mux, n.store)
 	return nil
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -81,6 +81,7 @@
 		Locks:         n.claims,
 		Crashes:       n.crashes,
 		Metrics:       n.metrics,
+		Store:         n.store,
 		StateChanged:  n.member.SetState,
 		ClientTLS:     n.keys.PeerClient(),
 		Seed:          n.seed,
--- /dev/null
+++ b/observe/rest.go
@@ -0,0 +1,103 @@
+package observe
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// Cost is what nodes of one role use, as means and the largest value of a node.
+type Cost struct {
+	Nodes           int     `json:"nodes"`
+	CPUPercent      float64 `json:"cpu_percent_of_core"`
+	CPUPercentMax   float64 `json:"cpu_percent_of_core_max"`
+	ResidentMB      float64 `json:"resident_mb"`
+	ResidentMBMax   float64 `json:"resident_mb_max"`
+	SentPerSecond   float64 `json:"control_bytes_sent_per_second"` // messages without the overhead of QUIC
+	SentMax         float64 `json:"control_bytes_sent_per_second_max"`
+	CallsPerSecond  float64 `json:"control_messages_sent_per_second"`
+	ServedPerSecond float64 `json:"control_messages_served_per_second"`
+}
+
+type sample struct {
+	process Process
+	metrics map[string]float64
+	at      time.Time
+}
+
+func take(ctx context.Context, t Target) (sample, error) {
+	at := time.Now()
+	p, err := ReadProcess(t.PID)
+	if err != nil {
+		return sample{}, fmt.Errorf("%s: %w", t.Name, err)
+	}
+	m, err := Scrape(ctx, t.Metrics)
+	if err != nil {
+		return sample{}, fmt.Errorf("%s: %w", t.Name, err)
+	}
+	return sample{p, m, at}, nil
+}
+
+// Rest observes targets for d and returns the cost of nodes and of control instances.
+func Rest(ctx context.Context, targets []Target, d time.Duration) (node, control Cost, err error) {
+	before := make([]sample, len(targets))
+	for i, t := range targets {
+		if before[i], err = take(ctx, t); err != nil {
+			return Cost{}, Cost{}, err
+		}
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+		return Cost{}, Cost{}, ctx.Err()
+	}
+	for i, t := range targets {
+		after, err := take(ctx, t)
+		if err != nil {
+			return Cost{}, Cost{}, err
+		}
+		if t.Control {
+			control.add(before[i], after)
+		} else {
+			node.add(before[i], after)
+		}
+	}
+	node.average()
+	control.average()
+	return node, control, nil
+}
+
+func (c *Cost) add(before, after sample) {
+	seconds := after.at.Sub(before.at).Seconds()
+	rate := func(name string) float64 { return (after.metrics[name] - before.metrics[name]) / seconds }
+	cpu := 100 * (after.process.CPU - before.process.CPU).Seconds() / seconds
+	resident := float64(after.process.Resident) / 1e6
+	sent := rate("bramleymill_control_bytes_sent")
+	c.Nodes++
+	c.CPUPercent += cpu
+	c.CPUPercentMax = max(c.CPUPercentMax, cpu)
+	c.ResidentMB += resident
+	c.ResidentMBMax = max(c.ResidentMBMax, resident)
+	c.SentPerSecond += sent
+	c.SentMax = max(c.SentMax, sent)
+	c.CallsPerSecond += rate("bramleymill_control_messages_sent")
+	c.ServedPerSecond += rate("bramleymill_control_messages_served")
+}
+
+func (c *Cost) average() {
+	n := float64(max(c.Nodes, 1))
+	for _, v := range []*float64{&c.CPUPercent, &c.ResidentMB, &c.SentPerSecond, &c.CallsPerSecond, &c.ServedPerSecond} {
+		*v /= n
+	}
+}
+
+// quantile returns the value below which the share q of a sorted list lies.
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+func sortDurations(d []time.Duration) { slices.Sort(d) }
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -56,9 +56,10 @@
 	ClientTLS *tls.Config // for connections to other nodes
 	Clock     clock.Clock // nil: the system's
 	Seed      uint64
-	Log       *slog.Logger // nil: discarded
-	Records   int          // request records kept; zero: explain.DefaultRecords
-	Events    int          // events kept; zero: explain.DefaultEvents
+	Log       *slog.Logger   // nil: discarded
+	Store     *explain.Store // nil: a new one with Records and Events
+	Records   int            // request records kept; zero: explain.DefaultRecords
+	Events    int            // events kept; zero: explain.DefaultEvents
 }
 
 func (c *Config) setDefaults() error {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -38,7 +38,10 @@
 	if err := c.setDefaults(); err != nil {
 		return nil, err
 	}
-	p := &Proxy{config: c, tokens: newTokens(), store: explain.NewStore(c.Node, c.Records, c.Events)}
+	p := &Proxy{config: c, tokens: newTokens(), store: c.Store}
+	if p.store == nil {
+		p.store = explain.NewStore(c.Node, c.Records, c.Events)
+	}
 	p.work.init()
 	p.remote = newRemote(c.ClientTLS, c.Clock)
 	if c.Backend != nil {
