Test the raft core by a seeded model and scenarios; fix what they found

Cause: the core needs proof under mixed faults before others rely on it. Change: a seeded simulation drops, duplicates, delays and reorders messages, cuts links in one or both directions, crashes between actions, restarts, loses disks, freezes, fills disks, drifts clocks, changes membership, transfers the leadership, and checks one leader for each term, one durable vote for each disk and term, a durable majority behind each commit, one command order, and reads and confirmations against the true order of events. After the faults every replica must catch up. Readable cases are in testdata. A membership change now needs a reachable majority of the new membership. - A learner was made a voter right when it failed while another voter was lost, which blocked the group. A voter is added only when the group survives its loss; a group of one cannot meet this. - A resumed leader accepted commands until its next tick. The majority check now runs before every input. Iteration over replicas follows the membership, so that a seed repeats exactly. Verified by removing each mechanism once: without pre-vote, with a lease longer than the election timeout, with reads that skip their round, without check-quorum, with a disk id that survives the loss of the disk, with votes right after a restart, with the lease kept in a transfer, and with replies sent before Persist, a test fails. Not caught by the model in its fixed seeds: committing entries of earlier terms by counting, and overlapping membership changes; both need rarer schedules.

--- /dev/null
+++ b/raft/check_test.go
@@ -0,0 +1,172 @@
+package raft
+
+import (
+	"slices"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// apply checks a committed entry against what all others applied.
+func (s *sim) apply(v *server, e Entry) {
+	if e.Index != v.applied.Index+1 {
+		s.t.Fatalf("%s applies %d after %d", v.name, e.Index, v.applied.Index)
+	}
+	v.state = mix(v.state, e)
+	v.applied.Index, v.applied.Term, v.applied.Time = e.Index, e.Term, e.Time
+	if e.Kind == Reconfigure {
+		v.applied.Configuration = *e.Configuration
+	}
+	if e.Index == uint64(len(s.chain)) {
+		s.firstApply(v, e)
+	}
+	if v.state != s.chain[e.Index] {
+		s.t.Fatalf("%s applies another entry at %d than the first replica that did", v.name, e.Index)
+	}
+}
+
+// firstApply records an entry that was just committed. It must be durable on a
+// majority of a membership that is in use.
+func (s *sim) firstApply(v *server, e Entry) {
+	if last := s.times[len(s.times)-1]; e.Time < last {
+		s.t.Fatalf("entry %d is stamped %d, before %d", e.Index, e.Time, last)
+	}
+	s.chain = append(s.chain, v.state)
+	s.times = append(s.times, e.Time)
+	if _, ok := s.firstCommit[e.Term]; !ok {
+		s.firstCommit[e.Term] = s.now
+	}
+	holders := 0
+	voters := v.node.conf.Voters
+	for _, m := range voters {
+		if w := s.server(m.ID.Node); w.disk.id == m.ID.Disk && w.disk.holds(e) {
+			holders++
+		}
+	}
+	// A holder may have lost its disk since; one more such loss is admitted.
+	if lost := s.lostVoters(voters); holders+lost <= len(voters)/2 {
+		s.t.Fatalf("entry %d applied by %s is durable on %d of %d voters", e.Index, v.name, holders, len(voters))
+	}
+}
+
+func (s *sim) lostVoters(voters []Member) int {
+	lost := 0
+	for _, m := range voters {
+		if s.wiped[m.ID] {
+			lost++
+		}
+	}
+	return lost
+}
+
+// checkLeader checks that a term has one leader, which holds everything
+// committed, and that its confirmation is true.
+func (s *sim) checkLeader(v *server) {
+	n := v.node
+	if n.role != Leader {
+		return
+	}
+	switch other, ok := s.leaders[n.hard.Term]; {
+	case !ok:
+		s.leaders[n.hard.Term] = n.id
+		s.elections++
+		if last := uint64(len(s.chain) - 1); n.log.lastIndex()-1 < last {
+			s.t.Fatalf("%s leads term %d without the committed entry %d", v.name, n.hard.Term, last)
+		}
+	case other != n.id:
+		s.t.Fatalf("%v and %v both lead term %d", other, n.id, n.hard.Term)
+	}
+	start, ok := n.Confirmed()
+	if !ok {
+		return
+	}
+	proved := time.Duration(float64(start) / v.rate)
+	for term, at := range s.firstCommit {
+		if term > n.hard.Term && at < proved-time.Microsecond {
+			s.t.Fatalf("%s in term %d is confirmed at %v, after term %d committed at %v", v.name, n.hard.Term, proved, term, at)
+		}
+	}
+}
+
+// checkVote checks that a granted vote is durable and the only one of its term.
+func (s *sim) checkVote(v *server, m Message) {
+	if h := v.disk.stored.HardState; h.Term != m.Term || h.Vote != m.To {
+		s.t.Fatalf("%s sends a vote for %v in term %d that is not durable", v.name, m.To, m.Term)
+	}
+	// Keyed by the disk that remembers the vote, whatever name the core uses.
+	byTerm := s.votes[m.From]
+	if byTerm == nil {
+		byTerm = map[uint64]ID{}
+		s.votes[m.From] = byTerm
+	}
+	if other, ok := byTerm[m.Term]; ok && other != m.To {
+		s.t.Fatalf("%v votes for %v and %v in term %d", m.From, other, m.To, m.Term)
+	}
+	byTerm[m.Term] = m.To
+}
+
+func (s *sim) startRead(v *server) {
+	r, ok := v.node.StartRead(s.reading(v))
+	if !ok {
+		return
+	}
+	if r.Round == 0 {
+		s.leaseReads++
+	} else {
+		s.roundReads++
+	}
+	v.reads = append(v.reads, simRead{r, uint64(len(s.chain) - 1)})
+	s.run(v, -1)
+}
+
+// settleReads checks that a proved read sees everything that was committed
+// anywhere when it began.
+func (s *sim) settleReads(v *server) {
+	if v.node == nil {
+		return
+	}
+	v.reads = slices.DeleteFunc(v.reads, func(r simRead) bool {
+		proved, failed := v.node.ReadProved(r.read)
+		if proved && r.read.Index < r.expected {
+			s.t.Fatalf("%s proves a read at %d after %d was committed", v.name, r.read.Index, r.expected)
+		}
+		return proved || failed
+	})
+}
+
+// mayWipe reports whether a group survives the loss of v's disk: in every
+// membership that any replica knows, lost disks stay a minority.
+func (s *sim) mayWipe(v *server) bool {
+	id := ID{v.name, v.disk.id}
+	var confs []Configuration
+	for _, w := range s.servers {
+		confs = append(confs, w.disk.stored.Snapshot.Configuration)
+		for _, e := range w.disk.stored.Entries {
+			if e.Kind == Reconfigure {
+				confs = append(confs, *e.Configuration)
+			}
+		}
+		if w.node != nil {
+			confs = append(confs, w.node.conf)
+		}
+	}
+	for _, c := range confs {
+		bound := (len(c.Voters) - 1) / 2
+		if !c.IsVoter(id) {
+			bound = len(c.Voters) / 2 // a learner may become a voter just now
+		}
+		_, member := c.Find(id)
+		if lost := s.lostVoters(c.Voters) + s.lostVoters(c.Learners); member && lost+1 > bound {
+			return false
+		}
+	}
+	return true
+}
+
+// isolate cuts a server off in both directions, or reconnects it.
+func (s *sim) isolate(name fleet.NodeID, on bool) {
+	for _, v := range s.servers {
+		s.cuts[[2]fleet.NodeID{name, v.name}] = on
+		s.cuts[[2]fleet.NodeID{v.name, name}] = on
+	}
+}
--- a/raft/election.go
+++ b/raft/election.go
@@ -111,6 +111,7 @@
 // leadership is the state of a leader. Its zero value is that of other roles.
 type leadership struct {
 	progress  map[ID]*progress
+	peers     []ID   // keys of progress in a fixed order, so that runs repeat exactly
 	termStart uint64 // index of the Empty entry of the term
 
 	round       uint64                   // newest confirmation round
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -39,17 +39,22 @@
 // replicateAll sends new entries to every replica that is ready for more.
 func (n *Node) replicateAll() {
 	n.lead.unsent = false
-	for id, p := range n.lead.progress {
-		n.replicate(id, p)
+	for _, id := range n.lead.peers {
+		n.replicate(id, n.lead.progress[id])
 	}
 }
 
-func (n *Node) tickLeader() {
+// checkQuorum ends a leadership without a majority, be it cut off or resumed
+// after a freeze. It runs before every input, so that such a leader accepts no
+// more commands.
+func (n *Node) checkQuorum() {
 	silence := n.now.Mono - max(n.lead.confirmedAt, n.lead.electedAt)
-	if silence > n.timing.ElectionMax && len(n.conf.Voters) > 1 {
-		n.becomeFollower(n.hard.Term, ID{}) // lost its majority, or was frozen
-		return
+	if n.role == Leader && silence > n.timing.ElectionMax && len(n.conf.Voters) > 1 {
+		n.becomeFollower(n.hard.Term, ID{})
 	}
+}
+
+func (n *Node) tickLeader() {
 	if n.lead.transferee != (ID{}) && n.now.Mono >= n.lead.transferUntil {
 		n.lead.transferee = ID{}
 	}
@@ -69,8 +74,9 @@
 	// Rounds start at multiples of the interval, so that the groups of one
 	// process send their heartbeats together.
 	l.nextRound = n.now.Mono.Truncate(n.timing.Heartbeat) + n.timing.Heartbeat
-	for id, p := range l.progress {
-		n.sendEarly(Message{Kind: Heartbeat, To: id, Round: l.round, Commit: min(p.match, n.commit)})
+	for _, id := range l.peers {
+		commit := min(l.progress[id].match, n.commit)
+		n.sendEarly(Message{Kind: Heartbeat, To: id, Round: l.round, Commit: commit})
 	}
 	n.confirmRounds()
 	return l.round
--- /dev/null
+++ b/raft/mechanism_test.go
@@ -0,0 +1,130 @@
+package raft
+
+import (
+	"testing"
+	"time"
+)
+
+// voters3 returns a settled group of three voters.
+func voters3(t *testing.T, seed uint64) *sim {
+	s := newSim(t, seed, 3)
+	s.settleJoined(3)
+	if l := s.leader(); l == nil || len(l.node.conf.Voters) != 3 {
+		t.Fatalf("group did not form:\n%s", s.describe())
+	}
+	return s
+}
+
+func (s *sim) followers() []*server {
+	var out []*server
+	for _, v := range s.servers {
+		if v != s.leader() {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// Guards against a returning replica that ends a working leadership. Fails
+// without pre-vote.
+func TestReturningReplicaDoesNotDisturb(t *testing.T) {
+	s := voters3(t, 1)
+	l, f := s.leader(), s.followers()[0]
+	term := l.node.hard.Term
+	s.isolate(f.name, true)
+	s.settle(20 * simTiming.ElectionMax)
+	s.propose(l)
+	s.isolate(f.name, false)
+	s.settle(4 * simTiming.ElectionMax)
+	if s.leader() != l || l.node.hard.Term != term || f.node.hard.Term != term {
+		t.Fatalf("leadership of %s in term %d was disturbed:\n%s", l.name, term, s.describe())
+	}
+	if f.applied.Index != l.applied.Index {
+		t.Fatalf("returned replica did not catch up:\n%s", s.describe())
+	}
+}
+
+// Guards against an emptied disk voting on what it forgot: a replica that never
+// had the committed entry must not win with its help. Fails when the emptied disk
+// keeps its id, or when votes are counted by node name.
+func TestLostDiskHasNoVote(t *testing.T) {
+	s := voters3(t, 1)
+	l, behind, holder := s.leader(), s.followers()[0], s.followers()[1]
+	s.isolate(behind.name, true)
+	s.propose(l)
+	s.settle(simTiming.Heartbeat)
+	if holder.applied.Index != l.applied.Index || behind.applied.Index >= l.applied.Index {
+		t.Fatalf("unexpected start:\n%s", s.describe())
+	}
+	s.crash(holder)
+	s.wipe(holder)
+	s.restart(holder)
+	clear(s.cuts)
+	s.isolate(l.name, true)
+	s.settle(20 * simTiming.ElectionMax)
+	if n := s.leader(); n != nil {
+		t.Fatalf("%s leads without a majority that remembers:\n%s", n.name, s.describe())
+	}
+}
+
+// Guards against a cut-off leader that proves reads after another leader has
+// committed. Fails when the lease outlives the election timeout, when a read does
+// not wait for its round, and without check-quorum.
+func TestCutOffLeaderProvesNothing(t *testing.T) {
+	raced := 0
+	for seed := range uint64(40) {
+		s := voters3(t, seed)
+		old := s.leader()
+		s.isolate(old.name, true)
+		cut := s.now
+		for old.node.role == Leader {
+			if d := s.now - cut; d > 2*simTiming.ElectionMax {
+				t.Fatalf("seed %d: cut-off leader still leads after %v", seed, d)
+			}
+			s.settle(time.Millisecond)
+			if n := s.leader(); n != nil && n != old {
+				s.propose(n)
+				s.settle(time.Millisecond)
+			}
+			s.startRead(old) // settleReads fails the test when a read is wrong
+			if uint64(len(s.chain)-1) > old.applied.Index {
+				raced++
+			}
+		}
+		if start, ok := old.node.Confirmed(); ok {
+			t.Fatalf("seed %d: cut-off replica still confirmed at %v", seed, start)
+		}
+	}
+	if raced == 0 {
+		t.Fatal("no read raced with another leader's commit")
+	}
+}
+
+// Guards against a transfer after which the old leader still trusts its lease.
+func TestTransferGivesUpTheLease(t *testing.T) {
+	s := voters3(t, 1)
+	l := s.leader()
+	if !l.node.Transfer(s.reading(l)) {
+		t.Fatal("no transferee")
+	}
+	s.run(l, -1)
+	if _, _, err := l.node.Propose(s.reading(l), []byte("x")); err != ErrTransferring {
+		t.Fatalf("Propose during a transfer: %v", err)
+	}
+	if r, ok := l.node.StartRead(s.reading(l)); ok && r.Round == 0 {
+		t.Fatal("read by lease during a transfer")
+	}
+}
+
+// Guards against a vote soon after a restart, which a lease may still count on.
+func TestRestartedReplicaRefusesVotes(t *testing.T) {
+	s := voters3(t, 1)
+	f, g := s.followers()[0], s.followers()[1]
+	s.crash(f)
+	s.restart(f)
+	m := Message{Kind: Vote, From: g.node.id, To: f.node.id, Term: f.node.hard.Term + 1, Index: 1 << 40, LogTerm: 1 << 40}
+	f.node.Step(s.reading(f), m)
+	if f.node.hard.Term == m.Term {
+		t.Fatal("voted within the lease of the old leader")
+	}
+}
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -12,6 +12,7 @@
 	ErrChangePending = errors.New("raft: another membership change is not committed yet")
 	ErrNotMember     = errors.New("raft: no such member")
 	ErrLastVoter     = errors.New("raft: the last voter cannot be removed")
+	ErrNoMajority    = errors.New("raft: too few of the remaining voters are reachable")
 	ErrSelfRemoval   = errors.New("raft: the leader cannot remove itself")
 )
 
@@ -59,7 +60,7 @@
 // syncProgress gives each other member a progress and drops those of the others.
 func (n *Node) syncProgress() {
 	old := n.lead.progress
-	n.lead.progress = map[ID]*progress{}
+	n.lead.progress, n.lead.peers = map[ID]*progress{}, nil
 	for _, m := range slices.Concat(n.conf.Voters, n.conf.Learners) {
 		if m.ID == n.id {
 			continue
@@ -69,6 +70,7 @@
 			p = &progress{next: n.log.lastIndex() + 1}
 		}
 		n.lead.progress[m.ID] = p
+		n.lead.peers = append(n.lead.peers, m.ID)
 	}
 }
 
@@ -83,10 +85,25 @@
 	if n.confIndex > n.commit {
 		return ErrChangePending
 	}
+	// A membership that cannot commit its own entry would block the group for good.
+	if n.reached(conf.Voters) <= len(conf.Voters)/2 {
+		return ErrNoMajority
+	}
 	n.propose(Entry{Kind: Reconfigure, Configuration: &conf})
 	return nil
 }
 
+// reached returns how many of voters answer at present.
+func (n *Node) reached(voters []Member) int {
+	reached := 0
+	for _, v := range voters {
+		if p := n.lead.progress[v.ID]; v.ID == n.id || p != nil && p.active(n) {
+			reached++
+		}
+	}
+	return reached
+}
+
 // Join adds m as a learner unless it is a member with this address already. A
 // learner of the same node with another disk is replaced, and a member that
 // moved gets its new address.
@@ -151,16 +168,24 @@
 		case old >= 0:
 			c.Voters = slices.Delete(c.Voters, old, old+1)
 			c.Learners = slices.Insert(c.Learners, 0, m) // first in line for the free place
-		case len(c.Voters) < MaxVoters:
+		case len(c.Voters) < MaxVoters && n.survivesLossOf(c.Voters):
 			c.Voters = append(c.Voters, m)
 		default:
 			continue
 		}
-		_ = n.changeMembership(c) // its preconditions were checked above
-		return
+		if n.changeMembership(c) == nil {
+			return
+		}
 	}
 }
 
+// survivesLossOf reports whether a further voter may be added to voters: without
+// it a majority of the larger membership answers, so that its loss right after
+// the change does not block the group. A group of one cannot meet this.
+func (n *Node) survivesLossOf(voters []Member) bool {
+	return len(voters) == 1 || n.reached(voters) > (len(voters)+1)/2
+}
+
 // caughtUp reports whether a replica holds what was committed a round ago.
 func (n *Node) caughtUp(id ID) bool {
 	p := n.lead.progress[id]
--- a/raft/node.go
+++ b/raft/node.go
@@ -216,6 +216,7 @@
 		n.now.Mono = now.Mono
 	}
 	n.now.Unix = now.Unix
+	n.checkQuorum()
 }
 
 func (n *Node) becomeFollower(term uint64, leader ID) {
--- a/raft/progress.go
+++ b/raft/progress.go
@@ -102,6 +102,9 @@
 		return
 	}
 	shared := n.log.lastIndexAtOrBelow(min(m.Index, m.Probed), m.LogTerm)
+	if t, ok := n.log.term(shared); ok && t > m.LogTerm {
+		shared-- // even the compacted end of the log differs: send a snapshot
+	}
 	p.next = max(shared, p.match) + 1
 	p.mode, p.paused, p.inflight = probing, false, 0
 	n.replicate(m.From, p)
--- /dev/null
+++ b/raft/scenario_test.go
@@ -0,0 +1,122 @@
+package raft
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestScenarios runs the readable cases in testdata. Each guards against the
+// failure that its comment names.
+func TestScenarios(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var s *sim
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "new" {
+				var servers int
+				d.ScanArgs(t, "servers", &servers)
+				s = newSim(t, 1, servers)
+				s.settleJoined(servers)
+				return s.describe()
+			}
+			return s.command(t, d)
+		})
+	})
+}
+
+// settleJoined lets every server join and become a voter if there is room.
+func (s *sim) settleJoined(servers int) {
+	for range 2 * servers {
+		s.settle(100 * time.Millisecond)
+		s.joinAll()
+	}
+	s.settle(200 * time.Millisecond)
+}
+
+func (s *sim) command(t *testing.T, d *datadriven.TestData) string {
+	var name string
+	if d.HasArg("server") {
+		d.ScanArgs(t, "server", &name)
+	}
+	switch d.Cmd {
+	case "settle":
+		var ms int
+		d.ScanArgs(t, "ms", &ms)
+		s.settle(time.Duration(ms) * time.Millisecond)
+	case "propose":
+		if l := s.leader(); l == nil || !s.propose(l) {
+			return "refused"
+		}
+	case "cut":
+		s.isolate(s.named(name).name, true)
+	case "cut-incoming":
+		for _, v := range s.servers {
+			s.cuts[[2]nodeName{v.name, s.named(name).name}] = true
+		}
+	case "heal":
+		clear(s.cuts)
+	case "crash":
+		s.crash(s.named(name))
+	case "restart":
+		s.restart(s.named(name))
+	case "wipe":
+		s.crash(s.named(name))
+		s.wipe(s.named(name))
+		s.restart(s.named(name))
+	case "join":
+		s.joinAll()
+	case "transfer":
+		l := s.leader()
+		l.node.Transfer(s.reading(l))
+		s.run(l, -1)
+	case "read":
+		return s.readAt(s.named(name))
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	return s.describe()
+}
+
+// named resolves the name of a server, or "leader" to the present leader.
+func (s *sim) named(name string) *server {
+	if name == "leader" {
+		return s.leader()
+	}
+	return s.server(nodeName(name))
+}
+
+// readAt tries a read for the time of an election.
+func (s *sim) readAt(v *server) string {
+	r, ok := v.node.StartRead(s.reading(v))
+	if !ok {
+		return "refused"
+	}
+	s.run(v, -1)
+	s.settle(simTiming.ElectionMax)
+	if proved, _ := v.node.ReadProved(r); !proved {
+		return "not proved"
+	}
+	return "proved"
+}
+
+func (s *sim) describe() string {
+	var b strings.Builder
+	for _, v := range s.servers {
+		if v.node == nil {
+			fmt.Fprintf(&b, "%s down\n", v.name)
+			continue
+		}
+		n := v.node
+		part := "outside"
+		if n.conf.IsVoter(n.id) {
+			part = "voter"
+		} else if _, ok := n.conf.Find(n.id); ok {
+			part = "learner"
+		}
+		fmt.Fprintf(&b, "%s %s %s %s, term %d, commit %d\n", v.name, v.disk.id, part, n.role, n.hard.Term, n.commit)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/raft/sim_test.go
@@ -0,0 +1,304 @@
+package raft
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+const simChunkBytes = 24 // several chunks for each snapshot
+
+var simTiming = Timing{Heartbeat: 10 * time.Millisecond, ElectionMin: 40 * time.Millisecond, ElectionMax: 80 * time.Millisecond}
+
+// disk is what survives a crash.
+type disk struct {
+	id     DiskID
+	stored Stored
+	data   []byte // of the snapshot
+	full   bool
+}
+
+// server is one simulated replica with a clock of its own.
+type server struct {
+	name    fleet.NodeID
+	disk    *disk
+	node    *Node // nil: crashed
+	state   uint64
+	applied SnapshotMeta
+	frozen  bool
+	rate    float64 // of its clock
+	reads   []simRead
+}
+
+type simRead struct {
+	read     Read
+	expected uint64
+}
+
+// sim runs servers and checks the safety of everything they do.
+type sim struct {
+	t       testing.TB
+	random  *rand.Rand
+	now     time.Duration
+	servers []*server
+	flying  []Message
+	cuts    map[[2]fleet.NodeID]bool
+	disks   int
+	wiped   map[ID]bool
+
+	chain       []uint64 // state after each committed entry, from index 0
+	times       []int64  // stamp of each committed entry
+	leaders     map[uint64]ID
+	votes       map[ID]map[uint64]ID
+	firstCommit map[uint64]time.Duration // first time that a term committed
+	proposals   int
+	elections   int
+	restores    int
+	leaseReads  int
+	roundReads  int
+}
+
+func newSim(t testing.TB, seed uint64, servers int) *sim {
+	s := &sim{
+		t: t, random: rand.New(rand.NewPCG(seed, 1)), cuts: map[[2]fleet.NodeID]bool{}, wiped: map[ID]bool{},
+		chain: []uint64{0}, times: []int64{0}, leaders: map[uint64]ID{}, votes: map[ID]map[uint64]ID{},
+		firstCommit: map[uint64]time.Duration{}, now: time.Second,
+	}
+	for i := range servers {
+		v := &server{name: fleet.NodeID(fmt.Sprintf("n%d", i+1)), rate: 0.9 + 0.2*s.random.Float64()}
+		s.servers = append(s.servers, v)
+		s.wipe(v)
+		s.restart(v)
+	}
+	first := s.servers[0]
+	if !first.node.Bootstrap("n1", 7) {
+		t.Fatal("bootstrap refused")
+	}
+	s.run(first, -1)
+	return s
+}
+
+func (s *sim) reading(v *server) Reading {
+	return Reading{Mono: time.Duration(float64(s.now) * v.rate), Unix: int64(s.now)}
+}
+
+func (s *sim) wipe(v *server) {
+	if v.disk != nil {
+		s.wiped[ID{v.name, v.disk.id}] = true
+	}
+	s.disks++
+	v.disk = &disk{id: DiskID(fmt.Sprintf("d%d", s.disks))}
+}
+
+func (s *sim) restart(v *server) {
+	have := v.disk.stored
+	have.Entries = slices.Clone(have.Entries)
+	v.node = New(Config{ID: ID{v.name, v.disk.id}, Timing: simTiming, Seed: s.random.Uint64()}, have, s.reading(v))
+	v.applied, v.state, v.reads = have.Snapshot, decodeState(v.disk.data), nil
+}
+
+func (s *sim) crash(v *server) { v.node, v.frozen = nil, false }
+
+func encodeState(state uint64) []byte {
+	b := binary.LittleEndian.AppendUint64(nil, state)
+	return append(b, make([]byte, state%64)...)
+}
+
+func decodeState(b []byte) uint64 {
+	if len(b) == 0 {
+		return 0
+	}
+	return binary.LittleEndian.Uint64(b)
+}
+
+func mix(state uint64, e Entry) uint64 {
+	h := fnv.New64a()
+	fmt.Fprint(h, state, e.Index, e.Term, e.Kind, e.Time, string(e.Data))
+	return h.Sum64()
+}
+
+// run executes the actions of v. A crash hits before action crashAt of a list.
+func (s *sim) run(v *server, crashAt int) {
+	for v.node != nil {
+		actions := v.node.Actions()
+		s.checkLeader(v)
+		stored := true
+		for i, a := range actions {
+			if i == crashAt {
+				s.crash(v)
+				return
+			}
+			stored = s.execute(v, a, stored)
+		}
+		if len(actions) == 0 || !stored {
+			break
+		}
+	}
+	s.settleReads(v)
+}
+
+func (s *sim) execute(v *server, a Action, stored bool) bool {
+	switch a := a.(type) {
+	case Persist:
+		if v.disk.full {
+			return false
+		}
+		v.disk.persist(a)
+		v.node.Persisted(a)
+	case Restore:
+		if v.disk.full {
+			return false
+		}
+		v.disk.data = a.Data
+		v.disk.stored = Stored{HardState: a.HardState, Snapshot: a.Meta, Base: a.Meta}
+		v.node.Restored(a)
+		v.applied, v.state = a.Meta, decodeState(a.Data)
+		s.restores++
+		if v.state != s.chain[a.Meta.Index] {
+			s.t.Fatalf("%s restored a state that was never committed at %d", v.name, a.Meta.Index)
+		}
+	case Apply:
+		for _, e := range a.Entries {
+			s.apply(v, e)
+		}
+	case Send:
+		if stored {
+			s.send(v, a.Message)
+		}
+	case SendChunk:
+		s.sendChunk(v, a.Message)
+	}
+	return stored
+}
+
+func (d *disk) persist(p Persist) {
+	if p.HardState != nil {
+		d.stored.HardState = *p.HardState
+	}
+	if len(p.Entries) > 0 {
+		keep := p.Entries[0].Index - d.stored.Base.Index - 1
+		d.stored.Entries = append(slices.Clone(d.stored.Entries[:keep]), p.Entries...)
+	}
+}
+
+func (d *disk) holds(e Entry) bool {
+	if e.Index <= d.stored.Snapshot.Index {
+		return true
+	}
+	i := e.Index - d.stored.Base.Index - 1
+	return i < uint64(len(d.stored.Entries)) && d.stored.Entries[i].Term == e.Term
+}
+
+func (s *sim) sendChunk(v *server, m Message) {
+	c := *m.Chunk
+	if c.Meta.Index != v.disk.stored.Snapshot.Index || c.Offset > uint64(len(v.disk.data)) {
+		v.node.SnapshotUnavailable(m.To)
+		return
+	}
+	c.Total = uint64(len(v.disk.data))
+	c.Data = v.disk.data[c.Offset:min(c.Total, c.Offset+simChunkBytes)]
+	m.Chunk = &c
+	s.send(v, m)
+}
+
+func (s *sim) send(v *server, m Message) {
+	if m.Kind == VoteReply && !m.Refused {
+		s.checkVote(v, m)
+	}
+	if !s.cuts[[2]fleet.NodeID{v.name, m.To.Node}] {
+		s.flying = append(s.flying, m)
+	}
+}
+
+// deliver hands over the message at position i.
+func (s *sim) deliver(i int, duplicate bool, crashAt int) {
+	m := s.flying[i]
+	if !duplicate {
+		s.flying = slices.Delete(s.flying, i, i+1)
+	}
+	v := s.server(m.To.Node)
+	if v == nil || v.node == nil || v.frozen || s.cuts[[2]fleet.NodeID{m.From.Node, v.name}] {
+		return
+	}
+	v.node.Step(s.reading(v), m)
+	s.run(v, crashAt)
+}
+
+func (s *sim) server(name fleet.NodeID) *server {
+	i := slices.IndexFunc(s.servers, func(v *server) bool { return v.name == name })
+	return s.servers[i]
+}
+
+func (s *sim) snapshot(v *server) {
+	if v.node == nil || v.disk.full || v.applied.Index == 0 {
+		return
+	}
+	m := v.applied
+	v.node.Compact(m, uint64(s.random.IntN(4)), 200)
+	if v.node.Status().Snapshot.Index != m.Index {
+		return
+	}
+	base, entries := v.node.Remaining()
+	v.disk.data = encodeState(v.state)
+	v.disk.stored = Stored{HardState: v.node.HardState(), Snapshot: m, Base: base, Entries: slices.Clone(entries)}
+}
+
+// leader returns the established leader with the highest term.
+func (s *sim) leader() *server {
+	var best *server
+	for _, v := range s.servers {
+		if v.node == nil || v.frozen || !v.node.established() {
+			continue
+		}
+		if best == nil || v.node.hard.Term > best.node.hard.Term {
+			best = v
+		}
+	}
+	return best
+}
+
+// settle lets time pass without faults until nothing is in flight, for at least d.
+func (s *sim) settle(d time.Duration) {
+	for end := s.now + d; s.now < end; {
+		for len(s.flying) > 0 {
+			s.deliver(0, false, -1)
+		}
+		s.now += time.Millisecond
+		for _, v := range s.servers {
+			if v.node != nil && !v.frozen {
+				v.node.Tick(s.reading(v))
+				s.run(v, -1)
+			}
+		}
+	}
+}
+
+func (s *sim) propose(v *server) bool {
+	s.proposals++
+	_, _, err := v.node.Propose(s.reading(v), []byte(fmt.Sprint("c", s.proposals)))
+	s.run(v, -1)
+	return err == nil
+}
+
+// joinAll asks the leader to admit every running server that is no member.
+func (s *sim) joinAll() {
+	l := s.leader()
+	if l == nil {
+		return
+	}
+	for _, v := range s.servers {
+		if _, member := l.node.conf.Find(ID{v.name, v.disk.id}); v.node != nil && !member {
+			_ = l.node.Join(s.reading(l), Member{ID: ID{v.name, v.disk.id}, Address: string(v.name)})
+			s.run(l, -1)
+			return
+		}
+	}
+}
+
+type nodeName = fleet.NodeID
