Test wal, snap and replica against disk faults

Cause: durability claims need tests in which the disk fails. Change: wal/faultfs is a file system in memory that fails writes and syncs, runs full, loses unsynced data and tears the tail. Making a folder now syncs its parent: a crash could have removed a new data folder together with synced files. Ruled out: telling a damaged last record from a torn write; nothing on the disk distinguishes them, so both are cut off.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -134,12 +134,25 @@
 var testTiming = raft.Timing{Heartbeat: 25 * time.Millisecond, ElectionMin: 150 * time.Millisecond, ElectionMax: 300 * time.Millisecond}
 
 func newCluster(t testing.TB, names ...string) *cluster {
-	c := &cluster{t: t, network: newNetwork(), folders: map[string]string{}, processes: map[string]*process{}, files: map[string]wal.FS{}}
-	t.Cleanup(func() {
+	c := &cluster{t: t}
+	c.init()
+	c.start(names...)
+	return c
+}
+
+func (c *cluster) init() {
+	c.network = newNetwork()
+	c.folders, c.processes, c.files = map[string]string{}, map[string]*process{}, map[string]wal.FS{}
+	c.t.Cleanup(func() {
 		for name := range c.processes {
 			c.stop(name)
 		}
 	})
+}
+
+// start makes a group whose first replica is bootstrapped and the others join.
+func (c *cluster) start(names ...string) {
+	c.t.Helper()
 	for i, name := range names {
 		c.open(name)
 		if i == 0 {
@@ -147,7 +160,6 @@
 		}
 	}
 	c.waitVoters(names[0], len(names))
-	return c
 }
 
 func (c *cluster) context() context.Context {
--- /dev/null
+++ b/replica/disk_test.go
@@ -0,0 +1,153 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"bramleymill/errkind"
+	"bramleymill/raft"
+	"bramleymill/wal"
+	"bramleymill/wal/faultfs"
+)
+
+func newFaultyCluster(t *testing.T) (*cluster, map[string]*faultfs.FS) {
+	c := &cluster{t: t}
+	disks := map[string]*faultfs.FS{}
+	c.init()
+	for i, name := range []string{"a", "b", "c"} {
+		disks[name] = faultfs.New(uint64(i))
+		c.files[name] = disks[name]
+	}
+	c.start("a", "b", "c")
+	return c, disks
+}
+
+// Guards against a replica that acknowledges after a failed sync, and against a
+// process that ends with it.
+func TestFailedSyncStopsTheReplica(t *testing.T) {
+	c, disks := newFaultyCluster(t)
+	bad := c.leader()
+	c.propose(bad, "one")
+	disks[bad].FailSyncs(true)
+	ctx, cancel := context.WithTimeout(context.Background(), testTiming.ElectionMin)
+	defer cancel()
+	if _, err := c.processes[bad].group.proposeHere(ctx, []byte("two")); err == nil {
+		t.Fatal("accepted with a failing sync")
+	}
+	c.eventually("the replica stopped", func() bool { return c.processes[bad].group.Status().Stopped })
+	disks[bad].FailSyncs(false)
+	s := c.processes[bad].group.Status()
+	if !errors.Is(s.Err, wal.ErrFailed) || s.Role == raft.Leader {
+		t.Fatalf("status after a failed sync: %+v", s)
+	}
+	if _, err := c.processes[bad].group.Propose(c.context(), []byte("x")); errkind.Of(err).Kind != errkind.ControlUnavailable {
+		t.Fatalf("propose at a stopped replica: %v", err)
+	}
+	if _, ok := c.processes[bad].group.Confirmed(); ok {
+		t.Fatal("a stopped replica is confirmed")
+	}
+	next := c.leader()
+	c.propose(next, "three")
+	c.stop(bad)
+	c.open(bad)
+	c.must(c.processes[bad].group.Confirm(c.context()))
+	if a, b := c.processes[bad].machine.commands(), c.processes[next].machine.commands(); !slices.Equal(a, b) {
+		t.Fatalf("after the repair %q and %q", a, b)
+	}
+}
+
+// Guards against a full disk that stops the replica or its confirmation, and
+// against accepting what cannot be stored.
+func TestFullDiskRefusesProposalsOnly(t *testing.T) {
+	c, disks := newFaultyCluster(t)
+	leader := c.leader()
+	for _, d := range disks {
+		d.SetFree(0)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*testTiming.ElectionMax)
+	defer cancel()
+	if _, err := c.processes[leader].group.Propose(ctx, []byte("one")); err == nil {
+		t.Fatal("accepted on full disks")
+	}
+	_, err := c.processes[leader].group.proposeHere(c.context(), []byte("two"))
+	if errkind.Of(err).Kind != errkind.ControlUnavailable || !errors.Is(err, wal.ErrDiskFull) {
+		t.Fatalf("proposal on a full disk: %v", err)
+	}
+	if age, ok := c.processes[leader].group.Confirmed(); !ok || age > testTiming.ElectionMax {
+		t.Fatalf("confirmation stopped: %v %v", age, ok)
+	}
+	for _, d := range disks {
+		d.SetFree(-1)
+	}
+	c.propose(leader, "three")
+}
+
+// Guards against losing accepted commands when all replicas crash at once.
+func TestAllReplicasCrash(t *testing.T) {
+	c, disks := newFaultyCluster(t)
+	c.every = 10
+	var want []string
+	for round := range 5 {
+		leader := c.leader()
+		for i := range 7 {
+			command := fmt.Sprintf("%d-%d", round, i)
+			c.propose(leader, command)
+			want = append(want, command)
+		}
+		for name := range disks {
+			disks[name].Crash()
+			c.stop(name)
+		}
+		for name := range disks {
+			c.open(name)
+		}
+	}
+	at := c.leader()
+	c.must(c.processes[at].group.Confirm(c.context()))
+	if got := c.processes[at].machine.commands(); !slices.Equal(got, want) {
+		t.Fatalf("applied %q, want %q", got, want)
+	}
+}
+
+// Guards against a replica that cannot catch up once the log it needs is
+// compacted away.
+func TestCatchUpBySnapshot(t *testing.T) {
+	c, _ := newFaultyCluster(t)
+	c.stop("c")
+	c.every = 5
+	for _, name := range []string{"a", "b"} {
+		c.stop(name)
+		c.open(name)
+	}
+	at := c.leader()
+	for i := range 40 {
+		c.propose(at, fmt.Sprint(i))
+	}
+	c.open("c")
+	c.must(c.processes["c"].group.Confirm(c.context()))
+	if a, b := c.processes["c"].machine.commands(), c.processes[at].machine.commands(); !slices.Equal(a, b) {
+		t.Fatalf("caught up to %d commands of %d", len(a), len(b))
+	}
+	if n := c.processes["c"].group.applier.state().Index; n < 40 {
+		t.Fatalf("applied %d", n)
+	}
+}
+
+// Guards against starting on a damaged folder as if it were empty.
+func TestDamagedFolderIsRefused(t *testing.T) {
+	c, disks := newFaultyCluster(t)
+	c.propose("a", "one")
+	c.propose("a", "two")
+	c.stop("a")
+	folder := c.folders["a"] + "/group-1/log"
+	names, err := disks["a"].List(folder)
+	c.must(err)
+	disks["a"].Corrupt(folder+"/"+names[0], 60)
+	var corrupt *wal.CorruptError
+	if _, err := c.tryOpen("a"); !errors.As(err, &corrupt) {
+		t.Fatalf("open of a damaged folder: %v", err)
+	}
+}
--- /dev/null
+++ b/snap/snap_test.go
@@ -0,0 +1,121 @@
+package snap_test
+
+import (
+	"bytes"
+	"errors"
+	"math/rand/v2"
+	"path/filepath"
+	"testing"
+
+	"bramleymill/snap"
+	"bramleymill/wal/faultfs"
+)
+
+const folder = "snapshots"
+
+func open(t *testing.T, fs *faultfs.FS) *snap.Store {
+	t.Helper()
+	s, err := snap.Open(fs, folder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func snapshot(index uint64, size int) *snap.Snapshot {
+	return &snap.Snapshot{Index: index, Header: []byte("header"), Data: bytes.Repeat([]byte{byte(index)}, size)}
+}
+
+// Guards against losing a saved snapshot, or reading an unfinished one, when
+// the process crashes or the disk is full at any time.
+func TestSavedSnapshotSurvivesFaults(t *testing.T) {
+	for seed := range uint64(200) {
+		fs := faultfs.New(seed)
+		random := rand.New(rand.NewPCG(seed, 4))
+		s := open(t, fs)
+		newest := uint64(0)
+		for index := uint64(1); index < 40; index++ {
+			switch random.IntN(4) {
+			case 0:
+				fs.SetFree(random.IntN(90))
+				if err := s.Save(snapshot(index, 100)); !errors.Is(err, snap.ErrDiskFull) {
+					t.Fatalf("save on a full disk: %v", err)
+				}
+				fs.SetFree(-1)
+			case 1:
+				fs.Crash()
+				s = open(t, fs)
+			default:
+				if err := s.Save(snapshot(index, 100)); err != nil {
+					t.Fatal(err)
+				}
+				newest = index
+			}
+			got, err := s.Latest()
+			if newest == 0 && errors.Is(err, snap.ErrNotFound) {
+				continue
+			}
+			if err != nil || got.Index != newest || !bytes.Equal(got.Data, snapshot(newest, 100).Data) {
+				t.Fatalf("seed %d: latest %+v, %v, want %d", seed, got, err, newest)
+			}
+		}
+	}
+}
+
+// Guards against restoring a damaged snapshot.
+func TestDamagedSnapshotIsRefused(t *testing.T) {
+	fs := faultfs.New(1)
+	s := open(t, fs)
+	if err := s.Save(snapshot(7, 20)); err != nil {
+		t.Fatal(err)
+	}
+	name := filepath.Join(folder, "0000000000000007.snap")
+	for offset := range fs.Size(name) {
+		fs.Corrupt(name, offset)
+		var corrupt *snap.CorruptError
+		if _, err := s.Latest(); !errors.As(err, &corrupt) {
+			t.Fatalf("byte %d flipped: %v", offset, err)
+		}
+		fs.Corrupt(name, offset)
+	}
+}
+
+// Guards against saving again after a failed sync has lost data.
+func TestFailedSyncIsSticky(t *testing.T) {
+	fs := faultfs.New(1)
+	s := open(t, fs)
+	fs.FailSyncs(true)
+	if err := s.Save(snapshot(1, 20)); !errors.Is(err, snap.ErrFailed) {
+		t.Fatalf("save: %v", err)
+	}
+	fs.FailSyncs(false)
+	if err := s.Save(snapshot(2, 20)); !errors.Is(err, snap.ErrFailed) {
+		t.Fatalf("save after a failed sync: %v", err)
+	}
+}
+
+// Guards against a transfer that mixes up the parts of a snapshot, and against
+// removing the one that is being transferred too early.
+func TestReadAt(t *testing.T) {
+	fs := faultfs.New(1)
+	s := open(t, fs)
+	for index := uint64(1); index <= 3; index++ {
+		if err := s.Save(snapshot(index, 10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var data []byte
+	for total := uint64(10); uint64(len(data)) < total; {
+		chunk, n, err := s.ReadAt(2, uint64(len(data)), 4)
+		if err != nil || n != total {
+			t.Fatalf("total %d, %v", n, err)
+		}
+		data = append(data, chunk...)
+	}
+	if !bytes.Equal(data, snapshot(2, 10).Data) {
+		t.Fatalf("read %v", data)
+	}
+	if _, _, err := s.ReadAt(1, 0, 4); !errors.Is(err, snap.ErrNotFound) {
+		t.Fatalf("removed snapshot: %v", err)
+	}
+}
--- /dev/null
+++ b/wal/faultfs/faultfs.go
@@ -0,0 +1,280 @@
+// Package faultfs is a file system in memory for tests. It fails writes and
+// syncs on demand, runs full, and on a crash loses what was not synced, at times
+// leaving a torn part of it.
+package faultfs
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+
+	"bramleymill/wal"
+)
+
+// ErrInjected is the cause of injected failures.
+var ErrInjected = errors.New("faultfs: injected failure")
+
+// inode is the content of a file.
+type inode struct {
+	data   []byte
+	synced []byte // survives a crash
+}
+
+// FS is a file system in memory. It is safe for concurrent use.
+type FS struct {
+	mu     sync.Mutex
+	random *rand.Rand
+	names  map[string]*inode
+	synced map[string]*inode // names that survive a crash
+	lives  int               // handles of earlier lives are dead
+
+	writeFails bool
+	syncFails  bool
+	free       int // bytes until the disk is full; negative: unlimited
+	syncs      int
+}
+
+// New returns an empty file system.
+func New(seed uint64) *FS {
+	return &FS{
+		random: rand.New(rand.NewPCG(seed, 2)), names: map[string]*inode{},
+		synced: map[string]*inode{}, free: -1,
+	}
+}
+
+// FailWrites makes writes fail, or work again.
+func (f *FS) FailWrites(on bool) { f.set(func() { f.writeFails = on }) }
+
+// FailSyncs makes syncs fail, or work again. A failed sync drops the unsynced
+// data, as operating systems do.
+func (f *FS) FailSyncs(on bool) { f.set(func() { f.syncFails = on }) }
+
+// SetFree sets the number of bytes that may be written until the disk is full.
+// A negative number removes the limit.
+func (f *FS) SetFree(bytes int) { f.set(func() { f.free = bytes }) }
+
+// Syncs returns the number of file syncs so far.
+func (f *FS) Syncs() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.syncs
+}
+
+func (f *FS) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+// Crash loses what was not synced. Of data appended to a file a random part may
+// survive, at times followed by garbage. Open files fail from then on.
+func (f *FS) Crash() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lives++
+	f.names = maps.Clone(f.synced)
+	for _, name := range slices.Sorted(maps.Keys(f.names)) {
+		f.names[name].tear(f.random)
+	}
+}
+
+func (n *inode) tear(r *rand.Rand) {
+	if len(n.data) > len(n.synced) && slices.Equal(n.data[:len(n.synced)], n.synced) {
+		kept := len(n.synced) + r.IntN(len(n.data)-len(n.synced)+1)
+		torn := slices.Clone(n.data[:kept])
+		if kept > len(n.synced) && r.IntN(2) == 0 {
+			torn[len(n.synced)+r.IntN(kept-len(n.synced))] ^= 0x55
+		}
+		n.synced = torn
+	}
+	n.data = slices.Clone(n.synced)
+}
+
+// Corrupt flips a bit of a file.
+func (f *FS) Corrupt(name string, offset int) {
+	f.set(func() {
+		n := f.names[name]
+		n.data[offset] ^= 1
+		n.synced = slices.Clone(n.data)
+	})
+}
+
+// Size returns the size of a file.
+func (f *FS) Size(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.names[name].data)
+}
+
+// MkdirAll does nothing: every folder exists.
+func (f *FS) MkdirAll(string) error { return nil }
+
+// Create makes or empties a file.
+func (f *FS) Create(name string) (wal.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := &inode{}
+	f.names[name] = n
+	return &file{fs: f, inode: n, life: f.lives}, nil
+}
+
+// Open opens a file.
+func (f *FS) Open(name string) (wal.File, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, ok := f.names[name]
+	if !ok {
+		return nil, &os.PathError{Op: "open", Path: name, Err: os.ErrNotExist}
+	}
+	return &file{fs: f, inode: n, life: f.lives}, nil
+}
+
+// OpenAppend opens an existing file.
+func (f *FS) OpenAppend(name string) (wal.File, error) { return f.Open(name) }
+
+// Rename renames a file.
+func (f *FS) Rename(from, to string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, ok := f.names[from]
+	if !ok {
+		return &os.PathError{Op: "rename", Path: from, Err: os.ErrNotExist}
+	}
+	delete(f.names, from)
+	f.names[to] = n
+	return nil
+}
+
+// Remove removes a file.
+func (f *FS) Remove(name string) error {
+	f.set(func() { delete(f.names, name) })
+	return nil
+}
+
+// List returns the names in a folder.
+func (f *FS) List(folder string) ([]string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for name := range f.names {
+		if filepath.Dir(name) == folder {
+			out = append(out, filepath.Base(name))
+		}
+	}
+	slices.Sort(out)
+	return out, nil
+}
+
+// SyncFolder makes the names in a folder durable.
+func (f *FS) SyncFolder(folder string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.syncFails {
+		return ErrInjected
+	}
+	in := func(name string, _ *inode) bool { return filepath.Dir(name) == folder }
+	maps.DeleteFunc(f.synced, in)
+	for name, n := range f.names {
+		if in(name, n) {
+			f.synced[name] = n
+		}
+	}
+	return nil
+}
+
+// file is an open file.
+type file struct {
+	fs     *FS
+	inode  *inode
+	life   int
+	offset int
+}
+
+func (h *file) lock() (unlock func(), err error) {
+	h.fs.mu.Lock()
+	if h.life != h.fs.lives {
+		h.fs.mu.Unlock()
+		return nil, fmt.Errorf("%w: opened before a crash", ErrInjected)
+	}
+	return h.fs.mu.Unlock, nil
+}
+
+func (h *file) Read(b []byte) (int, error) {
+	n, err := h.ReadAt(b, int64(h.offset))
+	h.offset += n
+	if n > 0 {
+		err = nil
+	}
+	return n, err
+}
+
+func (h *file) ReadAt(b []byte, offset int64) (int, error) {
+	unlock, err := h.lock()
+	if err != nil {
+		return 0, err
+	}
+	defer unlock()
+	if offset >= int64(len(h.inode.data)) {
+		return 0, io.EOF
+	}
+	n := copy(b, h.inode.data[offset:])
+	if n < len(b) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+func (h *file) Write(b []byte) (int, error) {
+	unlock, err := h.lock()
+	if err != nil {
+		return 0, err
+	}
+	defer unlock()
+	if h.fs.writeFails {
+		return 0, ErrInjected
+	}
+	n := len(b)
+	if h.fs.free >= 0 {
+		n = min(n, h.fs.free)
+		h.fs.free -= n
+	}
+	h.inode.data = append(h.inode.data, b[:n]...)
+	if n < len(b) {
+		return n, syscall.ENOSPC
+	}
+	return n, nil
+}
+
+func (h *file) Sync() error {
+	unlock, err := h.lock()
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	h.fs.syncs++
+	if h.fs.syncFails {
+		h.inode.data = slices.Clone(h.inode.synced)
+		return ErrInjected
+	}
+	h.inode.synced = slices.Clone(h.inode.data)
+	return nil
+}
+
+func (h *file) Truncate(size int64) error {
+	unlock, err := h.lock()
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	h.inode.data = h.inode.data[:size:size]
+	return nil
+}
+
+func (h *file) Close() error { return nil }
--- a/wal/fs.go
+++ b/wal/fs.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"path/filepath"
 )
 
 // File is an open file.
@@ -17,6 +18,7 @@
 
 // FS is the part of a file system that logs and snapshots need.
 type FS interface {
+	// MkdirAll makes a folder and its missing parents, durably.
 	MkdirAll(folder string) error
 	// Create makes or empties a file and opens it for writing at its end.
 	Create(name string) (File, error)
@@ -34,8 +36,23 @@
 // OS is the file system of the machine.
 type OS struct{}
 
-// MkdirAll makes a folder and its parents.
-func (OS) MkdirAll(folder string) error { return os.MkdirAll(folder, 0o700) }
+// MkdirAll makes a folder and its missing parents, durably: a folder that a crash
+// removes takes synced files with it.
+func (o OS) MkdirAll(folder string) error {
+	if _, err := os.Stat(folder); err == nil {
+		return nil
+	}
+	parent := filepath.Dir(folder)
+	if parent != folder {
+		if err := o.MkdirAll(parent); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(folder, 0o700); err != nil && !os.IsExist(err) {
+		return err
+	}
+	return o.SyncFolder(parent)
+}
 
 // Create makes or empties a file and opens it for writing at its end.
 func (OS) Create(name string) (File, error) {
--- /dev/null
+++ b/wal/log_test.go
@@ -0,0 +1,223 @@
+package wal_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"testing"
+
+	"bramleymill/wal"
+	"bramleymill/wal/faultfs"
+)
+
+const folder = "log"
+
+func open(t *testing.T, fs wal.FS) (*wal.Log, []string) {
+	t.Helper()
+	l, records, err := tryOpen(fs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, records
+}
+
+func tryOpen(fs wal.FS) (*wal.Log, []string, error) {
+	var records []string
+	l, err := wal.Open(fs, folder, wal.Options{SegmentBytes: 300}, func(r []byte) error {
+		records = append(records, string(r))
+		return nil
+	})
+	return l, records, err
+}
+
+func fill(t *testing.T, l *wal.Log, from, to int) (records []string) {
+	t.Helper()
+	for i := from; i < to; i++ {
+		r := fmt.Sprintf("record %d %s", i, bytes.Repeat([]byte{'x'}, i%50))
+		if err := l.Append([]byte(r)); err != nil {
+			t.Fatal(err)
+		}
+		records = append(records, r)
+	}
+	return records
+}
+
+func segments(t *testing.T, fs wal.FS) []string {
+	t.Helper()
+	names, err := fs.List(folder)
+	if err != nil || len(names) == 0 {
+		t.Fatalf("no segments: %v", err)
+	}
+	for i := range names {
+		names[i] = filepath.Join(folder, names[i])
+	}
+	return names
+}
+
+// Guards against losing a synced record, or inventing one, across crashes that
+// tear the tail, while segments change, fill up the disk and are replaced.
+func TestSyncedRecordsSurviveCrashes(t *testing.T) {
+	for seed := range uint64(300) {
+		fs := faultfs.New(seed)
+		random := rand.New(rand.NewPCG(seed, 3))
+		l, have := open(t, fs)
+		for step := range 60 {
+			r := fmt.Sprintf("%d-%d", seed, step)
+			switch random.IntN(12) {
+			case 0:
+				fs.Crash()
+				var got []string
+				if l, got = open(t, fs); !slices.Equal(got, have) {
+					t.Fatalf("seed %d step %d: replayed %q, want %q", seed, step, got, have)
+				}
+			case 1:
+				if err := l.Reset([]byte(r)); err != nil {
+					t.Fatal(err)
+				}
+				have = []string{r}
+			case 2:
+				fs.SetFree(random.IntN(100))
+				long := append([]byte(r), make([]byte, 200)...)
+				if err := l.Append(long); !errors.Is(err, wal.ErrDiskFull) {
+					t.Fatalf("append to a full disk: %v", err)
+				}
+				fs.SetFree(-1)
+			default:
+				if err := l.Append([]byte(r)); err != nil {
+					t.Fatal(err)
+				}
+				have = append(have, r)
+			}
+		}
+	}
+}
+
+// Guards against a crash between write and sync that makes the log unreadable.
+// Fails when a torn tail is not cut off.
+func TestTornTailIsCutOff(t *testing.T) {
+	for seed := range uint64(200) {
+		fs := faultfs.New(seed)
+		l, _ := open(t, fs)
+		want := fill(t, l, 0, 5)
+		fs.FailSyncs(true)
+		_ = l.Append(bytes.Repeat([]byte("torn"), 20))
+		fs.FailSyncs(false)
+		appendRaw(t, fs, bytes.Repeat([]byte("torn"), 20), int(seed%80))
+		fs.Crash()
+		l, got := open(t, fs)
+		if !slices.Equal(got, want) {
+			t.Fatalf("seed %d: replayed %q, want %q", seed, got, want)
+		}
+		want = append(want, fill(t, l, 5, 8)...)
+		if _, got = open(t, fs); !slices.Equal(got, want) {
+			t.Fatalf("seed %d: after the repair %q, want %q", seed, got, want)
+		}
+	}
+}
+
+// appendRaw leaves n bytes of an unfinished write at the end of the last segment.
+func appendRaw(t *testing.T, fs wal.FS, b []byte, n int) {
+	t.Helper()
+	names := segments(t, fs)
+	f, err := fs.OpenAppend(names[len(names)-1])
+	if err == nil {
+		_, err = f.Write(b[:n])
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against skipping damaged records that were durable.
+func TestCorruptionBeforeTheTailIsRefused(t *testing.T) {
+	fs := faultfs.New(1)
+	l, _ := open(t, fs)
+	records := fill(t, l, 0, 30)
+	const frameBytes = 24
+	last := frameBytes + len(records[len(records)-1])
+	names := segments(t, fs)
+	if len(names) < 3 {
+		t.Fatalf("%d segments", len(names))
+	}
+	for i, name := range names {
+		whole := fs.Size(name)
+		for offset := 0; offset < whole; offset += 7 {
+			if i == len(names)-1 && offset >= whole-last {
+				break // it cannot be told from a torn write, and is cut off
+			}
+			fs.Corrupt(name, offset)
+			_, _, err := tryOpen(fs)
+			fs.Corrupt(name, offset)
+			var corrupt *wal.CorruptError
+			if !errors.As(err, &corrupt) {
+				t.Fatalf("segment %d, byte %d flipped: %v", i, offset, err)
+			}
+		}
+	}
+	if err := fs.Remove(names[1]); err != nil {
+		t.Fatal(err)
+	}
+	var corrupt *wal.CorruptError
+	if _, _, err := tryOpen(fs); !errors.As(err, &corrupt) {
+		t.Fatalf("missing segment: %v", err)
+	}
+}
+
+// Guards against acknowledging records after a failed sync, when the operating
+// system has dropped the data that it could not write. Fails when the failure is
+// not sticky.
+func TestFailedSyncIsSticky(t *testing.T) {
+	fs := faultfs.New(1)
+	l, _ := open(t, fs)
+	want := fill(t, l, 0, 3)
+	fs.FailSyncs(true)
+	if err := l.Append([]byte("lost")); !errors.Is(err, wal.ErrFailed) {
+		t.Fatalf("append with a failing sync: %v", err)
+	}
+	fs.FailSyncs(false)
+	if err := l.Append([]byte("later")); !errors.Is(err, wal.ErrFailed) {
+		t.Fatalf("append after a failed sync: %v", err)
+	}
+	if err := l.Reset([]byte("later")); !errors.Is(err, wal.ErrFailed) {
+		t.Fatalf("reset after a failed sync: %v", err)
+	}
+	if _, got := open(t, fs); !slices.Equal(got, want) {
+		t.Fatalf("replayed %q, want %q", got, want)
+	}
+}
+
+// Guards against a log that stays unusable after the disk was full.
+func TestDiskFullIsNotSticky(t *testing.T) {
+	fs := faultfs.New(1)
+	l, _ := open(t, fs)
+	want := fill(t, l, 0, 3)
+	fs.SetFree(20)
+	if err := l.Append(make([]byte, 100)); !errors.Is(err, wal.ErrDiskFull) {
+		t.Fatalf("append: %v", err)
+	}
+	if err := l.Reset(make([]byte, 100)); !errors.Is(err, wal.ErrDiskFull) {
+		t.Fatalf("reset: %v", err)
+	}
+	fs.SetFree(-1)
+	want = append(want, fill(t, l, 3, 5)...)
+	if _, got := open(t, fs); !slices.Equal(got, want) {
+		t.Fatalf("replayed %q, want %q", got, want)
+	}
+}
+
+func BenchmarkAppend(b *testing.B) {
+	l, err := wal.Open(wal.OS{}, b.TempDir(), wal.Options{}, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	record := make([]byte, 512)
+	for b.Loop() {
+		if err := l.Append(record); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
