Check membership under faults and bound the cost of a relay

Cause: random histories of crashes, restarts, leaves, freezes, cut links and lost messages ended with registries that differed for good. A relay that gave up a child, or whose child moved, had set aside its parent's word about the node and was never told again; a control instance dropped a node whose link to it was bad although another one heard it.

Change: a node asks its parent again for a service when one of its servers leaves the own subtree; a control instance does not drop what another one hears; children that have moved are forgotten after a lease. Changes that only add capacity are merged for 200 ms, because each of 60 returning nodes caused a message to each of the others. Nodes without the control role relay for at most 8 children. The loop sleeps until something is due instead of every 25 ms. Messages move to a new connection after a change of the keys, so that the peer sees the new certificate before it trusts no other.

Ruled out: sending the losing side's entry again from the parent, which does not cover the case in which the child set the entry aside.

--- a/member/config.go
+++ b/member/config.go
@@ -35,6 +35,11 @@
 	// Spreads the first heartbeats of processes that start together.
 	firstJoin = 500 * time.Millisecond
 
+	// MaxRelayChildren bounds the children of a node without the control role: each
+	// costs it about 2 ms of CPU time per second, and a node must stay below 2.2%
+	// of a core. With 11 control instances of 48 children two levels hold 4,752 nodes.
+	MaxRelayChildren = 8
+
 	// MaxJoinsPerSecond is the rate at which a parent accepts new children.
 	// Others are told to try again, so that a returning availability zone does
 	// not occupy the parent with full answers.
@@ -49,9 +54,10 @@
 	retryAfterFailure = 100 * time.Millisecond
 	maxFailures       = 2
 
-	// Notifications and the heartbeats that they cause are merged within this time.
+	// Hastened messages are merged within these times.
 	minNotifyGap    = 50 * time.Millisecond
 	minHeartbeatGap = 20 * time.Millisecond
+	soonGap         = 200 * time.Millisecond
 
 	maxProbesInFlight = 32
 	secondLocations   = 2
@@ -95,7 +101,8 @@
 	Clock  clock.Clock
 	Seed   uint64 // of the random source; differs between processes
 	Logger *slog.Logger
-	// MaxChildren is the number of children that a node accepts. Zero: the default.
+	// MaxChildren is the number of children that a control instance accepts, and
+	// other nodes up to MaxRelayChildren. Zero: the default.
 	MaxChildren int
 	Source      ConfigSource // nil without the control role
 }
--- /dev/null
+++ b/member/config_test.go
@@ -0,0 +1,152 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+	"bramleymill/member"
+)
+
+// Guards against a cut-off control instance that keeps its children on an old
+// configuration: they find a connected one, and its own age grows.
+func TestCutOffControlDoesNotConfirm(t *testing.T) {
+	s := newSim(t, 3, 8)
+	s.startNodes(30, "katalog")
+	s.settle("katalog", 30)
+	// The instance loses the others, but not its children.
+	s.sources[0].cut = true
+	for i := 1; i < 3; i++ {
+		s.net.Cut(s.seeds[0], s.seeds[i])
+		s.net.Cut(s.seeds[i], s.seeds[0])
+		s.sources[i].version, s.sources[i].document = 2, []byte("document 2")
+	}
+	s.run(member.ConfirmationBound + time.Second)
+	if age := s.names[controlName(0)].Confirmed(); age < member.ConfirmationBound {
+		t.Errorf("the cut-off instance is confirmed %v ago", age)
+	}
+	s.each(controlName(0), func(n fleet.NodeID, m *member.Member) {
+		if v, _ := m.Config(); v != 2 || m.Confirmed() >= member.ConfirmationBound/2 {
+			t.Errorf("%s below %s: version %d confirmed %v ago", n, m.Parent(), v, m.Confirmed())
+		}
+	})
+}
+
+// Guards against confirmations that go on without any connected control instance.
+func TestNoMajorityNoConfirmation(t *testing.T) {
+	s := newSim(t, 3, 8)
+	s.startNodes(30, "katalog")
+	s.settle("katalog", 30)
+	for _, src := range s.sources {
+		src.cut = true
+	}
+	s.run(member.ConfirmationBound)
+	s.each("", func(n fleet.NodeID, m *member.Member) {
+		if m.Confirmed() < member.ConfirmationBound {
+			t.Errorf("%s confirmed %v ago", n, m.Confirmed())
+		}
+	})
+	for _, src := range s.sources {
+		src.cut = false
+	}
+	s.runUntil(3*time.Second, "confirmed again", func() bool {
+		return s.all("", func(_ fleet.NodeID, m *member.Member) bool { return m.Confirmed() < 2*time.Second })
+	})
+}
+
+// Guards against a process that resumes after a freeze and serves with what was
+// true before, also when a reply was waiting for it.
+func TestFrozenNodeIsNotConfirmed(t *testing.T) {
+	s := newSim(t, 3, 8)
+	s.startNodes(10, "katalog")
+	s.settle("katalog", 10)
+	m := s.names[nodeName(4)]
+	s.freeze(nodeName(4))
+	s.run(30 * time.Second)
+	if m.Confirmed() < 30*time.Second {
+		t.Errorf("confirmed %v ago on waking", m.Confirmed())
+	}
+	// Its request was answered, and the process froze before it took the reply.
+	s.slowReply(nodeName(4), 20*time.Second)
+	s.run(simStep)
+	if m.Confirmed() < 20*time.Second {
+		t.Errorf("confirmed %v ago by a reply that waited for 20s", m.Confirmed())
+	}
+}
+
+// Guards against a configuration that reverts, whatever an older parent says.
+func TestVersionsNeverGoDown(t *testing.T) {
+	s := newSim(t, 3, 4)
+	s.startNodes(30, "katalog")
+	highest := map[*member.Member]uint64{} // of each process
+	s.after = func() {
+		s.each("", func(n fleet.NodeID, m *member.Member) {
+			v, _ := m.Config()
+			if v < highest[m] {
+				t.Fatalf("%s went from version %d to %d", n, highest[m], v)
+			}
+			highest[m] = v
+		})
+	}
+	s.settle("katalog", 30)
+	s.setVersion(7)
+	s.run(2 * time.Second)
+	// A control instance that catches up after a restart of its log.
+	for i, v := range []uint64{5, 6, 7} {
+		s.sources[i].version = v
+	}
+	for i := range s.sources {
+		s.stop(controlName(i))
+		s.life++
+		s.run(3 * time.Second)
+		s.start(controlName(i), "", s.sources[i])
+		s.run(3 * time.Second)
+	}
+	s.setVersion(8)
+	s.runUntil(4*time.Second, "version 8 everywhere", func() bool { return s.everywhere(8) })
+}
+
+// Guards against a restarted node that adopts what a cut-off parent has.
+func TestRestartNeedsConfirmation(t *testing.T) {
+	s := newSim(t, 1, 8)
+	s.startNodes(2, "katalog")
+	s.settle("katalog", 2)
+	s.sources[0].cut = true
+	s.run(member.ConfirmationBound)
+	s.start(nodeName(5), "katalog", nil)
+	s.run(5 * time.Second)
+	m := s.names[nodeName(5)]
+	if v, _ := m.Config(); v != 0 || m.Parent() == "" {
+		t.Fatalf("restarted node below %q adopted version %d without a confirmation", m.Parent(), v)
+	}
+	s.sources[0].cut = false
+	s.runUntil(2*time.Second, "adopted", func() bool {
+		v, _ := m.Config()
+		return v == 1 && m.Confirmed() < 2*time.Second
+	})
+}
+
+// Guards against a node that waits for its heartbeat although a peer has shown it
+// a later version, and against one that asks again for each message.
+func TestPeerVersionHastensHeartbeat(t *testing.T) {
+	s := newSim(t, 1, 8)
+	s.startNodes(2, "katalog")
+	s.settle("katalog", 2)
+	m := s.names[nodeName(0)]
+	before := s.net.Received(s.seeds[0])
+	for range 40 {
+		m.PeerVersion(9)
+		s.run(simStep)
+	}
+	// Two nodes send at most 3 heartbeats each in a second by themselves.
+	if n := s.net.Received(s.seeds[0]) - before; n > 7 {
+		t.Errorf("parent got %d messages for one news, want at most 7", n)
+	}
+	s.run(simStep)
+	before = s.net.Received(s.seeds[0])
+	m.PeerVersion(10)
+	s.run(2 * simStep)
+	if s.net.Received(s.seeds[0]) == before {
+		t.Error("no heartbeat after the news of a later version")
+	}
+}
--- a/member/core.go
+++ b/member/core.go
@@ -139,7 +139,7 @@
 func (k *core) announce(now time.Time) {
 	e, _ := k.reg.put(k.self, false, now)
 	e.via, e.heard, e.applied, e.claimed = k.id, now, k.conf.version, true
-	k.changed()
+	k.changed(hasteOf(k.self, false))
 }
 
 // setState announces a new state at once.
@@ -161,10 +161,10 @@
 
 // changed hastens the messages that carry a change in the own subtree upwards
 // or to the other control instances.
-func (k *core) changed() {
-	k.up.hasten()
+func (k *core) changed(h haste) {
+	k.up.haste.raise(h)
 	for _, p := range k.peers {
-		p.hurry = true
+		p.haste.raise(h)
 	}
 }
 
@@ -180,7 +180,7 @@
 		out = k.dueHeartbeat(out, now)
 	}
 	out = k.dueNotifications(out, now)
-	if !now.Before(k.nextScan) {
+	if !now.Before(k.nextScan) && (k.control() || len(k.children) > 0) {
 		k.nextScan = now.Add(scanInterval)
 		out = k.scan(out, now)
 	}
--- a/member/downstream.go
+++ b/member/downstream.go
@@ -22,7 +22,7 @@
 	children   int                   // of the child
 	assigned   int                   // nodes sent there since its last heartbeat
 	heard      time.Time
-	want       bool // a notification is to be sent
+	haste      haste // of a notification
 	inFlight   bool
 	notified   time.Time
 }
@@ -56,7 +56,7 @@
 		return reply
 	}
 	c.address, c.zone, c.heard = h.Self.PeerAddress, h.Self.Zone, now
-	c.children, c.assigned, c.want = h.Children, 0, false
+	c.children, c.assigned, c.haste = h.Children, 0, 0
 	k.hear(h, c, reply, now)
 	k.takeFollows(c, h, reply)
 	k.answer(c, h, reply, now)
@@ -70,12 +70,13 @@
 		reply.Refused = refusedDetached
 	case slices.Contains(k.up.path, h.Self.Node):
 		reply.Refused = refusedCycle
-	case len(k.children) >= k.maxChildren:
+	case len(k.children) >= k.limit():
 		reply.Refused, reply.Redirect = refusedFull, k.redirect(h)
 	case !k.joins.take(now, MaxJoinsPerSecond, joinBurst):
 		reply.Refused = refusedBusy
 	}
 	if reply.Refused != accepted {
+		k.stats.ChildrenRefused++
 		return nil
 	}
 	c := &child{node: h.Self.Node, subtree: map[fleet.NodeID]bool{}}
@@ -84,6 +85,14 @@
 	return c
 }
 
+// limit returns how many children this member accepts.
+func (k *core) limit() int {
+	if k.control() {
+		return k.maxChildren
+	}
+	return min(k.maxChildren, MaxRelayChildren)
+}
+
 // redirect names the children that the sender may join instead: those with room
 // first, in the same availability zone first, the least loaded first.
 func (k *core) redirect(h *heartbeat) []string {
@@ -97,7 +106,7 @@
 			continue
 		}
 		x := choice{c: c, load: c.children + c.assigned}
-		if x.load >= k.maxChildren {
+		if x.load >= min(k.maxChildren, MaxRelayChildren) {
 			x.full, x.load = 1, len(c.subtree)+c.assigned
 		}
 		if c.zone != h.Self.Zone {
@@ -131,9 +140,7 @@
 func (k *core) childLeft(h *heartbeat, now time.Time) {
 	if e, o := k.reg.put(h.Self, false, now); o == newer {
 		e.claimed = true
-		k.stateChanged(h.Self, h.Self.State.String())
-		k.spread(h.Self.Service)
-		k.changed()
+		k.serverChanged(e, h.Self.State.String())
 	}
 	k.release(h.Self.Node)
 }
@@ -160,6 +167,15 @@
 	}
 	e.via = ""
 	k.reg.touch(e)
+	k.askAgain(e.server.Service)
+}
+
+// askAgain requests the complete list of a service from the parent, whose earlier
+// word was set aside for a node in the own subtree.
+func (k *core) askAgain(service string) {
+	if f := k.follows[service]; f != nil {
+		f.fresh = true
+	}
 }
 
 // hear merges what a heartbeat announces.
@@ -202,9 +218,7 @@
 		return
 	case o == newer:
 		e.claimed = true
-		k.stateChanged(s, s.State.String())
-		k.spread(s.Service)
-		k.changed()
+		k.serverChanged(e, s.State.String())
 	case lost:
 		// Only the relay through which the node was heard can tell its loss.
 		if e.via == via && !e.lost {
@@ -217,9 +231,7 @@
 			return
 		}
 		k.reg.setLost(e, false, now)
-		k.stateChanged(s, "returned")
-		k.spread(s.Service)
-		k.changed()
+		k.serverChanged(e, "returned")
 	}
 	direct := e.via == k.id && via != k.id && now.Sub(e.heard) < SuspectAfter
 	if !direct && e.via != via && !at.Before(e.heard) {
@@ -232,31 +244,12 @@
 	e.applied = applied
 }
 
-func (k *core) stateChanged(s fleet.Server, change string) {
-	k.events = append(k.events, stateEvent{s, change})
-}
-
-// spread notifies the children that follow a service.
-func (k *core) spread(service string) {
-	for _, c := range k.children {
-		if c.follows[service] {
-			c.want = true
-		}
-	}
-}
-
-func (k *core) notifyAll() {
-	for _, c := range k.children {
-		c.want = true
-	}
-}
-
 func (k *core) dueNotifications(out []action, now time.Time) []action {
 	for _, c := range k.sortedChildren() {
-		if !c.want || c.inFlight || now.Sub(c.notified) < minNotifyGap {
+		if c.inFlight || !c.haste.due(c.notified, now, minNotifyGap) {
 			continue
 		}
-		c.want, c.inFlight, c.notified = false, true, now
+		c.haste, c.inFlight, c.notified = 0, true, now
 		out = append(out, sendNotify{c.node, c.address})
 	}
 	return out
@@ -280,7 +273,7 @@
 		// A reply that makes the sender the parent may still be on its way.
 		return &notifyReply{Gone: !u.inFlight}
 	}
-	u.hasten()
+	u.haste.raise(atOnce)
 	return &notifyReply{}
 }
 
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -28,7 +28,7 @@
 	noticed  uint64 // own notice revision that it has
 	next     time.Time
 	last     time.Time
-	hurry    bool
+	haste    haste
 	inFlight bool
 }
 
@@ -55,10 +55,10 @@
 		k.finishSync()
 	}
 	for _, p := range k.sortedPeers() {
-		if p.inFlight || (now.Before(p.next) && (!p.hurry || now.Sub(p.last) < minNotifyGap)) {
+		if p.inFlight || (now.Before(p.next) && !p.haste.due(p.last, now, minNotifyGap)) {
 			continue
 		}
-		p.inFlight, p.hurry, p.last = true, false, now
+		p.inFlight, p.haste, p.last = true, 0, now
 		p.next = now.Add(k.jitter(HeartbeatInterval, heartbeatJitter))
 		out = append(out, k.exchangeFor(p, now))
 	}
@@ -118,11 +118,15 @@
 	}
 	if reply.Resync || (restarted && !a.request.Full) {
 		p.acked = 0
-		p.hurry = p.hurry || restarted
+		if restarted {
+			p.haste.raise(atOnce)
+		}
 		return
 	}
 	p.acked, p.noticed = a.upTo, a.notices
-	p.hurry = p.hurry || p.noticed < k.notices.rev
+	if p.noticed < k.notices.rev {
+		p.haste.raise(atOnce)
+	}
 }
 
 // onExchange merges what another control instance hears.
@@ -139,7 +143,8 @@
 	}
 	if p.life != x.Epoch {
 		// The peer started anew, or was taken for dead: it may lack what is heard here.
-		p.life, p.acked, p.noticed, p.hurry = x.Epoch, 0, 0, true
+		p.life, p.acked, p.noticed = x.Epoch, 0, 0
+		p.haste.raise(atOnce)
 	}
 	p.node, p.heard = from.Node, now
 	k.takeClaims(p, x, now)
@@ -195,11 +200,11 @@
 	case o == newer:
 		e.heard = now
 		k.stateChanged(i.Server, i.Server.State.String())
-		k.spread(i.Server.Service)
+		k.spread(e)
 		if name == k.id {
 			k.outdated(i.Server.Incarnation, now)
 		}
-	case i.Lost && e.via == "" && !e.lost && !k.heardElsewhere(e, now):
+	case i.Lost && e.via == "" && !e.lost && !k.heardElsewhere(e):
 		k.lose(e, now)
 	case i.Released:
 		k.orphanOne(name, now)
@@ -207,12 +212,12 @@
 		e.heard = now
 		k.reg.setLost(e, false, now)
 		k.stateChanged(i.Server, "returned")
-		k.spread(i.Server.Service)
+		k.spread(e)
 	}
 }
 
 // heardElsewhere reports whether another control instance hears a node.
-func (k *core) heardElsewhere(e *entry, now time.Time) bool {
+func (k *core) heardElsewhere(e *entry) bool {
 	for _, p := range k.peers {
 		s, ok := p.claims[e.server.Node]
 		if !ok || s != e.stamp() || p.node == e.server.Node {
--- /dev/null
+++ b/member/faults_test.go
@@ -0,0 +1,124 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+	"bramleymill/member"
+	"bramleymill/transport/memory"
+)
+
+// faults drives a sim through random failures.
+type faults struct {
+	*sim
+	random  *rand.Rand
+	live    map[fleet.NodeID]bool
+	version uint64
+}
+
+const faultNodes = 30
+
+func (f *faults) pause(most time.Duration) { f.run(time.Duration(f.random.Int64N(int64(most)))) }
+
+func (f *faults) one() {
+	n := nodeName(f.random.IntN(faultNodes))
+	c := f.random.IntN(len(f.sources))
+	f.net.SetFaults(memory.Faults{Drop: 0.1 * float64(f.random.IntN(2)), Duplicate: 0.1 * float64(f.random.IntN(2))})
+	switch f.random.IntN(8) {
+	case 0:
+		f.stop(n)
+		delete(f.live, n)
+	case 1:
+		f.restart(n)
+	case 2:
+		f.names[n].SetState(fleet.Left)
+		f.run(time.Second)
+		f.stop(n)
+		delete(f.live, n)
+	case 3:
+		f.stop(controlName(c))
+		f.pause(5 * time.Second)
+		f.life++
+		f.start(controlName(c), "", f.sources[c])
+	case 4:
+		f.net.Isolate(address(n))
+		f.pause(8 * time.Second)
+		f.net.Reconnect(address(n))
+	case 5:
+		f.version++
+		f.setVersion(f.version)
+	case 6:
+		if f.live[n] {
+			f.freeze(n)
+			f.pause(8 * time.Second)
+			delete(f.stopped, n)
+		}
+	case 7:
+		from, to := address(n), f.seeds[c]
+		if f.random.IntN(2) == 0 {
+			from, to = to, from
+		}
+		f.net.Cut(from, to)
+		f.pause(8 * time.Second)
+		f.net.Heal(from, to)
+	}
+	f.pause(3 * time.Second)
+}
+
+func (f *faults) restart(n fleet.NodeID) {
+	if !f.live[n] {
+		f.life++
+		f.start(n, "katalog", nil)
+		f.live[n] = true
+	}
+}
+
+func (f *faults) check() {
+	f.t.Helper()
+	f.each("", func(n fleet.NodeID, m *member.Member) {
+		for _, x := range m.Servers("katalog") {
+			if !f.live[x.Node] {
+				f.t.Errorf("%s below %q sees %s, which is gone", n, m.Parent(), x.Node)
+			}
+		}
+		for x := range f.live {
+			if f.sees(n, x, "katalog") == nil {
+				f.t.Errorf("%s below %q does not see %s", n, m.Parent(), x)
+			}
+		}
+		if v, _ := m.Config(); v != f.version || m.Confirmed() > 3*time.Second {
+			f.t.Errorf("%s below %q has version %d confirmed %v ago, want %d", n, m.Parent(), v, m.Confirmed(), f.version)
+		}
+	})
+}
+
+// Guards against a registry that stays different somewhere once the faults are
+// over. BRAMLEYMILL_SEEDS runs more than the usual number of histories.
+func TestConvergesAfterFaults(t *testing.T) {
+	seeds := uint64(2)
+	if v, err := strconv.ParseUint(os.Getenv("BRAMLEYMILL_SEEDS"), 10, 32); err == nil {
+		seeds = v
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			f := &faults{sim: newSim(t, 3, 3+r.IntN(6)), random: r, live: map[fleet.NodeID]bool{}, version: 1}
+			for i := range faultNodes {
+				f.restart(nodeName(i))
+			}
+			f.settle("katalog", faultNodes)
+			for range 40 {
+				f.one()
+			}
+			f.net.SetFaults(memory.Faults{})
+			f.each("", func(_ fleet.NodeID, m *member.Member) { m.Servers("katalog") })
+			f.run(10 * time.Second)
+			f.check()
+		})
+	}
+}
--- a/member/follow.go
+++ b/member/follow.go
@@ -42,7 +42,7 @@
 		f = &follow{fresh: true, used: now}
 		k.follows[service] = f
 		k.up.listKnown = false
-		k.up.hasten()
+		k.up.haste.raise(atOnce)
 	}
 	return f
 }
@@ -193,7 +193,7 @@
 		f.fresh = false
 		if !f.complete {
 			f.finish()
-			k.spread(l.Service)
+			k.spreadService(l.Service, atOnce)
 			k.reg.dirty[l.Service] = struct{}{}
 		}
 	}
@@ -203,13 +203,15 @@
 // that is not heard in the own subtree.
 func (k *core) takeItem(i item, now time.Time) {
 	e, o := k.reg.put(i.Server, i.Lost, now)
-	if o == older || (o == same && (e.via != "" || e.lost == i.Lost)) {
-		return
-	}
-	if o == same {
+	if o != newer {
+		// A later announcement known here may come from a parent that is gone. Only
+		// the loss of an earlier one says something about it.
+		if e.via != "" || e.lost == i.Lost || (o == older && !i.Lost) {
+			return
+		}
 		k.reg.setLost(e, i.Lost, now)
 	}
-	k.spread(i.Server.Service)
+	k.spread(e)
 	if i.Server.Node == k.id && o == newer {
 		k.outdated(i.Server.Incarnation, now)
 	}
@@ -227,7 +229,7 @@
 		e := k.reg.entries[s.Node]
 		if !listed[string(s.Node)] && e.via == "" {
 			k.reg.setLost(e, true, now)
-			k.spread(l.Service)
+			k.spread(e)
 		}
 	}
 }
--- a/member/member.go
+++ b/member/member.go
@@ -29,6 +29,7 @@
 	HeartbeatsServed  uint64
 	Joins             uint64 // to a parent
 	ChildrenAccepted  uint64
+	ChildrenRefused   uint64
 	Suspicions        uint64
 	Dropped           uint64
 	DocumentsTooLarge uint64
@@ -173,7 +174,7 @@
 		}
 	}
 	m.mu.Lock()
-	m.core.up.hasten()
+	m.core.up.haste.raise(atOnce)
 	m.mu.Unlock()
 	m.wakeUp()
 }
--- a/member/notice.go
+++ b/member/notice.go
@@ -109,7 +109,9 @@
 
 func (k *core) passOn(from fleet.NodeID) {
 	for _, c := range k.children {
-		c.want = c.want || c.node != from
+		if c.node != from {
+			c.haste.raise(atOnce)
+		}
 	}
-	k.changed()
+	k.changed(atOnce)
 }
--- a/member/registry.go
+++ b/member/registry.go
@@ -41,6 +41,7 @@
 type registry struct {
 	rev      uint64
 	entries  map[fleet.NodeID]*entry
+	byName   []*entry // nil: to be sorted again
 	services map[string]*serviceIndex
 	dirty    map[string]struct{} // services changed since they were last published
 }
@@ -74,6 +75,7 @@
 	case e == nil:
 		e = &entry{}
 		r.entries[s.Node] = e
+		r.byName = nil
 	case e.server.Supersedes(s):
 		return e, older
 	case !s.Supersedes(e.server):
@@ -153,13 +155,16 @@
 }
 
 // sorted lists all entries by name, which keeps runs with the same seed alike.
+// The result is valid until the next change of the registry.
 func (r *registry) sorted() []*entry {
-	out := make([]*entry, 0, len(r.entries))
-	for _, e := range r.entries {
-		out = append(out, e)
+	if r.byName == nil {
+		r.byName = make([]*entry, 0, len(r.entries))
+		for _, e := range r.entries {
+			r.byName = append(r.byName, e)
+		}
+		slices.SortFunc(r.byName, func(a, b *entry) int { return strings.Compare(string(a.server.Node), string(b.server.Node)) })
 	}
-	slices.SortFunc(out, func(a, b *entry) int { return strings.Compare(string(a.server.Node), string(b.server.Node)) })
-	return out
+	return r.byName
 }
 
 // purge forgets the entries that have been gone for the life of a tombstone.
@@ -169,6 +174,7 @@
 			continue
 		}
 		delete(r.entries, name)
+		r.byName = nil
 		r.unindex(e.server.Service, name)
 		r.unindex(e.former, name)
 	}
--- a/member/run.go
+++ b/member/run.go
@@ -11,15 +11,11 @@
 	"bramleymill/transport"
 )
 
-const (
-	// Bounds how late a timed message is sent. Changes wake the loop at once.
-	tick      = 25 * time.Millisecond
-	leavePoll = 10 * time.Millisecond
-)
+const leavePoll = 10 * time.Millisecond
 
 // Run sends what is due until ctx ends.
 func (m *Member) Run(ctx context.Context) error {
-	t := time.NewTicker(tick)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	var sending sync.WaitGroup
 	defer sending.Wait()
@@ -28,6 +24,7 @@
 			sending.Go(func() { m.send(ctx, a) })
 		}
 		m.publish()
+		t.Reset(m.idle())
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -65,6 +62,14 @@
 	}
 }
 
+// idle returns how long Run may sleep unless it is woken.
+func (m *Member) idle() time.Duration {
+	now := m.clock.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.idle(now)
+}
+
 func (m *Member) wakeUp() {
 	select {
 	case m.wake <- struct{}{}:
@@ -100,30 +105,58 @@
 	return reply, err
 }
 
-// done applies a reply and hurries on when it leads to further messages.
+// done applies a reply. It wakes the loop, which counted on nothing from the
+// moment the request went out.
 func (m *Member) done(apply func(now time.Time)) {
 	m.mu.Lock()
 	apply(m.clock.Now())
-	hurry := m.core.hurries()
 	m.mu.Unlock()
 	m.publish()
-	if hurry {
-		m.wakeUp()
+	m.wakeUp()
+}
+
+// idle returns the time until something may be due without a message arriving.
+func (k *core) idle(now time.Time) time.Duration {
+	next := k.nextFollows
+	earlier := func(t time.Time) {
+		if t.Before(next) {
+			next = t
+		}
+	}
+	hastened := k.up.haste > 0
+	if !k.control() && !k.up.inFlight && !k.superseded && !k.up.left {
+		earlier(k.up.next)
+	}
+	if k.control() || len(k.children) > 0 {
+		earlier(k.nextScan)
+	}
+	for _, p := range k.peers {
+		hastened = hastened || p.haste > 0
+		if !p.inFlight {
+			earlier(p.next)
+		}
+	}
+	for _, c := range k.children {
+		hastened = hastened || c.haste > 0
+	}
+	if hastened {
+		earlier(now.Add(minHeartbeatGap))
 	}
+	return max(next.Sub(now), time.Millisecond)
 }
 
 // hurries reports whether a message waits that is not bound to an interval.
 func (k *core) hurries() bool {
-	if k.up.hurry {
+	if k.up.haste == atOnce {
 		return true
 	}
 	for _, c := range k.children {
-		if c.want {
+		if c.haste == atOnce {
 			return true
 		}
 	}
 	for _, p := range k.peers {
-		if p.hurry {
+		if p.haste == atOnce {
 			return true
 		}
 	}
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -43,14 +43,18 @@
 	seeds       []string
 	maxChildren int
 	life        fleet.Incarnation
-	each        func() // called after every step
+	after       func() // called after every step
 }
 
 func newSim(t *testing.T, controls, maxChildren int) *sim {
+	c := clock.NewManual(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
 	s := &sim{
-		t:           t,
-		clock:       clock.NewManual(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)),
-		net:         memory.New(memory.Config{Seed: 1}),
+		t:     t,
+		clock: c,
+		net: memory.New(memory.Config{Seed: 1, Sleep: func(_ context.Context, d time.Duration) error {
+			c.Advance(d)
+			return nil
+		}}),
 		names:       map[fleet.NodeID]*member.Member{},
 		stopped:     map[fleet.NodeID]bool{},
 		maxChildren: maxChildren,
@@ -60,7 +64,7 @@
 		s.seeds = append(s.seeds, address(controlName(i)))
 	}
 	for i := range controls {
-		src := &source{clock: s.clock, version: 1, document: []byte("one")}
+		src := &source{clock: s.clock, version: 1, document: []byte("document 1")}
 		s.sources = append(s.sources, src)
 		s.start(controlName(i), "", src)
 	}
@@ -111,14 +115,9 @@
 
 func (s *sim) step() {
 	s.clock.Advance(simStep)
-	for _, m := range s.members {
-		name := m.Self().Node
-		if s.names[name] == m && !s.stopped[name] {
-			m.Step(context.Background())
-		}
-	}
-	if s.each != nil {
-		s.each()
+	s.each("", func(_ fleet.NodeID, m *member.Member) { m.Step(context.Background()) })
+	if s.after != nil {
+		s.after()
 	}
 }
 
@@ -128,6 +127,15 @@
 	}
 }
 
+// runLong passes long times in steps below the interval of heartbeats.
+func (s *sim) runLong(d time.Duration) {
+	const step = 200 * time.Millisecond
+	for until := s.clock.Now().Add(d); s.clock.Now().Before(until); {
+		s.clock.Advance(step - simStep)
+		s.step()
+	}
+}
+
 // runUntil returns how long it took until ok, and fails beyond the bound.
 func (s *sim) runUntil(bound time.Duration, what string, ok func() bool) time.Duration {
 	s.t.Helper()
@@ -150,14 +158,21 @@
 	return nil
 }
 
-// all reports whether f holds for every running member but one.
-func (s *sim) all(except fleet.NodeID, f func(n fleet.NodeID, m *member.Member) bool) bool {
-	for n, m := range s.names {
-		if n != except && !s.stopped[n] && !f(n, m) {
-			return false
+// each calls f for every running member but one, in the order of their starts.
+func (s *sim) each(except fleet.NodeID, f func(n fleet.NodeID, m *member.Member)) {
+	for _, m := range s.members {
+		if n := m.Self().Node; s.names[n] == m && n != except && !s.stopped[n] {
+			f(n, m)
 		}
 	}
-	return true
+}
+
+// all reports whether f holds for every running member but one. It asks each of
+// them, because a question may make a node follow a service.
+func (s *sim) all(except fleet.NodeID, f func(n fleet.NodeID, m *member.Member) bool) bool {
+	ok := true
+	s.each(except, func(n fleet.NodeID, m *member.Member) { ok = f(n, m) && ok })
+	return ok
 }
 
 // settle waits until everyone sees all servers of a service.
@@ -169,3 +184,30 @@
 		})
 	})
 }
+
+// gone reports whether nobody sees a node any more.
+func (s *sim) gone(name fleet.NodeID, service string) bool {
+	return s.all(name, func(n fleet.NodeID, _ *member.Member) bool { return s.sees(n, name, service) == nil })
+}
+
+// everywhere reports whether all members hold a configuration version.
+func (s *sim) everywhere(version uint64) bool {
+	return s.all("", func(_ fleet.NodeID, m *member.Member) bool {
+		v, _ := m.Config()
+		return v == version
+	})
+}
+
+func (s *sim) setVersion(v uint64) {
+	for _, src := range s.sources {
+		src.version, src.document = v, []byte(fmt.Sprint("document ", v))
+	}
+}
+
+// slowReply lets a member send what is due and passes d before it takes the
+// replies.
+func (s *sim) slowReply(name fleet.NodeID, d time.Duration) {
+	s.net.SetFaults(memory.Faults{MinDelay: d})
+	s.names[name].Step(context.Background())
+	s.net.SetFaults(memory.Faults{})
+}
--- /dev/null
+++ b/member/spread_test.go
@@ -0,0 +1,151 @@
+package member_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+	"bramleymill/member"
+)
+
+// worstRate returns the largest growth of a counter over a number of steps.
+func worstRate(counts []uint64, steps int) uint64 {
+	var worst uint64
+	for i := range counts {
+		worst = max(worst, counts[i]-counts[max(0, i-steps)])
+	}
+	return worst
+}
+
+// Guards against a reconnection storm: an availability zone that returns at once
+// must not occupy its parent, whose other children wait for their replies.
+func TestReturningZoneIsSpread(t *testing.T) {
+	const nodes, in100ms = 60, 4
+	s := newSim(t, 1, 200)
+	s.startNodes(nodes, "katalog")
+	s.settle("katalog", nodes)
+	control := s.names[controlName(0)]
+	cut := func(f func(a, b string)) {
+		for i := range nodes {
+			f(address(nodeName(i)), s.seeds[0])
+			f(s.seeds[0], address(nodeName(i)))
+		}
+	}
+	cut(s.net.Cut)
+	s.run(20 * time.Second)
+	cut(s.net.Heal)
+	var joins, messages []uint64
+	s.after = func() {
+		joins = append(joins, control.Stats().ChildrenAccepted+control.Stats().ChildrenRefused)
+		messages = append(messages, s.net.Received(s.seeds[0]))
+	}
+	s.after()
+	d := s.runUntil(5*time.Second, "all nodes back", func() bool { return control.Stats().Children == nodes })
+	s.run(2 * time.Second)
+	t.Logf("all back after %v, in 100 ms at most %d attempts to join and %d messages", d, worstRate(joins, in100ms), worstRate(messages, in100ms))
+	if n := worstRate(joins, in100ms); n > 20 {
+		t.Errorf("parent got %d attempts to join in 100 ms, want at most 20", n)
+	}
+	// Ten messages a second of each child.
+	if n := worstRate(messages, in100ms); n > nodes {
+		t.Errorf("parent got %d messages in 100 ms, want at most %d", n, nodes)
+	}
+}
+
+// Guards against a parent that accepts every node that turns up, however many.
+func TestJoinRateIsLimited(t *testing.T) {
+	s := newSim(t, 1, 1000)
+	s.startNodes(400, "katalog")
+	control := s.names[controlName(0)]
+	var accepted []uint64
+	s.after = func() { accepted = append(accepted, control.Stats().ChildrenAccepted) }
+	s.run(8 * time.Second)
+	if n := control.Stats().Children; n != 400 {
+		t.Errorf("%d children after 8s, want 400", n)
+	}
+	if n := worstRate(accepted, 40); n > member.MaxJoinsPerSecond+20 {
+		t.Errorf("%d nodes accepted within a second", n)
+	}
+}
+
+// Guards against nodes that receive the servers of services they never call.
+func TestFollowing(t *testing.T) {
+	s := newSim(t, 2, 3)
+	s.startNodes(6, "katalog")
+	for i := range 6 {
+		s.start(nodeName(100+i), "objednavky", nil)
+	}
+	s.run(5 * time.Second)
+	m := s.names[nodeName(105)]
+	if got := m.Servers("katalog"); got != nil {
+		t.Fatalf("%d servers before the first use", len(got))
+	}
+	s.runUntil(time.Second, "followed", func() bool { return len(m.Servers("katalog")) == 6 })
+	s.run(2 * time.Second)
+	for _, v := range m.View() {
+		if v.Server.Service == "objednavky" && v.Server.Node != nodeName(105) && m.Stats().Children == 0 {
+			t.Errorf("%s is known without being followed", v.Server.Node)
+		}
+	}
+	s.runLong(11 * time.Minute)
+	if got := m.Servers("katalog"); got != nil {
+		t.Errorf("%d servers after 11 minutes without use, want the service forgotten", len(got))
+	}
+	s.runUntil(time.Second, "followed again", func() bool { return len(m.Servers("katalog")) == 6 })
+}
+
+// Guards against a first call that fails although the servers arrive in time, and
+// against one that waits for ever.
+func TestFollowWaits(t *testing.T) {
+	s := newSim(t, 1, 3)
+	s.startNodes(3, "katalog")
+	s.run(2 * time.Second)
+	m := s.names[nodeName(0)]
+	done := make(chan error)
+	go func() { done <- m.Follow(context.Background(), "katalog") }()
+	s.runUntil(time.Second, "followed", func() bool { return len(m.Servers("katalog")) == 3 })
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if err := m.Follow(ctx, "zasielky"); !errors.Is(err, member.ErrIncomplete) {
+		t.Errorf("error %v, want %v", err, member.ErrIncomplete)
+	}
+}
+
+// Guards against crash reports that reach some nodes only, twice, or for ever.
+func TestCrashReportsSpread(t *testing.T) {
+	s := newSim(t, 3, 3)
+	s.startNodes(20, "katalog")
+	s.settle("katalog", 20)
+	got := map[fleet.NodeID]int{}
+	s.each("", func(n fleet.NodeID, m *member.Member) {
+		m.OnCrash(func(r fleet.CrashReport) {
+			if r.Fingerprint == 77 && r.Node == nodeName(19) {
+				got[n]++
+			}
+		})
+	})
+	s.names[nodeName(19)].PublishCrash(fleet.CrashReport{Service: "katalog", Fingerprint: 77, Node: nodeName(19)})
+	d := s.runUntil(2*time.Second, "reported everywhere", func() bool { return len(got) == 22 })
+	t.Logf("reported everywhere after %v", d)
+	s.runLong(time.Minute)
+	for n, times := range got {
+		if times != 1 {
+			t.Errorf("%s got the report %d times", n, times)
+		}
+	}
+	// A node that starts later hears of it within its life, and not afterwards.
+	late := map[int]int{}
+	for i, wait := range []time.Duration{0, 10 * time.Minute} {
+		s.runLong(wait)
+		s.start(nodeName(200+i), "katalog", nil).OnCrash(func(fleet.CrashReport) { late[i]++ })
+		s.run(5 * time.Second)
+	}
+	if late[0] != 1 || late[1] != 0 {
+		t.Errorf("late nodes heard %d and %d times, want 1 and 0", late[0], late[1])
+	}
+}
--- a/member/suspect.go
+++ b/member/suspect.go
@@ -20,6 +20,12 @@
 	if k.control() {
 		k.scanPeers()
 	}
+	for _, c := range k.sortedChildren() {
+		// The entry of such a child came to be heard elsewhere in the meantime.
+		if e := k.reg.entries[c.node]; now.Sub(c.heard) >= Lease && (e == nil || e.via != k.id) {
+			k.release(c.node)
+		}
+	}
 	for _, e := range k.reg.sorted() {
 		limit, watched := k.watch(e, now)
 		if !watched {
@@ -51,7 +57,7 @@
 	case e.via != "":
 		return SuspectAfter + relayGrace, true
 	}
-	return SuspectAfter, !k.heardElsewhere(e, now)
+	return SuspectAfter, !k.heardElsewhere(e)
 }
 
 // leaseOver reports whether a silent node is to be dropped without another
@@ -149,24 +155,28 @@
 	e.suspect = nil
 	if got, o := k.reg.put(reply.Self, false, now); o == newer {
 		got.claimed = true
-		k.stateChanged(reply.Self, reply.Self.State.String())
-		k.spread(reply.Self.Service)
-		k.changed()
+		k.serverChanged(got, reply.Self.State.String())
 	}
 	if reply.Parent != "" && reply.Parent != k.id && e.via == k.id {
 		k.release(e.server.Node)
 	}
 }
 
-// lose drops a node. The nodes heard only through it are suspects at once.
+// lose drops a node, unless another control instance hears it. The nodes heard
+// only through it are suspects at once.
 func (k *core) lose(e *entry, now time.Time) {
-	k.stats.Dropped++
-	k.reg.setLost(e, true, now)
-	k.stateChanged(e.server, "lost")
+	k.askAgain(e.server.Service)
+	e.suspect = nil
 	if c := k.children[e.server.Node]; c != nil {
 		k.release(c.node)
 		k.orphan(c.subtree, now)
 	}
+	if k.heardElsewhere(e) {
+		k.leaveSubtree(e.server.Node, e.via)
+		return
+	}
+	k.stats.Dropped++
+	k.reg.setLost(e, true, now)
 	if p := k.peerNamed(e.server.Node); p != nil {
 		claims := p.claims
 		p.claims, p.life = nil, 0
@@ -175,8 +185,7 @@
 		}
 	}
 	e.via = ""
-	k.spread(e.server.Service)
-	k.changed()
+	k.serverChanged(e, "lost")
 }
 
 func (k *core) orphan(names map[fleet.NodeID]bool, now time.Time) {
--- a/member/upstream.go
+++ b/member/upstream.go
@@ -21,7 +21,7 @@
 	listHash   uint64
 	candidates []string // addresses to try before a seed
 	next       time.Time
-	hurry      bool // something is to be sent before next
+	haste      haste
 	last       time.Time
 	exploreAt  time.Time
 	inFlight   bool
@@ -39,9 +39,6 @@
 	u.exploreAt = now.Add(staleConfirmation)
 }
 
-// hasten asks for a heartbeat without waiting for the interval.
-func (u *upstream) hasten() { u.hurry = true }
-
 func (k *core) attached() bool { return k.control() || k.up.address != "" }
 
 // detach gives up the parent and tries again at another time.
@@ -68,7 +65,7 @@
 		}
 		return k.heartbeatTo(out, k.nextCandidate(), false, now)
 	}
-	if now.Before(u.next) && (!u.hurry || now.Sub(u.last) < minHeartbeatGap) {
+	if now.Before(u.next) && !u.haste.due(u.last, now, minHeartbeatGap) {
 		return k.dueExploration(out, now)
 	}
 	return k.heartbeatTo(out, u.address, false, now)
@@ -102,7 +99,7 @@
 	if explore {
 		return append(out, sendHeartbeat{address: address, request: &heartbeat{Self: k.self, Explore: true}, sent: now})
 	}
-	u.last, u.hurry = now, false
+	u.last, u.haste = now, 0
 	h := &heartbeat{
 		Self:      k.self,
 		Applied:   k.conf.version,
@@ -232,7 +229,9 @@
 	u.notices = max(u.notices, reply.NoticesTo)
 	u.left = k.leaving && a.request.Self.State == fleet.Left
 	u.listKnown = u.listKnown && !reply.NeedFollows
-	u.hurry = u.hurry || reply.NeedReports || reply.NeedFollows || reply.More
+	if reply.NeedReports || reply.NeedFollows || reply.More {
+		u.haste.raise(atOnce)
+	}
 	k.addSeeds(reply.Controls)
 	k.takeServices(reply, now)
 	k.takeConfig(reply, a.sent, now)
--- a/transport/call.go
+++ b/transport/call.go
@@ -9,8 +9,6 @@
 	"github.com/quic-go/quic-go"
 )
 
-var errNotTrusted = errors.New("peer is no longer trusted")
-
 // Call sends a message on its own stream and waits for the reply.
 func (e *Endpoint) Call(ctx context.Context, address string, kind Kind, request, reply any) error {
 	e.stats.calls.Add(1)
@@ -81,8 +79,11 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		if !e.trusted(l) {
-			return nil, nil, errNotTrusted
+		if l.made != e.keys.Generation() && attempt == 0 {
+			// Messages move to a connection that shows the new certificate to the
+			// peer, which may soon trust no other.
+			e.forget(l)
+			continue
 		}
 		heard := l.conn.ConnectionStats().PacketsReceived
 		s, err := l.conn.OpenStreamSync(ctx)
--- a/transport/link.go
+++ b/transport/link.go
@@ -21,9 +21,10 @@
 
 // link is one connection to a peer.
 type link struct {
-	conn       *quic.Conn
-	peer       Peer
-	generation atomic.Uint64 // of the keys that the peer was checked with
+	conn    *quic.Conn
+	peer    Peer
+	made    uint64        // generation of the keys that it was made with
+	checked atomic.Uint64 // generation of the keys that the peer was checked with
 }
 
 // backoff delays the next dial of an address that could not be reached. While
@@ -55,8 +56,8 @@
 		_ = c.CloseWithError(closeCodeRefused, "refused")
 		return nil, err
 	}
-	l := &link{conn: c, peer: Peer{Node: name, Role: role, Address: address}}
-	l.generation.Store(e.keys.Generation())
+	l := &link{conn: c, peer: Peer{Node: name, Role: role, Address: address}, made: e.keys.Generation()}
+	l.checked.Store(l.made)
 	e.mu.Lock()
 	closed := e.closed
 	if !closed {
@@ -95,14 +96,14 @@
 // authority also ends the connections of the peers it signed.
 func (e *Endpoint) trusted(l *link) bool {
 	g := e.keys.Generation()
-	if g == l.generation.Load() {
+	if g == l.checked.Load() {
 		return true
 	}
 	if err := e.keys.Recheck(l.conn.ConnectionState().TLS); err != nil {
 		_ = l.conn.CloseWithError(closeCodeRefused, "refused")
 		return false
 	}
-	l.generation.Store(g)
+	l.checked.Store(g)
 	return true
 }
 
