Let the mean service time at admission follow faster

Cause: swings last 50 to 300 ms, and a weight of 0.1 needs about ten executions to show one. Change: the weight of an execution in the mean is 0.3.

--- a/admit/estimate.go
+++ b/admit/estimate.go
@@ -3,7 +3,7 @@
 import "time"
 
 // estimateWeight is the weight of a new service time in the mean.
-const estimateWeight = 0.1
+const estimateWeight = 0.3
 
 // estimate is a mean of service times that loses trust as it ages, so that a
 // server that refuses everything because of an old estimate recovers.
