--- /dev/null
+++ b/replay/aims_test.go
@@ -0,0 +1,136 @@
+package replay
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// asRun is the current policy as nodes run it.
+var asRun = Options{Policy: Current, Hedge: true}
+
+// seeds is the number of replays whose requests are pooled, because p99 of one
+// replay varies by a tenth between seeds.
+const seeds = 3
+
+// pooled returns the requests of a class over several seeds of a trace.
+func pooled(t *testing.T, name, class string, o Options) []Record {
+	var out []Record
+	for i := range uint64(seeds) {
+		out = append(out, replayedSeed(t, name, i*100, o).Of(class)...)
+	}
+	return out
+}
+
+// Guards against a choice that a straggler spoils: p99 stays at most half of
+// round robin's and within a quarter of the all-knowing chooser's.
+func TestStragglerTail(t *testing.T) {
+	for _, c := range []struct{ trace, class string }{
+		{"nitra-straggler", "browse"}, {"nitra-straggler", "order"},
+		{"kandyan-straggler", "price"}, {"kandyan-straggler", "survey"},
+	} {
+		t.Run(c.trace+"/"+c.class, func(t *testing.T) {
+			t.Parallel()
+			current := Quantile(pooled(t, c.trace, c.class, asRun), 0.99)
+			t.Run("half-of-round-robin", func(t *testing.T) {
+				if other := Quantile(pooled(t, c.trace, c.class, Options{Policy: RoundRobin}), 0.99); current > other/2 {
+					t.Errorf("p99 %s exceeds half of %s", millis(current), millis(other))
+				}
+			})
+			t.Run("near-all-knowing", func(t *testing.T) {
+				if limit := Quantile(pooled(t, c.trace, c.class, Options{Policy: AllKnowing}), 0.99); current > limit*5/4 {
+					t.Errorf("p99 %s is %.2f times %s, more than 1.25", millis(current), float64(current)/float64(limit), millis(limit))
+				}
+			})
+		})
+	}
+}
+
+// overload is a trace in which a class exceeds the capacity of its service for a
+// while. The capacity is that of the slots that are not reserved.
+type overload struct {
+	trace, class string
+	from, to     time.Duration
+	capacity     float64 // requests per second
+}
+
+// settle is the time after which an overload is judged and after which its end
+// must not be felt any more.
+const settle = time.Second
+
+// Guards against goodput that collapses under 2 and 5 times the capacity, and
+// against a slow recovery.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	for _, o := range []overload{
+		{"nitra-overload-2x", "browse", time.Second, 4 * time.Second, 2000},
+		{"nitra-overload-5x", "browse", time.Second, 3 * time.Second, 2000},
+		{"kandyan-overload-5x", "price", time.Second, 3 * time.Second, 2083},
+	} {
+		t.Run(o.trace, func(t *testing.T) {
+			t.Parallel()
+			o.check(t, replayed(t, o.trace, asRun))
+		})
+	}
+}
+
+func (o overload) check(t *testing.T, r *Result) {
+	done := 0
+	for _, rec := range r.Of(o.class) {
+		if end := rec.At + rec.Latency; rec.Kind == "" && end >= o.from && end < o.to {
+			done++
+		}
+	}
+	goodput := float64(done) / (o.to - o.from).Seconds() / o.capacity
+	t.Logf("goodput %.3f of capacity", goodput)
+	if goodput < 0.9 {
+		t.Errorf("goodput is %.2f of capacity, less than 0.9", goodput)
+	}
+	before := r.Between(o.class, 0, o.from)
+	after := r.Between(o.class, o.to+settle, r.Trace.Deployment.For.Std())
+	t.Logf("p99 before %s, after %s", millis(Quantile(before, 0.99)), millis(Quantile(after, 0.99)))
+	if n := len(after) - Answered(after); n > 0 {
+		t.Errorf("%d of %d requests had no answer later than 1 s after the overload", n, len(after))
+	}
+	if a, b := Quantile(after, 0.99), Quantile(before, 0.99); a > b*5/4 {
+		t.Errorf("p99 is %s later than 1 s after the overload, %s before it", millis(a), millis(b))
+	}
+	for _, c := range r.Trace.Classes {
+		recs := r.Of(c.Name)
+		if n := len(recs) - Answered(recs); c.Name != o.class && n > 0 {
+			t.Errorf("%d of %d requests of %s had no answer", n, len(recs), c.Name)
+		}
+	}
+}
+
+// Guards against a server that attracts requests because it fails fast.
+func TestFastFailerGetsNoMoreThanItsShare(t *testing.T) {
+	for _, c := range []struct {
+		trace    string
+		node     fleet.NodeID
+		from, to time.Duration
+	}{
+		{"nitra-fail", "katalog-4", 2 * time.Second, 7 * time.Second},
+		{"nitra-fail", "objednavky-3", 3 * time.Second, 7 * time.Second},
+		{"kandyan-fail", "pricebook-2", 2 * time.Second, 7 * time.Second},
+	} {
+		t.Run(string(c.node), func(t *testing.T) {
+			t.Parallel()
+			r := replayed(t, c.trace, asRun)
+			own := slices.IndexFunc(r.Servers, func(s ServerResult) bool { return s.Node == c.node })
+			total, peers := 0, 0
+			for i := range r.Servers {
+				if r.Trace.Servers[i].Service == r.Trace.Servers[own].Service {
+					total += r.Servers[i].OffersBetween(c.from, c.to)
+					peers++
+				}
+			}
+			got := r.Servers[own].OffersBetween(c.from, c.to)
+			t.Logf("%d of %d requests", got, total)
+			if got > total/peers {
+				t.Errorf("received %d of %d requests while failing, more than 1 in %d", got, total, peers)
+			}
+		})
+	}
+}
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -15,17 +15,22 @@
 // results keeps the replays that several tests look at.
 var results sync.Map
 
-func replayed(t *testing.T, name string, o Options) *Result {
+func replayed(t *testing.T, name string, o Options) *Result { return replayedSeed(t, name, 0, o) }
+
+// replayedSeed replays a trace with another seed than its own.
+func replayedSeed(t *testing.T, name string, add uint64, o Options) *Result {
 	t.Helper()
 	type key struct {
 		name string
+		add  uint64
 		o    Options
 	}
-	once, _ := results.LoadOrStore(key{name, o}, sync.OnceValues(func() (*Result, error) {
+	once, _ := results.LoadOrStore(key{name, add, o}, sync.OnceValues(func() (*Result, error) {
 		tr, err := Load(filepath.Join("testdata", name+".jsonl"))
 		if err != nil {
 			return nil, err
 		}
+		tr.Deployment.Seed += add
 		return Run(tr, o), nil
 	}))
 	r, err := once.(func() (*Result, error))()
@@ -67,8 +72,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	o := Options{Policy: Current, Hedge: true}
-	if a, b := Run(tr, o), Run(tr, o); !reflect.DeepEqual(a, b) {
+	if a, b := replayed(t, "kandyan-late", asRun), Run(tr, asRun); !reflect.DeepEqual(a, b) {
 		t.Fatalf("two replays differ:\n%s%s", a.Table(), b.Table())
 	}
 }
@@ -79,7 +83,7 @@
 	for _, name := range traces(t) {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			checkInvariants(t, replayed(t, name, Options{Policy: Current}))
+			checkInvariants(t, replayed(t, name, asRun))
 		})
 	}
 }
--- a/replay/result.go
+++ b/replay/result.go
@@ -22,7 +22,7 @@
 // ServerResult is what happened at one server.
 type ServerResult struct {
 	Node       fleet.NodeID
-	Offers     int // attempts that arrived
+	Offers     []time.Duration // arrival times of attempts
 	MaxRunning int
 	Slots      int
 	LateOffers int // arrived more than 2 s after the start of a drain
@@ -51,6 +51,17 @@
 	}
 }
 
+// OffersBetween returns the number of attempts that arrived in a period.
+func (s *ServerResult) OffersBetween(from, to time.Duration) int {
+	n := 0
+	for _, at := range s.Offers {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
+}
+
 // Between returns the records of a class that arrived in a period.
 func (r *Result) Between(class string, from, to time.Duration) []Record {
 	var out []Record
--- a/replay/run.go
+++ b/replay/run.go
@@ -35,7 +35,14 @@
 	entries  []*entry
 	underWay map[*server][]*attempt // sent and not yet arrived
 	nextID   uint64
-	result   *Result
+
+	// disturbances are the events of the trace by server; those of late reports
+	// have no server.
+	disturbances map[fleet.NodeID][]*Line
+
+	freeAt  []time.Duration // reused by server.finish
+	waiting []*attempt      // reused by server.finish
+	result  *Result
 }
 
 // Run replays a trace with a policy.
@@ -45,19 +52,34 @@
 		byNode:   map[fleet.NodeID]*server{},
 		underWay: map[*server][]*attempt{},
 		result:   &Result{Trace: t, Policy: o.Policy},
+
+		disturbances: map[fleet.NodeID][]*Line{},
+	}
+	for i := range t.Events {
+		e := &t.Events[i]
+		r.disturbances[e.Node] = append(r.disturbances[e.Node], e)
 	}
 	r.options.Probe = o.Probe.WithDefaults()
 	r.addServers()
 	r.addEntries()
-	for _, a := range t.arrivals() {
-		r.at(a.at, func() { r.entries[a.entry].arrive(a) })
-	}
 	r.schedule()
+	r.arrive(t.arrivals())
 	r.run()
 	r.result.collect(r)
 	return r.result
 }
 
+// arrive schedules one arrival at a time, so that the queue of events stays short.
+func (r *runner) arrive(next []arrival) {
+	if len(next) == 0 {
+		return
+	}
+	r.at(next[0].at, func() {
+		r.entries[next[0].entry].arrive(next[0])
+		r.arrive(next[1:])
+	})
+}
+
 func (r *runner) time() time.Time                  { return epoch.Add(r.now) }
 func (r *runner) timeAt(t time.Duration) time.Time { return epoch.Add(t) }
 
@@ -162,8 +184,8 @@
 
 // lateness returns the delay of reports now.
 func (r *runner) lateness() time.Duration {
-	for i := range r.trace.Events {
-		if e := &r.trace.Events[i]; e.Kind == KindLate && e.active(r.now) {
+	for _, e := range r.disturbances[""] {
+		if e.active(r.now) {
 			return e.Delay.Std()
 		}
 	}
--- a/replay/server.go
+++ b/replay/server.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -26,15 +27,15 @@
 	drainAt    time.Duration // negative: does not drain
 
 	maxRunning int
-	offers     int
-	lateOffers int // executions begun more than drainBound after the drain
+	offers     []time.Duration // arrival times of attempts
+	lateOffers int             // attempts that arrived more than drainBound after the drain
 }
 
 // drainBound is the time after which a draining server receives nothing (M5).
 const drainBound = 2 * time.Second
 
 func (s *server) offer(a *attempt) {
-	s.offers++
+	s.offers = append(s.offers, s.run.now)
 	if s.drainAt >= 0 && s.run.now > s.drainAt+drainBound {
 		s.lateOffers++
 	}
@@ -142,9 +143,8 @@
 // factor returns how much slower the server is at a time.
 func (s *server) factor(t time.Duration) float64 {
 	f := 1.0
-	for i := range s.run.trace.Events {
-		e := &s.run.trace.Events[i]
-		if e.Node != s.line.Node || !e.active(t) {
+	for _, e := range s.run.disturbances[s.line.Node] {
+		if !e.active(t) {
 			continue
 		}
 		switch e.Kind {
@@ -160,9 +160,8 @@
 
 // failing returns the share of requests that fail at a time.
 func (s *server) failing(t time.Duration) float64 {
-	for i := range s.run.trace.Events {
-		e := &s.run.trace.Events[i]
-		if e.Kind == KindFail && e.Node == s.line.Node && e.active(t) {
+	for _, e := range s.run.disturbances[s.line.Node] {
+		if e.Kind == KindFail && e.active(t) {
 			return e.Factor
 		}
 	}
@@ -172,9 +171,7 @@
 // finish returns when a request would end if it were sent now: the running and
 // queued requests take their true times. Only the all-knowing policy uses it.
 func (s *server) finish(r *request, hop time.Duration) time.Duration {
-	arrival := s.run.now + hop
-	var free []time.Duration
-	var queued []*attempt
+	free, queued := s.run.freeAt[:0], s.run.waiting[:0]
 	for _, a := range s.attempts {
 		if a.running {
 			free = append(free, a.end)
@@ -183,17 +180,27 @@
 		}
 	}
 	queued = append(queued, s.run.underWay[s]...)
-	slices.SortFunc(queued, func(a, b *attempt) int { return int(a.id) - int(b.id) })
-	factor := s.factor(s.run.now)
-	slots := s.controller.Load(s.run.time()).Slots
-	slots -= max(1, slots/admit.DefaultReservedShare)
+	slices.SortFunc(queued, func(a, b *attempt) int { return cmp.Compare(a.id, b.id) })
+	slots := s.line.Slots - max(1, s.line.Slots/admit.DefaultReservedShare)
 	for len(free) < slots {
 		free = append(free, 0)
 	}
-	slices.Sort(free)
+	factor := s.factor(s.run.now)
 	for _, a := range queued {
-		free[0] = max(free[0], s.run.now) + time.Duration(float64(a.request.work)*factor)
-		slices.Sort(free)
+		next := earliest(free)
+		free[next] = max(free[next], s.run.now) + time.Duration(float64(a.request.work)*factor)
+	}
+	s.run.freeAt, s.run.waiting = free, queued
+	return max(free[earliest(free)], s.run.now+hop) + time.Duration(float64(r.work)*factor) + hop
+}
+
+// earliest returns the index of the least time.
+func earliest(times []time.Duration) int {
+	first := 0
+	for i, t := range times {
+		if t < times[first] {
+			first = i
+		}
 	}
-	return max(free[0], arrival) + time.Duration(float64(r.work)*factor) + hop
+	return first
 }
