bramleymillctl: add the commands of the operator interface

Cause: operators need a command line whose resend after a lost answer is safe and whose exit codes scripts can act on. Ruled out: VerifiedChains as proof of a checked certificate, because the keys package checks chains in VerifyConnection and leaves them empty.

--- /dev/null
+++ b/cmd/bramleymillctl/change.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bramleymill/configstate"
+	"bramleymill/errkind"
+	"bramleymill/operator"
+)
+
+// defaultWait is the bound within which an accepted change is in force
+// everywhere at the design size.
+const defaultWait = 14 * time.Second
+
+// changeFlags are the flags of every command that changes something.
+type changeFlags struct {
+	id          string
+	reason      string
+	wait        bool
+	waitTimeout time.Duration
+}
+
+func (f *changeFlags) add(c *cobra.Command) {
+	c.Flags().StringVar(&f.id, "change-id", "", "id of the change; give the id of an earlier command to send that change again (default: a new one)")
+	c.Flags().StringVar(&f.reason, "reason", "", "reason for the audit trail")
+	c.Flags().BoolVar(&f.wait, "wait", false, "wait until every live node has applied the change")
+	c.Flags().DurationVar(&f.waitTimeout, "wait-timeout", defaultWait, "time limit of --wait, at most 30s")
+}
+
+// makeID chooses the change id once for the command.
+func (f *changeFlags) makeID() {
+	if f.id == "" {
+		f.id = strings.ToLower(rand.Text())
+	}
+}
+
+// change sends a change, prints the result and waits if asked to.
+func (o *options) change(c *cobra.Command, f *changeFlags, send func(ctx context.Context, client *operator.Client) (operator.ChangeResult, error)) error {
+	f.makeID()
+	return o.call(c, func(ctx context.Context, client *operator.Client) error {
+		r, err := send(ctx, client)
+		if err != nil {
+			return explainFailure(f.id, err)
+		}
+		if !f.wait || r.DryRun {
+			return o.show(c, r, func(w io.Writer) { printChange(w, r) })
+		}
+		if o.output == outputText {
+			printChange(c.OutOrStdout(), r)
+		}
+		return o.awaitNodes(c, client, f, r)
+	})
+}
+
+func printChange(w io.Writer, r operator.ChangeResult) {
+	switch {
+	case r.DryRun:
+		fmt.Fprintf(w, "valid against version %d, nothing was changed\n%s", r.Version, r.Diff)
+		return
+	case r.Repeated:
+		fmt.Fprintf(w, "accepted earlier: version %d, orders %d, change id %s\n", r.Version, r.OrdersVersion, r.ChangeID)
+	default:
+		fmt.Fprintf(w, "accepted: version %d, orders %d, change id %s\n", r.Version, r.OrdersVersion, r.ChangeID)
+	}
+	if r.Message != "" {
+		fmt.Fprintln(w, r.Message)
+	}
+}
+
+// changeAndWait is the JSON output of a change with --wait.
+type changeAndWait struct {
+	Change operator.ChangeResult `json:"change"`
+	Wait   operator.WaitResult   `json:"wait"`
+}
+
+// awaitNodes waits until every live node has applied r.
+func (o *options) awaitNodes(c *cobra.Command, client *operator.Client, f *changeFlags, r operator.ChangeResult) error {
+	timeout := min(f.waitTimeout, operator.MaxWait)
+	// The wait has a time limit of its own, after that of the change.
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+o.timeout)
+	defer cancel()
+	got, err := client.Wait(ctx, r.Version, r.OrdersVersion, timeout)
+	if err != nil {
+		return fmt.Errorf("%w: the change is accepted as version %d, but the wait for the nodes failed: %v", errUnconfirmed, r.Version, err)
+	}
+	err = o.show(c, changeAndWait{Change: r, Wait: got}, func(w io.Writer) {
+		fmt.Fprintf(w, "applied by %d live nodes\n", got.Applied)
+	})
+	if err != nil || len(got.Lagging) == 0 {
+		return err
+	}
+	return fmt.Errorf("%w: the change is accepted as version %d, but these live nodes have not applied it within %s: %v",
+		errUnconfirmed, r.Version, timeout, got.Lagging)
+}
+
+// explainFailure adds what the operator needs for the next step: the difference
+// that a change lost against, or the id under which it may be sent again.
+func explainFailure(id string, err error) error {
+	var e *operator.Error
+	if !errors.As(err, &e) {
+		return err
+	}
+	switch {
+	case e.Kind == errkind.VersionConflict && e.Conflict != nil && e.Conflict.Diff != "":
+		return fmt.Errorf("%w\nchanged since the expected version:\n%s", err, e.Conflict.Diff)
+	case e.Kind == errkind.OutcomeUnknown || e.Kind == errkind.ControlUnavailable:
+		return fmt.Errorf("%w\nsend it again with --change-id %s", err, id)
+	}
+	return err
+}
+
+func newApplyCommand(o *options) *cobra.Command {
+	var f changeFlags
+	var dryRun bool
+	var expect uint64
+	c := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Replace the class document",
+		Long: `Replace the class document by FILE, or by standard input when FILE is "-".
+
+Without --expect the current version is read first, and the change replaces
+that version. When another operator changes the document in between, the
+command is refused with the difference, and nothing is overwritten.`,
+		Example: `  bramleymillctl apply classes.json --wait
+  bramleymillctl apply classes.json --dry-run
+  bramleymillctl apply classes.json --expect 41 --reason "shorter deadline for quotes"`,
+		Args: cobra.ExactArgs(1),
+	}
+	c.RunE = func(c *cobra.Command, args []string) error {
+		document, err := readDocument(c, args[0])
+		if err != nil {
+			return err
+		}
+		return o.change(c, &f, func(ctx context.Context, client *operator.Client) (operator.ChangeResult, error) {
+			q := operator.ApplyRequest{ChangeID: f.id, Expected: expect, Reason: f.reason, Document: string(document), DryRun: dryRun}
+			if !c.Flags().Changed("expect") {
+				current, err := client.Current(ctx)
+				if err != nil {
+					return operator.ChangeResult{}, err
+				}
+				q.Expected = current.Version
+			}
+			return client.Apply(ctx, q)
+		})
+	}
+	f.add(c)
+	c.Flags().BoolVar(&dryRun, "dry-run", false, "validate the document and show the difference without a change")
+	c.Flags().Uint64Var(&expect, "expect", 0, "version that the change replaces (default: the current one)")
+	return c
+}
+
+func readDocument(c *cobra.Command, path string) ([]byte, error) {
+	in := c.InOrStdin()
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, fmt.Errorf("read document: %w", err)
+		}
+		defer file.Close()
+		in = file
+	}
+	b, err := io.ReadAll(io.LimitReader(in, configstate.MaxDocumentBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("read document: %w", err)
+	}
+	if len(b) > configstate.MaxDocumentBytes {
+		return nil, fmt.Errorf("document %s has more than %d bytes", path, configstate.MaxDocumentBytes)
+	}
+	return b, nil
+}
+
+func newRollbackCommand(o *options) *cobra.Command {
+	var f changeFlags
+	var expect uint64
+	c := &cobra.Command{
+		Use:   "rollback VERSION",
+		Short: "Put the document of an older version in force again",
+		Long: `Put the document of an older version in force again, as a new version.
+Old versions are shown by history and get.`,
+		Example: `  bramleymillctl rollback 40 --wait --reason "orders time out"`,
+		Args:    cobra.ExactArgs(1),
+	}
+	c.RunE = func(c *cobra.Command, args []string) error {
+		version, err := parseVersion(args[0])
+		if err != nil {
+			return err
+		}
+		return o.change(c, &f, func(ctx context.Context, client *operator.Client) (operator.ChangeResult, error) {
+			q := operator.RollbackRequest{ChangeID: f.id, Expected: expect, Version: version, Reason: f.reason}
+			if !c.Flags().Changed("expect") {
+				current, err := client.Current(ctx)
+				if err != nil {
+					return operator.ChangeResult{}, err
+				}
+				q.Expected = current.Version
+			}
+			return client.Rollback(ctx, q)
+		})
+	}
+	f.add(c)
+	c.Flags().Uint64Var(&expect, "expect", 0, "version that the change replaces (default: the current one)")
+	return c
+}
--- /dev/null
+++ b/cmd/bramleymillctl/ctl_test.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"bramleymill/configstate"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/keys"
+	"bramleymill/operator"
+)
+
+// control is a control instance with a configuration group of one replica. fail
+// lists how the next proposals fail: "unavailable" (not made), "lost" (made,
+// reply lost) or "race" (another operator's change is made first); confirm is the error of Confirm.
+type control struct {
+	mu      sync.Mutex
+	machine *configstate.Machine
+	fail    []string
+	confirm error
+	started bool
+	altered bool // the audit trail
+	index   uint64
+	nodes   []operator.NodeStatus
+}
+
+func (g *control) Propose(_ context.Context, command []byte) ([]byte, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	step := ""
+	if len(g.fail) > 0 {
+		step, g.fail = g.fail[0], g.fail[1:]
+	}
+	if step == "race" {
+		current := g.machine.View()
+		other, _ := configstate.EncodeChange(configstate.Change{ID: "other", Action: configstate.Rollback, Operator: "eva",
+			Expected: current.Version, Version: current.Version - 1})
+		g.machine.Apply(0, time.Unix(1767225600, 0), other)
+	}
+	if step == "unavailable" {
+		return nil, errkind.New(errkind.ControlUnavailable, "no leader")
+	}
+	g.index++
+	out := g.machine.Apply(g.index, time.Unix(1767225600+int64(g.index), 0), command)
+	if step == "lost" {
+		return nil, errkind.New(errkind.OutcomeUnknown, "connection lost")
+	}
+	return out, nil
+}
+
+// state alters an audit entry when the control instance is told to.
+type state struct {
+	*configstate.Machine
+	altered *bool
+}
+
+func (s state) History(after uint64, limit int) configstate.Trail {
+	t := s.Machine.History(after, limit)
+	if *s.altered && len(t.Entries) > 1 {
+		t.Entries[1].Operator = "eva"
+	}
+	return t
+}
+
+func (g *control) Confirm(context.Context) error { return g.confirm }
+
+func (g *control) Nodes() []operator.NodeStatus { return g.nodes }
+
+func (g *control) Explain(_ context.Context, id string) (operator.Explanation, error) {
+	if id != "r-1" {
+		return nil, errkind.New(errkind.NotFound, "no record of request %s", id)
+	}
+	return operator.Explanation(`{"request":"r-1","class":"order"}`), nil
+}
+
+func (g *control) Suspects() []operator.Suspect {
+	return []operator.Suspect{{Service: "katalog", Fingerprint: 0xff, Class: "browse", Path: "/x", Crashes: 2, Refused: true}}
+}
+
+func (g *control) Bootstrap(context.Context) error {
+	if g.started {
+		return errkind.New(errkind.BadRequest, "the log was started before")
+	}
+	g.started = true
+	return nil
+}
+
+// issueKeys makes the key files of a fleet with an operator, a node and a control
+// instance.
+func issueKeys(t *testing.T) string {
+	folder := t.TempDir()
+	if err := keys.InitAuthority(folder, keys.Options{}); err != nil {
+		t.Fatal(err)
+	}
+	for name, role := range map[fleet.NodeID]fleet.Role{"ada": fleet.RoleOperator, "katalog-1": fleet.RoleNode, "control-1": fleet.RoleControl} {
+		if err := keys.Issue(folder, name, role, keys.Options{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return folder
+}
+
+// serve starts the admin listener of control-1 and returns its address.
+func (g *control) serve(t *testing.T, folder string) string {
+	store, err := keys.Load(keys.Config{Files: keys.FilesOf(folder, "control-1")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := httptest.NewUnstartedServer(operator.New(operator.Config{
+		Node: "control-1", Identify: operator.IdentifyPeer(keys.PeerOf), State: state{g.machine, &g.altered}, Confirmer: g,
+		Proposer: g, Bootstrapper: g, Fleet: g, Explainer: g, Suspects: g, PollInterval: time.Millisecond}))
+	s.TLS = store.AdminServer()
+	s.Config.ErrorLog = log.New(io.Discard, "", 0)
+	s.StartTLS()
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// variable text and the column widths that depend on it.
+var (
+	variable = regexp.MustCompile(`127\.0\.0\.1:\d+|[0-9a-f]{64}|\b[a-z2-7]{26}\b`)
+	columns  = regexp.MustCompile(` {3,}`)
+)
+
+// Guards against commands that print, refuse or exit otherwise than documented.
+// The commands run against a server with mutual TLS.
+func TestCommands(t *testing.T) {
+	folder := issueKeys(t)
+	g := &control{machine: configstate.New(nil)}
+	address := g.serve(t, folder)
+	writeFile(t, filepath.Join(folder, "context.json"), fmt.Sprintf(
+		`{"addresses":[%q],"authority":"authority.pem","certificate":"ada.pem","private_key":"ada.key"}`, address))
+	t.Chdir(folder)
+	t.Setenv("XDG_CONFIG_HOME", folder)
+	// datadriven reads its file by a path that does not depend on the folder.
+	datadriven.RunTest(t, script, func(t *testing.T, d *datadriven.TestData) string {
+		switch d.Cmd {
+		case "file":
+			writeFile(t, d.CmdArgs[0].Key, d.Input+"\n")
+			return ""
+		case "fail":
+			for _, a := range d.CmdArgs {
+				g.fail = append(g.fail, a.Key)
+			}
+			return ""
+		case "alter":
+			g.altered = true
+			return ""
+		case "confirm":
+			g.confirm = nil
+			if d.HasArg("no") {
+				g.confirm = errkind.New(errkind.ControlUnavailable, "no majority")
+			}
+			return ""
+		case "node":
+			n := operator.NodeStatus{Node: "katalog-1", Service: "katalog", Zone: "nitra-a", State: "ready", Live: true, LeaseAgeMs: 120}
+			d.ScanArgs(t, "version", &n.ConfigVersion)
+			d.ScanArgs(t, "orders", &n.OrdersVersion)
+			g.nodes = []operator.NodeStatus{n}
+			return ""
+		}
+		t.Setenv(environmentAddress, address)
+		if d.HasArg("unreachable") {
+			t.Setenv(environmentAddress, "127.0.0.1:1")
+		}
+		var out bytes.Buffer
+		code := run(append([]string{"--context", "context.json"}, strings.Fields(d.Input)...), &out, &out)
+		text := columns.ReplaceAllString(variable.ReplaceAllString(out.String(), "…"), "  ")
+		return strings.ReplaceAll(text, "\n\n", "\n") + fmt.Sprintf("exit %d", code)
+	})
+}
+
+var script, _ = filepath.Abs("testdata/ctl.txt")
+
+func writeFile(t *testing.T, name, text string) {
+	t.Helper()
+	if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/cmd/bramleymillctl/main.go
+++ b/cmd/bramleymillctl/main.go
@@ -2,25 +2,97 @@
 package main
 
 import (
+	"errors"
+	"io"
 	"os"
 
 	"github.com/spf13/cobra"
+
+	"bramleymill/configstate"
+	"bramleymill/errkind"
+	"bramleymill/operator"
+)
+
+// Exit codes.
+const (
+	exitSuccess     = 0
+	exitLocal       = 1 // usage or local error
+	exitRefused     = 2 // refused: conflict, invalid, not found or not authorized
+	exitUnconfirmed = 3 // not confirmed, or the outcome is not known
+	exitUnreachable = 4
 )
 
+const rootHelp = `Operate a bramleymill fleet.
+
+Commands that change something make one change id and send it to the next
+--address when an answer is lost. A change is applied at most once, however
+often it is sent.
+
+Exit codes:
+  0  success
+  1  usage error or local error, such as an unreadable file
+  2  refused: version conflict, invalid document or trail, not found, not authorized
+  3  not confirmed by a majority or by every node, or the outcome is not known
+  4  no address is reachable
+
+Connection settings are taken from the flags, then from BRAMLEYMILL_ADDRESS
+(comma-separated), then from the context file, whose form is
+  {"addresses": ["10.0.0.1:7400"], "authority": "keys/authority.pem",
+   "certificate": "keys/ada.pem", "private_key": "keys/ada.key"}`
+
 func newRootCommand() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "bramleymillctl",
 		Short:         "Operate a bramleymill fleet",
+		Long:          rootHelp,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newKeysCommand())
+	var o options
+	o.addFlags(root)
+	root.AddCommand(
+		newKeysCommand(),
+		newInitCommand(&o),
+		newApplyCommand(&o), newRollbackCommand(&o),
+		newGetCommand(&o), newDiffCommand(&o), newStatusCommand(&o),
+		newHistoryCommand(&o), newExplainCommand(&o),
+		newDrainCommand(&o), newUndrainCommand(&o),
+		newSuspectsCommand(&o),
+	)
 	return root
 }
 
-func main() {
-	if err := newRootCommand().Execute(); err != nil {
-		os.Stderr.WriteString("error: " + err.Error() + "\n")
-		os.Exit(1)
+// exitCode maps the error of a command to its exit code.
+func exitCode(err error) int {
+	var remote *operator.Error
+	switch {
+	case err == nil:
+		return exitSuccess
+	case errors.Is(err, operator.ErrUnreachable):
+		return exitUnreachable
+	case errors.Is(err, errUnconfirmed):
+		return exitUnconfirmed
+	case errors.Is(err, configstate.ErrTrail):
+		return exitRefused
+	case !errors.As(err, &remote):
+		return exitLocal
+	case errkind.Lookup(remote.Kind).Outcome == errkind.Rejected:
+		return exitRefused
 	}
+	return exitUnconfirmed
 }
+
+// run executes the command line and returns the exit code.
+func run(args []string, stdout, stderr io.Writer) int {
+	root := newRootCommand()
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.Execute()
+	if err != nil {
+		_, _ = io.WriteString(stderr, "error: "+err.Error()+"\n")
+	}
+	return exitCode(err)
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/cmd/bramleymillctl/options.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bramleymill/keys"
+	"bramleymill/operator"
+	"bramleymill/strictjson"
+)
+
+const (
+	environmentAddress = "BRAMLEYMILL_ADDRESS"
+	outputText         = "text"
+	outputJSON         = "json"
+	dialTimeout        = 2 * time.Second
+)
+
+// errUnconfirmed is wrapped when a change is accepted or the status is read, but
+// the fleet or a majority did not confirm it.
+var errUnconfirmed = errors.New("not confirmed")
+
+// options are the flags of every command that reaches a node.
+type options struct {
+	addresses []string
+	files     keys.Files
+	context   string
+	output    string
+	timeout   time.Duration
+}
+
+// contextFile is the JSON form of a context file. Relative paths start at its
+// folder.
+type contextFile struct {
+	Addresses   []string `json:"addresses,omitempty"`
+	Authority   string   `json:"authority,omitempty"`
+	Certificate string   `json:"certificate,omitempty"`
+	PrivateKey  string   `json:"private_key,omitempty"`
+}
+
+func (o *options) addFlags(root *cobra.Command) {
+	f := root.PersistentFlags()
+	f.StringArrayVar(&o.addresses, "address", nil, "admin address of a node as host:port; repeat it for several, tried in order")
+	f.StringVar(&o.files.Authority, "authority", "", "file of the trusted authority")
+	f.StringVar(&o.files.Certificate, "certificate", "", "file of the operator's certificate")
+	f.StringVar(&o.files.PrivateKey, "private-key", "", "file of the operator's private key")
+	f.StringVar(&o.context, "context", "", "JSON file with addresses and key files (default bramleymillctl.json in the user's configuration folder, if it exists)")
+	f.StringVar(&o.output, "output", outputText, "text or json")
+	f.DurationVar(&o.timeout, "timeout", 20*time.Second, "time limit of a request with all its tries")
+	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputText, outputJSON}, cobra.ShellCompDirectiveNoFileComp))
+}
+
+// resolve fills in what the flags leave open and checks the result.
+func (o *options) resolve() error {
+	if o.output != outputText && o.output != outputJSON {
+		return fmt.Errorf("--output %s: use text or json", o.output)
+	}
+	if env := os.Getenv(environmentAddress); len(o.addresses) == 0 && env != "" {
+		o.addresses = strings.Split(env, ",")
+	}
+	if err := o.readContext(); err != nil {
+		return err
+	}
+	switch {
+	case len(o.addresses) == 0:
+		return fmt.Errorf("no address: use --address, %s or a context file", environmentAddress)
+	case o.files.Authority == "" || o.files.Certificate == "" || o.files.PrivateKey == "":
+		return errors.New("key files are missing: use --authority, --certificate and --private-key or a context file")
+	}
+	return nil
+}
+
+func (o *options) readContext() error {
+	path := o.context
+	if path == "" {
+		folder, err := os.UserConfigDir()
+		if err != nil {
+			return nil
+		}
+		path = filepath.Join(folder, "bramleymillctl.json")
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		if o.context == "" && errors.Is(err, os.ErrNotExist) {
+			return nil
+		}
+		return fmt.Errorf("read context: %w", err)
+	}
+	var c contextFile
+	if err := strictjson.Decode(b, &c); err != nil {
+		return fmt.Errorf("context file %s:\n%w", path, err)
+	}
+	if len(o.addresses) == 0 {
+		o.addresses = c.Addresses
+	}
+	folder := filepath.Dir(path)
+	setDefault(&o.files.Authority, folder, c.Authority)
+	setDefault(&o.files.Certificate, folder, c.Certificate)
+	setDefault(&o.files.PrivateKey, folder, c.PrivateKey)
+	return nil
+}
+
+func setDefault(to *string, folder, path string) {
+	if *to != "" || path == "" {
+		return
+	}
+	if !filepath.IsAbs(path) {
+		path = filepath.Join(folder, path)
+	}
+	*to = path
+}
+
+// connect returns a client for the resolved addresses.
+func (o *options) connect() (*operator.Client, error) {
+	if err := o.resolve(); err != nil {
+		return nil, err
+	}
+	store, err := keys.Load(keys.Config{Files: o.files})
+	if err != nil {
+		return nil, err
+	}
+	transport := &http.Transport{
+		TLSClientConfig: store.AdminClient(),
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	}
+	return operator.NewClient(&http.Client{Transport: transport}, o.addresses), nil
+}
+
+// call runs f with a client and the time limit of the command.
+func (o *options) call(c *cobra.Command, f func(ctx context.Context, client *operator.Client) error) error {
+	client, err := o.connect()
+	if err != nil {
+		return err
+	}
+	parent := c.Context()
+	if parent == nil {
+		parent = context.Background()
+	}
+	ctx, cancel := context.WithTimeout(parent, o.timeout)
+	defer cancel()
+	return f(ctx, client)
+}
--- /dev/null
+++ b/cmd/bramleymillctl/read.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"bramleymill/operator"
+)
+
+func parseVersion(s string) (uint64, error) {
+	v, err := strconv.ParseUint(s, 10, 64)
+	if err != nil || v == 0 {
+		return 0, fmt.Errorf("version %q: use a whole number from 1", s)
+	}
+	return v, nil
+}
+
+func newGetCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "get [VERSION]",
+		Short: "Print the class document in force or an older one",
+		Example: `  bramleymillctl get > classes.json
+  bramleymillctl get 40`,
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return o.call(c, func(ctx context.Context, client *operator.Client) error {
+				got, err := getVersion(ctx, client, args)
+				if err != nil {
+					return err
+				}
+				return o.show(c, got, func(w io.Writer) { fmt.Fprint(w, got.Document) })
+			})
+		},
+	}
+}
+
+func getVersion(ctx context.Context, client *operator.Client, args []string) (operator.Configuration, error) {
+	if len(args) == 0 {
+		return client.Current(ctx)
+	}
+	version, err := parseVersion(args[0])
+	if err != nil {
+		return operator.Configuration{}, err
+	}
+	return client.Version(ctx, version)
+}
+
+func newDiffCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "diff [FROM [TO]]",
+		Short: "Show the difference between two versions",
+		Long:  "Show the difference between two versions. TO is the version in force when it is\nleft out, and FROM the one before it.",
+		Example: `  bramleymillctl diff
+  bramleymillctl diff 38 41`,
+		Args: cobra.MaximumNArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			var versions [2]uint64
+			for i, a := range args {
+				v, err := parseVersion(a)
+				if err != nil {
+					return err
+				}
+				versions[i] = v
+			}
+			return o.call(c, func(ctx context.Context, client *operator.Client) error {
+				d, err := client.Diff(ctx, versions[0], versions[1])
+				if err != nil {
+					return err
+				}
+				return o.show(c, d, func(w io.Writer) { fmt.Fprint(w, d.Diff) })
+			})
+		},
+	}
+}
+
+func newStatusCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show the nodes of the fleet and the versions they applied",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			return o.call(c, func(ctx context.Context, client *operator.Client) error {
+				s, err := client.Status(ctx)
+				if err != nil {
+					return err
+				}
+				if err := o.show(c, s, func(w io.Writer) { printStatus(w, s) }); err != nil {
+					return err
+				}
+				if !s.Confirmed {
+					return fmt.Errorf("%w: %s", errUnconfirmed, s.Message)
+				}
+				return nil
+			})
+		},
+	}
+}
+
+func printStatus(w io.Writer, s operator.Status) {
+	fmt.Fprintf(w, "version %d, orders %d, confirmed %t, as seen by %s\n", s.Version, s.OrdersVersion, s.Confirmed, s.Node)
+	for _, d := range s.Drains {
+		fmt.Fprintf(w, "drain order for %s by %s since %s %s\n", d.Node, d.Operator, d.Time.Format("2006-01-02 15:04:05"), d.Reason)
+	}
+	rows := [][]any{{"NODE", "SERVICE", "ZONE", "STATE", "LIVE", "VERSION", "ORDERS", "LEASE AGE"}}
+	for _, n := range s.Nodes {
+		rows = append(rows, []any{n.Node, n.Service, n.Zone, n.State, n.Live, n.ConfigVersion, n.OrdersVersion, fmt.Sprintf("%d ms", n.LeaseAgeMs)})
+	}
+	table(w, rows)
+}
+
+func newExplainCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "explain REQUEST-ID",
+		Short: "Show what happened to one request",
+		Long:  "Show the record of the request whose id was sent in the Bramleymill-Request-Id\nheader of its answer. Every --address is asked until one has the record.",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return o.call(c, func(ctx context.Context, client *operator.Client) error {
+				record, err := client.Explain(ctx, args[0])
+				if err != nil {
+					return err
+				}
+				return writeJSON(c.OutOrStdout(), json.RawMessage(record))
+			})
+		},
+	}
+}
--- a/operator/auth.go
+++ b/operator/auth.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
 	"net/http"
 
 	"bramleymill/errkind"
@@ -19,20 +18,19 @@
 // is nil for a request without TLS.
 type Identify func(state *tls.ConnectionState) (Identity, error)
 
-// IdentifyByCertificate reads the identity from the verified client
-// certificate. roleOf tells the role that a certificate grants.
-func IdentifyByCertificate(roleOf func(*x509.Certificate) (fleet.Role, error)) Identify {
+// IdentifyPeer reads the identity with peerOf, such as keys.PeerOf. The listener
+// must verify the client certificate in its handshake, as keys.Store.AdminServer
+// does.
+func IdentifyPeer(peerOf func(tls.ConnectionState) (fleet.NodeID, fleet.Role, error)) Identify {
 	return func(state *tls.ConnectionState) (Identity, error) {
-		// A certificate that was sent but not verified is not in VerifiedChains.
-		if state == nil || len(state.VerifiedChains) == 0 || len(state.VerifiedChains[0]) == 0 {
-			return Identity{}, errorf(errkind.Unauthorized, "the request has no verified client certificate")
+		if state == nil || !state.HandshakeComplete {
+			return Identity{}, errorf(errkind.Unauthorized, "the request did not arrive over TLS")
 		}
-		certificate := state.VerifiedChains[0][0]
-		role, err := roleOf(certificate)
+		name, role, err := peerOf(*state)
 		if err != nil {
-			return Identity{}, errorf(errkind.Unauthorized, "the certificate grants no role: %v", err)
+			return Identity{}, errorf(errkind.Unauthorized, "the client certificate is not valid: %v", err)
 		}
-		return Identity{Name: certificate.Subject.CommonName, Role: role}, nil
+		return Identity{Name: string(name), Role: role}, nil
 	}
 }
 
--- a/operator/request.go
+++ b/operator/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -10,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -96,7 +98,7 @@
 func (f *failures) final(q request, err error) error {
 	kind := errkind.Of(err).Kind
 	if q.change() && f.uncertain && kind != errkind.VersionConflict && kind != errkind.InvalidDocument {
-		return errorf(errkind.OutcomeUnknown, "an earlier try may have been executed, and a later one was refused: %v", err)
+		return errorf(errkind.OutcomeUnknown, "an earlier try may have been executed, and a later one was refused: %s", brief(err))
 	}
 	return err
 }
@@ -105,13 +107,22 @@
 func (f *failures) verdict(q request) error {
 	switch {
 	case q.change() && f.uncertain:
-		return errorf(errkind.OutcomeUnknown, "the request may have been executed: %v", errors.Join(f.failure, f.answer))
+		return errorf(errkind.OutcomeUnknown, "the request may have been executed: %s", brief(cmp.Or(f.answer, f.failure)))
 	case f.answer != nil:
 		return f.answer
 	}
 	return fmt.Errorf("%w: %w", ErrUnreachable, f.failure)
 }
 
+// brief is the text of err without its remedy, which belongs to another kind.
+func brief(err error) string {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Message
+	}
+	return err.Error()
+}
+
 func (q request) change() bool { return q.method != http.MethodGet }
 
 // tryNext reports whether another node may give a better answer.
@@ -149,6 +160,9 @@
 	}
 	r.Header.Set("Content-Type", "application/json")
 	response, err := c.http.Do(r)
+	if alert := certificateAlert(err); alert != nil {
+		return answered, errorf(errkind.Unauthorized, "%s refused the client certificate: %v", address, alert)
+	}
 	if err != nil {
 		return sentBefore(err), fmt.Errorf("request to %s: %w", address, err)
 	}
@@ -172,19 +186,31 @@
 func sentBefore(err error) delivery {
 	var op *net.OpError
 	var verification *tls.CertificateVerificationError
-	var alert tls.AlertError
-	switch {
-	case errors.As(err, &op) && op.Op == "dial", errors.As(err, &verification):
-		return notSent
-	case errors.As(err, &alert) && certificateAlerts[alert]:
+	if errors.As(err, &op) && op.Op == "dial" || errors.As(err, &verification) {
 		return notSent
 	}
 	return unclear
 }
 
-// certificateAlerts are the TLS alerts by which a server refuses the client
-// certificate in the handshake (RFC 8446, section 6.2).
-var certificateAlerts = map[tls.AlertError]bool{42: true, 43: true, 44: true, 45: true, 46: true, 48: true, 49: true, 116: true}
+// certificateAlert returns the TLS alert by which the server ended the
+// handshake because of the client certificate, or nil. With TLS 1.3 the client
+// learns this only when it reads the answer; no request was executed. The
+// alerts received over TCP have no exported type, so that they are compared by
+// their text.
+func certificateAlert(err error) error {
+	var op *net.OpError
+	if !errors.As(err, &op) || op.Op != "remote error" {
+		return nil
+	}
+	if !slices.ContainsFunc(certificateAlerts, func(a tls.AlertError) bool { return a.Error() == op.Err.Error() }) {
+		return nil
+	}
+	return op.Err
+}
+
+// certificateAlerts are the TLS alerts about the client certificate (RFC 8446,
+// section 6.2).
+var certificateAlerts = []tls.AlertError{42, 43, 44, 45, 46, 48, 49, 116}
 
 // readError converts the answer of a failed request. An answer that is not from
 // the operator interface leaves open what happened.
