claim, configstate, operator: fit the log and its errors

Cause: the replicated log takes commands of at most 256 KiB and reports refusals of several kinds, all of which prove that nothing was proposed. A document of 240 to 512 KiB would have ended as "outcome unknown", and a Finish with a large header would have been proposed until its context ended. Change: documents are bounded at 240 KiB, refused before they are proposed; Client.Finish cuts answers over the stored bounds, header included; errors of Propose are classified by the outcome of their kind, and one that cannot change by a repetition ends the request. The client repeats unavailable proposals for 2 s instead of 11 times, because the proposer may itself wait several seconds for a leader. Ruled out: a higher limit in the log, which belongs to another package.

--- a/claim/claims.go
+++ b/claim/claims.go
@@ -119,7 +119,7 @@
 // is recorded: a finish must not be lost for lack of space.
 func (m *Machine) store(r *record, a *Answer) {
 	before := r.cost()
-	r.answer = encodeAnswer(*a)
+	r.answer = encodeAnswer(a)
 	if m.bytes+r.cost()-before > m.limits.MaxBytes {
 		r.answer = truncatedAnswer(a.Status)
 	}
--- a/claim/client.go
+++ b/claim/client.go
@@ -14,10 +14,10 @@
 const (
 	firstDelay = 20 * time.Millisecond
 	maxDelay   = 400 * time.Millisecond
-	// unavailableTries bounds the proposals that are proved not to have been
-	// made. With the delays above they cover 1.3 s to 2.6 s, longer than the
-	// election of a leader, which takes about 1 s.
-	unavailableTries = 11
+	// unavailableTime bounds the time for which a request is proposed again that
+	// is proved not to have been proposed. The election of a leader takes about
+	// 1 s.
+	unavailableTime = 2 * time.Second
 )
 
 // Client sends claim requests to the claims group. It implements filter.Claims
@@ -61,7 +61,7 @@
 
 // Finish ends a claim. An answer over the bound is sent without header and body.
 func (c *Client) Finish(ctx context.Context, r FinishRequest) (Result, error) {
-	if r.Answer != nil && len(r.Answer.Body) > MaxAnswerBytes {
+	if r.Answer != nil && !storable(r.Answer) {
 		r.Answer = &Answer{Status: r.Answer.Status, Truncated: true}
 	}
 	return c.request(ctx, command{Finish: &r})
@@ -92,30 +92,33 @@
 		return Result{}, errkind.New(errkind.BadRequest, "%w", err)
 	}
 	uncertain := false // an earlier proposal may still be applied
-	refused := 0
+	begun := time.Now()
 	for delay := firstDelay; ; delay = min(2*delay, maxDelay) {
 		out, err := c.proposer.Propose(ctx, data)
 		if err == nil {
 			return c.result(out, uncertain)
 		}
-		if provedNotProposed(err) {
-			refused++
-		} else {
-			uncertain = true
-		}
-		if ctx.Err() != nil || refused >= unavailableTries {
-			return Result{}, failure(err, uncertain)
-		}
+		outcome := outcomeOf(err)
+		uncertain = uncertain || outcome == errkind.Unknown
+		hopeless := outcome == errkind.Rejected || outcome == errkind.NotRun && time.Since(begun) >= unavailableTime
 		jittered := delay/2 + rand.N(delay/2)
-		if c.wait(ctx, jittered) != nil {
+		if hopeless || ctx.Err() != nil || c.wait(ctx, jittered) != nil {
 			return Result{}, failure(err, uncertain)
 		}
 	}
 }
 
-func provedNotProposed(err error) bool {
+// outcomeOf tells what an error of Propose proves: Rejected and NotRun that the
+// command was not proposed, where Rejected will not change by a repetition.
+func outcomeOf(err error) errkind.Outcome {
 	var e *errkind.Error
-	return errors.As(err, &e) && e.Kind == errkind.ControlUnavailable
+	switch {
+	case !errors.As(err, &e):
+		return errkind.Unknown
+	case e.ProvedNotRun():
+		return errkind.NotRun
+	}
+	return errkind.Lookup(e.Kind).Outcome
 }
 
 func failure(err error, uncertain bool) error {
--- a/claim/client_test.go
+++ b/claim/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,16 +15,18 @@
 var _ filter.Claims = (*claim.Client)(nil)
 
 // group is a claims group whose replies fail as scripted: "ok", "unavailable"
-// (proved not proposed), "lost" (applied, reply lost) or "dropped" (not
+// or "rejected" (proved not proposed), "lost" (applied, reply lost) or "dropped" (not
 // applied, but the sender cannot know).
 type group struct {
 	machine *claim.Machine
 	script  []string
 	index   uint64
+	largest int // bytes of a command
 	cancel  context.CancelFunc
 }
 
 func (g *group) Propose(_ context.Context, command []byte) ([]byte, error) {
+	g.largest = max(g.largest, len(command))
 	step := g.script[0]
 	g.script = g.script[1:]
 	if len(g.script) == 0 {
@@ -32,6 +35,8 @@
 	switch step {
 	case "unavailable":
 		return nil, errkind.New(errkind.ControlUnavailable, "no leader")
+	case "rejected":
+		return nil, errkind.New(errkind.Unauthorized, "the node may not propose")
 	case "dropped":
 		return nil, errors.New("connection lost")
 	}
@@ -56,6 +61,8 @@
 		{"lost reply is asked for again", []string{"lost", "ok"}, true, ""},
 		{"dropped proposal is made again", []string{"dropped", "unavailable", "ok"}, true, ""},
 		{"never proposed", []string{"unavailable", "unavailable"}, false, errkind.ClaimsUnavailable},
+		{"never proposed and no use to repeat", []string{"rejected", "ok"}, false, errkind.ClaimsUnavailable},
+		{"repetition rejected", []string{"dropped", "rejected", "ok"}, false, errkind.OutcomeUnknown},
 		{"an earlier proposal may follow", []string{"dropped", "unavailable"}, false, errkind.OutcomeUnknown},
 		{"granted without a reply", []string{"lost"}, false, errkind.OutcomeUnknown},
 	}
@@ -77,6 +84,26 @@
 	}
 }
 
+// Guards against a finish that the log refuses for its size, so that the key
+// would become unknown although the answer is known.
+func TestFinishIsBounded(t *testing.T) {
+	for _, a := range []claim.Answer{
+		{Status: 200, Body: make([]byte, claim.MaxAnswerBytes+1)},
+		{Status: 200, Header: map[string][]string{"X": {strings.Repeat("x", 1<<20)}}},
+	} {
+		g := &group{machine: claim.New(), script: []string{"ok", "ok"}, cancel: func() {}}
+		client := claim.NewClient(g)
+		r, err := client.Begin(context.Background(), claim.BeginRequest{Key: "order/1", Owner: "a", Remaining: time.Second})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f := claim.FinishRequest{ClaimID: r.ClaimID, Owner: "a", Attempt: 1, Ending: claim.Answered, Answer: &a}
+		if r, err := client.Finish(context.Background(), f); err != nil || r.State != claim.Recorded || g.largest > 64<<10 {
+			t.Errorf("finish: %+v, error %v, %d bytes proposed", r, err, g.largest)
+		}
+	}
+}
+
 // Guards against a full store being reported as "not run" while an earlier
 // proposal may still claim the key.
 func TestFullStoreAfterUncertainProposal(t *testing.T) {
--- a/claim/command.go
+++ b/claim/command.go
@@ -96,7 +96,7 @@
 
 // encodeAnswer returns the bytes to store for a. An answer over the bounds is
 // stored without header and body.
-func encodeAnswer(a Answer) string {
+func encodeAnswer(a *Answer) string {
 	if len(a.Body) <= MaxAnswerBytes {
 		if b, err := encoding.Marshal(a); err == nil && len(b) <= MaxAnswerBytes+maxHeaderBytes {
 			return string(b)
@@ -105,6 +105,21 @@
 	return truncatedAnswer(a.Status)
 }
 
+// storable reports whether a fits the bounds of a stored answer.
+func storable(a *Answer) bool {
+	if len(a.Body) > MaxAnswerBytes {
+		return false
+	}
+	size := len(a.Body)
+	for name, values := range a.Header {
+		size += len(name)
+		for _, v := range values {
+			size += len(v)
+		}
+	}
+	return size <= MaxAnswerBytes+maxHeaderBytes
+}
+
 func truncatedAnswer(status int) string {
 	b, err := encoding.Marshal(Answer{Status: status, Truncated: true})
 	if err != nil {
--- a/configstate/messages.go
+++ b/configstate/messages.go
@@ -64,7 +64,9 @@
 // Bounds of a change. Changes over them are refused as Invalid; longer texts
 // are cut in the audit entry.
 const (
-	MaxDocumentBytes = 512 << 10 // fits a control message of 1 MiB with its framing
+	// MaxDocumentBytes leaves room for the other fields in a log entry, whose
+	// command is at most 256 KiB.
+	MaxDocumentBytes = 240 << 10
 	MaxIDBytes       = 128
 	MaxNameBytes     = 128
 	MaxReasonBytes   = 512
--- a/operator/change.go
+++ b/operator/change.go
@@ -19,6 +19,10 @@
 	if q.DryRun {
 		return s.dryRun(r.Context(), &q)
 	}
+	// A longer document does not fit into the log.
+	if err := checkSize(q.Document); err != nil {
+		return nil, err
+	}
 	return s.change(r, by, configstate.Change{ID: q.ChangeID, Action: configstate.ApplyDocument,
 		Expected: q.Expected, Reason: q.Reason, Document: []byte(q.Document)})
 }
@@ -79,10 +83,14 @@
 // not known.
 func proposalError(id string, err error) error {
 	var e *errkind.Error
-	if errors.As(err, &e) && e.Kind == errkind.ControlUnavailable {
+	switch {
+	case !errors.As(err, &e) || errkind.Lookup(e.Kind).Outcome == errkind.Unknown:
+		return errorf(errkind.OutcomeUnknown, "change %s may have been made: %v", id, err)
+	case e.ProvedNotRun() || e.Kind == errkind.Unauthorized:
+		// Unauthorized is about this node, not about the operator.
 		return errorf(errkind.ControlUnavailable, "change %s was not made: %v", id, err)
 	}
-	return errorf(errkind.OutcomeUnknown, "change %s may have been made: %v", id, err)
+	return errorf(e.Kind, "change %s was not made: %v", id, err)
 }
 
 func (s *Server) changeResult(c *configstate.Change, a *configstate.Answer) (any, error) {
@@ -116,6 +124,13 @@
 	return e
 }
 
+func checkSize(document string) error {
+	if n := len(document); n > configstate.MaxDocumentBytes {
+		return errorf(errkind.InvalidDocument, "the document has %d bytes; use at most %d", n, configstate.MaxDocumentBytes)
+	}
+	return nil
+}
+
 // dryRun decides as the state machine would, without a change.
 func (s *Server) dryRun(ctx context.Context, q *ApplyRequest) (any, error) {
 	if err := s.confirm(ctx); err != nil {
@@ -125,8 +140,8 @@
 	if q.Expected != v.Version {
 		return nil, s.conflict(q.Expected, v.Version, v.Document, "the expected version is not in force")
 	}
-	if len(q.Document) > configstate.MaxDocumentBytes {
-		return nil, errorf(errkind.InvalidDocument, "the document has %d bytes; use at most %d", len(q.Document), configstate.MaxDocumentBytes)
+	if err := checkSize(q.Document); err != nil {
+		return nil, err
 	}
 	if _, err := class.Parse([]byte(q.Document)); err != nil {
 		return nil, errorf(errkind.InvalidDocument, "%v", err)
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -18,7 +18,7 @@
 )
 
 // group is a configuration group of one replica. script lists how the next
-// proposals fail: "unavailable" (proved not made) or "lost" (made, reply lost).
+// proposals fail: "unavailable" or "rejected" (proved not made) or "lost" (made, reply lost).
 type group struct {
 	mu      sync.Mutex
 	machine *configstate.Machine
@@ -33,13 +33,16 @@
 	if len(g.script) > 0 {
 		step, g.script = g.script[0], g.script[1:]
 	}
+	if step == "rejected" {
+		return nil, errkind.New(errkind.Unauthorized, "the node may not propose")
+	}
 	if step == "unavailable" {
 		return nil, errkind.New(errkind.ControlUnavailable, "no leader")
 	}
 	g.index++
 	out := g.machine.Apply(g.index, time.Unix(int64(g.index), 0), command)
 	if step == "lost" {
-		return nil, errkind.New(errkind.OutcomeUnknown, "connection lost")
+		return nil, errkind.New(errkind.ConnectionLost, "no reply")
 	}
 	return out, nil
 }
@@ -159,6 +162,7 @@
 		{name: "answer lost, resent", script: []string{"lost"}, version: 1},
 		{name: "election", script: []string{"unavailable", "unavailable", "unavailable"}, version: 1},
 		{name: "no majority", script: []string{"unavailable", "unavailable", "unavailable", "unavailable"}, only: true, kind: errkind.ControlUnavailable},
+		{name: "node may not propose, another may", script: []string{"rejected"}, version: 1},
 		{name: "lost, then denied", script: []string{"lost"}, denied: true, kind: errkind.OutcomeUnknown, version: 1},
 		{name: "lost, then no majority", script: []string{"lost", "unavailable", "unavailable", "unavailable"}, only: true, kind: errkind.OutcomeUnknown, version: 1},
 	}
@@ -267,6 +271,10 @@
 	_, invalid := c.Apply(ctx, ApplyRequest{Document: "{", DryRun: true})
 	_, conflict := c.Apply(ctx, ApplyRequest{Expected: 7, Document: document(1), DryRun: true})
 	_, large := c.Apply(ctx, ApplyRequest{Document: strings.Repeat("x", MaxBodyBytes)})
+	_, long := c.Apply(ctx, ApplyRequest{Document: strings.Repeat("x", configstate.MaxDocumentBytes+1)})
+	if kindOf(long) != errkind.InvalidDocument || g.index != 0 {
+		t.Errorf("a document that does not fit into the log: error %v, %d proposals", long, g.index)
+	}
 	if kindOf(invalid) != errkind.InvalidDocument || kindOf(conflict) != errkind.VersionConflict || kindOf(large) != errkind.BodyTooLarge {
 		t.Errorf("errors %v; %v; %v", invalid, conflict, large)
 	}
