--- a/configstate/documents.go
+++ b/configstate/documents.go
@@ -1,12 +1,20 @@
 package configstate
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Bounds of the documents kept for rollback and diff. The document in force is
-// always kept.
+// always kept. At 5,700 changes a day MaxDocuments covers more than a day.
 const (
-	MaxDocuments     = 1024
+	MaxDocuments     = 8192
 	MaxDocumentStore = 8 << 20 // bytes
+	// versionBytes is counted for the fixed fields of a version.
+	versionBytes = 256
+	// fullInterval is the number of versions between two that are stored in
+	// full. It bounds the steps to rebuild a document.
+	fullInterval = 256
 )
 
 // Version is one accepted document.
@@ -15,22 +23,76 @@
 	Time     time.Time `cbor:"2,keyasint" json:"time"`
 	Operator string    `cbor:"3,keyasint" json:"operator"`
 	ChangeID string    `cbor:"4,keyasint" json:"change_id"`
-	Document []byte    `cbor:"5,keyasint" json:"-"`
-	Hash     Hash      `cbor:"6,keyasint" json:"hash"`
+	Hash     Hash      `cbor:"5,keyasint" json:"hash"`
+	Document []byte    `cbor:"-" json:"-"`
+}
+
+// storedVersion holds a document in full or as its difference to the next
+// version: the document starts with the first Prefix bytes of the next one,
+// continues with Middle and ends with the last Suffix bytes of the next one.
+// Most changes touch one place, so that Middle is short.
+type storedVersion struct {
+	Version Version `cbor:"1,keyasint"` // without Document
+	Full    []byte  `cbor:"2,keyasint,omitempty"`
+	Prefix  int     `cbor:"3,keyasint,omitempty"`
+	Suffix  int     `cbor:"4,keyasint,omitempty"`
+	Middle  []byte  `cbor:"5,keyasint,omitempty"`
+}
+
+func (s *storedVersion) cost() int64 {
+	v := &s.Version
+	return versionBytes + int64(len(v.Operator)+len(v.ChangeID)+len(s.Full)+len(s.Middle))
 }
 
-// documents holds the kept versions, oldest first and without gaps.
+// shrink replaces the full document by its difference to next.
+func (s *storedVersion) shrink(next []byte) {
+	limit := min(len(s.Full), len(next))
+	for s.Prefix < limit && s.Full[s.Prefix] == next[s.Prefix] {
+		s.Prefix++
+	}
+	for s.Suffix < limit-s.Prefix && s.Full[len(s.Full)-1-s.Suffix] == next[len(next)-1-s.Suffix] {
+		s.Suffix++
+	}
+	// A copy, because a part of Full would keep all of it in memory.
+	s.Middle = append([]byte(nil), s.Full[s.Prefix:len(s.Full)-s.Suffix]...)
+	s.Full = nil
+}
+
+// rebuild returns the document, given the next one.
+func (s *storedVersion) rebuild(next []byte) ([]byte, error) {
+	if s.Full != nil {
+		return s.Full, nil
+	}
+	if s.Prefix < 0 || s.Suffix < 0 || s.Prefix > len(next) || s.Suffix > len(next)-s.Prefix {
+		return nil, fmt.Errorf("version %d does not fit to its successor", s.Version.Version)
+	}
+	out := make([]byte, 0, s.Prefix+len(s.Middle)+s.Suffix)
+	out = append(out, next[:s.Prefix]...)
+	out = append(out, s.Middle...)
+	return append(out, next[len(next)-s.Suffix:]...), nil
+}
+
+// documents holds the kept versions, oldest first and without gaps. The last
+// one is stored in full.
 type documents struct {
-	list  []Version
+	list  []storedVersion
 	bytes int64
 }
 
 func (d *documents) add(v Version) {
-	d.list = append(d.list, v)
-	d.bytes += int64(len(v.Document))
+	if n := len(d.list); n > 0 && d.list[n-1].Version.Version%fullInterval != 0 {
+		last := &d.list[n-1]
+		d.bytes -= last.cost()
+		last.shrink(v.Document)
+		d.bytes += last.cost()
+	}
+	s := storedVersion{Version: v, Full: v.Document}
+	s.Version.Document = nil
+	d.list = append(d.list, s)
+	d.bytes += s.cost()
 	for len(d.list) > 1 && (len(d.list) > MaxDocuments || d.bytes > MaxDocumentStore) {
-		d.bytes -= int64(len(d.list[0].Document))
-		d.list[0] = Version{}
+		d.bytes -= d.list[0].cost()
+		d.list[0] = storedVersion{}
 		d.list = d.list[1:]
 	}
 }
@@ -40,12 +102,49 @@
 	if len(d.list) == 0 {
 		return Version{}
 	}
-	return d.list[len(d.list)-1]
+	last := &d.list[len(d.list)-1]
+	v := last.Version
+	v.Document = last.Full
+	return v
 }
 
 func (d *documents) get(version uint64) (Version, bool) {
-	if len(d.list) == 0 || version < d.list[0].Version || version > d.current().Version {
+	if len(d.list) == 0 || version < d.list[0].Version.Version || version > d.current().Version {
 		return Version{}, false
 	}
-	return d.list[version-d.list[0].Version], true
+	wanted := int(version - d.list[0].Version.Version)
+	i := wanted
+	for d.list[i].Full == nil {
+		i++
+	}
+	document := d.list[i].Full
+	for i--; i >= wanted; i-- {
+		// The error is excluded by add and by check.
+		document, _ = d.list[i].rebuild(document)
+	}
+	v := d.list[wanted].Version
+	v.Document = document
+	return v, true
+}
+
+// check verifies a restored list: no gaps, and every document matches its hash.
+// That the last one is stored in full is checked by parsing it.
+func (d *documents) check() error {
+	var next []byte
+	for i := len(d.list) - 1; i >= 0; i-- {
+		s := &d.list[i]
+		if s.Version.Version != d.list[0].Version.Version+uint64(i) || s.Version.Version == 0 {
+			return fmt.Errorf("version %d is out of order", s.Version.Version)
+		}
+		document, err := s.rebuild(next)
+		if err != nil {
+			return err
+		}
+		if s.Version.Hash != HashOf(document) {
+			return fmt.Errorf("the document of version %d does not match its hash", s.Version.Version)
+		}
+		next = document
+		d.bytes += s.cost()
+	}
+	return nil
 }
--- a/configstate/machine.go
+++ b/configstate/machine.go
@@ -141,7 +141,7 @@
 	if len(m.docs.list) == 0 {
 		return 0
 	}
-	return m.docs.list[0].Version
+	return m.docs.list[0].Version.Version
 }
 
 func (m *Machine) order(c *Change) Answer {
--- a/configstate/machine_test.go
+++ b/configstate/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"reflect"
 	"slices"
 	"strings"
@@ -114,7 +115,7 @@
 // trail that cannot be verified once its oldest entries are dropped.
 func TestHistoryIsBounded(t *testing.T) {
 	m := New(nil)
-	const documents, orders = MaxDocuments + 10, MaxEntries + 90 - MaxDocuments
+	const documents, orders = 2 * fullInterval, MaxEntries + 100 - 2*fullInterval
 	for i := range documents {
 		send(t, m, start, apply(fmt.Sprint("c", i), uint64(i), i%20))
 	}
@@ -131,19 +132,20 @@
 	if err := trail.Verify(); err != nil {
 		t.Error(err)
 	}
-	if n := len(m.Versions()); n != MaxDocuments {
-		t.Errorf("%d documents are kept, want %d", n, MaxDocuments)
-	}
 	if len(m.answers.queue) != MaxAnswers || len(m.answers.byID) != MaxAnswers {
 		t.Errorf("%d answers are kept, want %d", len(m.answers.queue), MaxAnswers)
 	}
-	long := apply("long", documents, 1)
-	for i := range MaxDocumentStore/MaxDocumentBytes + 2 {
-		long.ID, long.Expected = fmt.Sprint("long", i), uint64(documents+i)
-		long.Document = append(document(1), bytes.Repeat([]byte(" "), MaxDocumentBytes-1000)...)
-		if a := send(t, m, start, long); a.Outcome != Accepted {
-			t.Fatal(a.Message)
-		}
+	for v := m.docs.current().Version + 1; v < 2*MaxDocuments; v++ {
+		m.docs.add(Version{Version: v, Document: document(int(v))})
+	}
+	if n := len(m.Versions()); n != MaxDocuments {
+		t.Errorf("%d documents are kept, want %d", n, MaxDocuments)
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	for v := m.docs.current().Version + 1; v < 3*MaxDocuments; v++ {
+		long := make([]byte, 16<<10)
+		long[random.IntN(len(long))], long[random.IntN(len(long))] = 1, 1
+		m.docs.add(Version{Version: v, Document: long})
 	}
 	message := strings.Repeat("m", maxMessageBytes)
 	for i := range maxAnswerBytes / maxMessageBytes {
@@ -151,15 +153,6 @@
 		m.answers.add(&keptAnswer{ID: fmt.Sprint("m", i), Answer: Answer{Outcome: Invalid, Message: message}})
 	}
 	checkBounds(t, m)
-	snapshot, _ := m.Snapshot()
-	restored := New(nil)
-	if err := restored.Restore(snapshot); err != nil {
-		t.Fatal(err)
-	}
-	checkBounds(t, restored)
-	if restored.trail.bytes != m.trail.bytes || restored.answers.bytes != m.answers.bytes {
-		t.Error("a restored machine counts other bytes")
-	}
 }
 
 func checkBounds(t *testing.T, m *Machine) {
@@ -172,6 +165,34 @@
 	}
 }
 
+// Guards against an older version that is rebuilt wrongly, and against a
+// restored machine that counts other bytes.
+func TestEveryVersionIsRebuilt(t *testing.T) {
+	m := New(nil)
+	const versions = 2*fullInterval + 10
+	for i := range versions {
+		send(t, m, start, apply(fmt.Sprint("c", i), uint64(i), i*i%977))
+	}
+	snapshot, _ := m.Snapshot()
+	restored := New(nil)
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	for i := range versions {
+		for _, m := range []*Machine{m, restored} {
+			if v, ok := m.Version(uint64(i + 1)); !ok || !bytes.Equal(v.Document, document(i*i%977)) {
+				t.Fatalf("version %d is %s", i+1, v.Document)
+			}
+		}
+	}
+	if limit := int64(versions*(versionBytes+20)) + 4*int64(len(document(0))+10); m.docs.bytes > limit {
+		t.Errorf("%d bytes are kept for similar documents, want at most %d", m.docs.bytes, limit)
+	}
+	if restored.docs.bytes != m.docs.bytes || restored.trail.bytes != m.trail.bytes || restored.answers.bytes != m.answers.bytes {
+		t.Error("a restored machine counts other bytes")
+	}
+}
+
 // Guards against a damaged or altered snapshot being taken over.
 func TestRestoreRefusesDamage(t *testing.T) {
 	source := New(nil)
@@ -183,7 +204,9 @@
 		"format":   func(s *snapshot) { s.Format++ },
 		"entry":    func(s *snapshot) { s.Entries[1].Operator = "eva" },
 		"gap":      func(s *snapshot) { s.Versions = slices.Delete(s.Versions, 1, 2) },
-		"document": func(s *snapshot) { s.Versions[0].Document = document(8) },
+		"document": func(s *snapshot) { s.Versions[0].Middle = []byte("8") },
+		"distance": func(s *snapshot) { s.Versions[0].Prefix = 1 << 20 },
+		"last":     func(s *snapshot) { s.Versions[2].Middle, s.Versions[2].Full = s.Versions[2].Full, nil },
 	} {
 		var s snapshot
 		if err := decoding.Unmarshal(good, &s); err != nil {
@@ -254,3 +277,24 @@
 		}
 	})
 }
+
+// BenchmarkOldVersion reports what a day of changes to a document of about 100
+// KiB keeps in memory, and the time to rebuild the version that takes the most
+// steps.
+func BenchmarkOldVersion(b *testing.B) {
+	const changes = 5700
+	var d documents
+	base := bytes.Repeat(document(1), (100<<10)/len(document(1)))
+	for v := range changes {
+		next := bytes.Clone(base)
+		copy(next[v*17%len(next):], fmt.Sprint(v))
+		d.add(Version{Version: uint64(v + 1), Document: next})
+	}
+	b.ResetTimer()
+	for range b.N {
+		if v, ok := d.get(fullInterval + 1); !ok || len(v.Document) != len(base) {
+			b.Fatal("the version is not kept")
+		}
+	}
+	b.ReportMetric(float64(d.bytes)/changes, "B/version")
+}
--- a/configstate/read.go
+++ b/configstate/read.go
@@ -2,16 +2,19 @@
 
 import (
 	"fmt"
-	"slices"
 
 	"github.com/aymanbagabas/go-udiff"
 )
 
-// Versions returns the kept versions, oldest first.
+// Versions returns the kept versions, oldest first, without their documents.
 func (m *Machine) Versions() []Version {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return slices.Clone(m.docs.list)
+	out := make([]Version, len(m.docs.list))
+	for i := range m.docs.list {
+		out[i] = m.docs.list[i].Version
+	}
+	return out
 }
 
 // Version returns one kept version.
--- a/configstate/snapshot.go
+++ b/configstate/snapshot.go
@@ -10,13 +10,13 @@
 const snapshotFormat = 1
 
 type snapshot struct {
-	Format     int           `cbor:"1,keyasint"`
-	Now        int64         `cbor:"2,keyasint"`
-	Versions   []Version     `cbor:"3,keyasint"`
-	Orders     Orders        `cbor:"4,keyasint"`
-	Checkpoint Checkpoint    `cbor:"5,keyasint"`
-	Entries    []Entry       `cbor:"6,keyasint"`
-	Answers    []*keptAnswer `cbor:"7,keyasint"`
+	Format     int             `cbor:"1,keyasint"`
+	Now        int64           `cbor:"2,keyasint"`
+	Versions   []storedVersion `cbor:"3,keyasint"`
+	Orders     Orders          `cbor:"4,keyasint"`
+	Checkpoint Checkpoint      `cbor:"5,keyasint"`
+	Entries    []Entry         `cbor:"6,keyasint"`
+	Answers    []*keptAnswer   `cbor:"7,keyasint"`
 }
 
 // Snapshot returns the encoded state. Equal states give equal bytes.
@@ -46,12 +46,12 @@
 	if err := trail.Verify(); err != nil {
 		return fmt.Errorf("decode configuration snapshot: %w", err)
 	}
-	if err := checkVersions(s.Versions); err != nil {
+	docs := documents{list: s.Versions}
+	if err := docs.check(); err != nil {
 		return fmt.Errorf("decode configuration snapshot: %w", err)
 	}
 	view := &View{Orders: &s.Orders}
-	if n := len(s.Versions); n > 0 {
-		current := s.Versions[n-1]
+	if current := docs.current(); current.Version > 0 {
 		parsed, err := class.Parse(current.Document)
 		if err != nil {
 			return fmt.Errorf("decode configuration snapshot: document of version %d: %w", current.Version, err)
@@ -60,30 +60,14 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.install(&s, view.Orders)
+	m.install(&s, docs, view.Orders)
 	m.publish(view)
 	return nil
 }
 
-// checkVersions refuses gaps, because versions are found by their position.
-func checkVersions(list []Version) error {
-	for i, v := range list {
-		if v.Version != list[0].Version+uint64(i) || v.Version == 0 {
-			return fmt.Errorf("version %d is out of order", v.Version)
-		}
-		if v.Hash != HashOf(v.Document) {
-			return fmt.Errorf("the document of version %d does not match its hash", v.Version)
-		}
-	}
-	return nil
-}
-
-func (m *Machine) install(s *snapshot, orders *Orders) {
+func (m *Machine) install(s *snapshot, docs documents, orders *Orders) {
 	m.reset()
-	m.now, m.orders = s.Now, orders
-	for _, v := range s.Versions {
-		m.docs.add(v)
-	}
+	m.now, m.docs, m.orders = s.Now, docs, orders
 	m.trail.trail = Trail{Checkpoint: s.Checkpoint, Entries: s.Entries}
 	for i := range s.Entries {
 		m.trail.bytes += s.Entries[i].cost()
