--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -20,7 +20,7 @@
 
 // patience bounds how long a test waits for a state that must come. It is no
 // requirement on speed.
-const patience = 60 * time.Second
+const patience = 30 * time.Second
 
 var binaries string
 
@@ -259,15 +259,26 @@
 	return string(out), 0
 }
 
-// operate returns the arguments of bramleymillctl with the connection flags.
+// operate returns the arguments of bramleymillctl with the connection flags for
+// every control instance.
 func (f *fleet) operate(args ...string) []string {
-	flags := []string{"--authority", f.path("keys", "authority.pem"), "--certificate", f.path("keys", "op.pem"), "--private-key", f.path("keys", "op.key")}
+	args = f.authenticate(args)
 	for _, in := range f.instances {
 		if in.control {
-			flags = append(flags, "--address", in.address["admin"])
+			args = append(args, "--address", in.address["admin"])
 		}
 	}
-	return append(args, flags...)
+	return args
+}
+
+// operateAt is like operate for one instance.
+func (f *fleet) operateAt(in *instance, args ...string) []string {
+	return append(f.authenticate(args), "--address", in.address["admin"])
+}
+
+func (f *fleet) authenticate(args []string) []string {
+	return append(args, "--authority", f.path("keys", "authority.pem"),
+		"--certificate", f.path("keys", "op.pem"), "--private-key", f.path("keys", "op.key"))
 }
 
 // ctl runs an operator's command that must succeed.
--- a/e2e/traffic_test.go
+++ b/e2e/traffic_test.go
@@ -38,7 +38,7 @@
 func (f *fleet) begin() {
 	f.t.Helper()
 	f.await("init", func() bool {
-		_, code := f.try("bramleymillctl", f.operate("init")...)
+		_, code := f.try("bramleymillctl", f.operateAt(f.instances[0], "init")...)
 		return code == 0
 	})
 	f.await("first classes", func() bool {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -119,6 +119,12 @@
     --authority "$run/keys/authority.pem" --certificate "$run/keys/operator-1.pem" --private-key "$run/keys/operator-1.key" "$@"
 }
 
+# The logs are started on one instance only; the others join.
+ctl_first() {
+  "$bin/bramleymillctl" --address "${admin[${controls[0]}]}" \
+    --authority "$run/keys/authority.pem" --certificate "$run/keys/operator-1.pem" --private-key "$run/keys/operator-1.key" "$@"
+}
+
 for id in "${names[@]}"; do
   write_settings "$id"
   "$bin/bramleymill" check-settings "$run/settings/$id.json" >/dev/null
@@ -137,9 +143,9 @@
   return 1
 }
 
-eventually ctl init
-sleep 2
-ctl apply "examples/$deployment/classes.json" --wait --reason "first classes"
+eventually ctl_first init
+
+eventually ctl apply "examples/$deployment/classes.json" --wait --reason "first classes"
 
 all_callers=$(for id in "${names[@]}"; do printf '"%s",' "${caller[$id]}"; done)
 direct_of() { for id in "${names[@]}"; do if [[ ${service_of[$id]} == "$1" ]]; then printf '"%s",' "${backend[$id]}"; fi; done; }
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -54,6 +54,11 @@
   "$bin/bramleymillctl" --address "$(address 1 2)" --address "$(address 2 2)" --address "$(address 3 2)" \
     --authority "$run/keys/authority.pem" --certificate "$run/keys/operator-1.pem" --private-key "$run/keys/operator-1.key" "$@"
 }
+# The logs are started on one instance only; the others join.
+ctl_first() {
+  "$bin/bramleymillctl" --address "$(address 1 2)" \
+    --authority "$run/keys/authority.pem" --certificate "$run/keys/operator-1.pem" --private-key "$run/keys/operator-1.key" "$@"
+}
 eventually() {
   local n
   for ((n = 0; n < 200; n++)); do
@@ -63,7 +68,7 @@
   cat "$run/logs/last-try.log" >&2
   return 1
 }
-eventually ctl init
+eventually ctl_first init
 eventually ctl apply examples/nitra/classes.json --wait
 sleep 3
 at_rest=$("$bin/millload" observe rest "$run/manifest" --for "$rest")
