--- a/raft/actions.go
+++ b/raft/actions.go
@@ -68,10 +68,12 @@
 
 // Compact reports that the snapshot m is durable and drops entries that it
 // covers. The newest of them stay, up to keep entries and keepBytes, and spare a
-// replica that is slightly behind the transfer of a snapshot.
-func (n *Node) Compact(m SnapshotMeta, keep uint64, keepBytes int) {
-	if m.Index <= n.snapshot.Index || m.Index > min(n.applied, n.stable) {
-		return
+// replica that is slightly behind the transfer of a snapshot. It reports false
+// and does nothing when a newer snapshot exists or is being stored, or when the
+// log lacks entries that m covers.
+func (n *Node) Compact(m SnapshotMeta, keep uint64, keepBytes int) bool {
+	if n.restore != nil || m.Index <= n.snapshot.Index || m.Index > min(n.applied, n.stable) {
+		return false
 	}
 	n.snapshot = m
 	first := m.Index
@@ -82,6 +84,7 @@
 	}
 	n.log.compact(first)
 	n.trimConfigurations(m.Index)
+	return true
 }
 
 // Remaining returns the base of the log and its durable entries, as needed to
--- a/raft/mechanism_test.go
+++ b/raft/mechanism_test.go
@@ -128,3 +128,47 @@
 		t.Fatal("voted within the lease of the old leader")
 	}
 }
+
+// Guards against committing an entry of an earlier term because a majority holds
+// it: a later leader may still replace it until an entry of the own term follows.
+func TestEntryOfEarlierTermIsNotCommittedByCounting(t *testing.T) {
+	conf := Configuration{ClusterID: 7}
+	for _, name := range []nodeName{"n1", "n2", "n3"} {
+		conf.Voters = append(conf.Voters, Member{ID: ID{name, "d"}})
+	}
+	n2, now := conf.Voters[1].ID, Reading{Mono: time.Second}
+	n := New(Config{ID: conf.Voters[0].ID, Timing: simTiming, Seed: 1}, Stored{
+		HardState: HardState{Term: 2},
+		Entries:   []Entry{{Index: 1, Term: 1, Kind: Reconfigure, Configuration: &conf}, {Index: 2, Term: 2, Kind: Command}},
+	}, now)
+	persist := func() {
+		for _, a := range n.Actions() {
+			if p, ok := a.(Persist); ok {
+				n.Persisted(p)
+			}
+		}
+	}
+	now.Mono += simTiming.ElectionMax
+	n.Tick(now)
+	n.Step(now, Message{Kind: PreVoteReply, From: n2, To: n.id, Term: 3})
+	persist()
+	n.Step(now, Message{Kind: VoteReply, From: n2, To: n.id, Term: 3})
+	persist()
+	n.Step(now, Message{Kind: AppendReply, From: n2, To: n.id, Term: 3, Index: 2})
+	if n.role != Leader || n.commit != 0 {
+		t.Fatalf("%v with commit %d, want a leader that has committed nothing", n.role, n.commit)
+	}
+	if err := n.Join(now, Member{ID: ID{"n4", "d"}}); err != ErrNotLeader {
+		t.Fatalf("membership change before an entry of the own term: %v", err)
+	}
+	n.Step(now, Message{Kind: AppendReply, From: n2, To: n.id, Term: 3, Index: 3})
+	if n.commit != 3 {
+		t.Fatalf("commit %d after the own term's entry", n.commit)
+	}
+	if err := n.Join(now, Member{ID: ID{"n4", "d"}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := n.Join(now, Member{ID: ID{"n5", "d"}}); err != ErrChangePending {
+		t.Fatalf("second membership change at once: %v", err)
+	}
+}
--- a/raft/sim_test.go
+++ b/raft/sim_test.go
@@ -21,7 +21,7 @@
 	id     DiskID
 	stored Stored
 	data   []byte // of the snapshot
-	full   bool
+	full   bool   // most writes fail
 }
 
 // server is one simulated replica with a clock of its own.
@@ -146,13 +146,13 @@
 func (s *sim) execute(v *server, a Action, stored bool) bool {
 	switch a := a.(type) {
 	case Persist:
-		if v.disk.full {
+		if !stored || v.disk.full && s.random.IntN(3) > 0 {
 			return false
 		}
 		v.disk.persist(a)
 		v.node.Persisted(a)
 	case Restore:
-		if v.disk.full {
+		if v.disk.full && s.random.IntN(3) > 0 {
 			return false
 		}
 		v.disk.data = a.Data
@@ -182,7 +182,7 @@
 		d.stored.HardState = *p.HardState
 	}
 	if len(p.Entries) > 0 {
-		keep := p.Entries[0].Index - d.stored.Base.Index - 1
+		keep := p.Entries[0].Index - d.stored.Base.Index - 1 // out of range: a gap in the log
 		d.stored.Entries = append(slices.Clone(d.stored.Entries[:keep]), p.Entries...)
 	}
 }
@@ -240,8 +240,7 @@
 		return
 	}
 	m := v.applied
-	v.node.Compact(m, uint64(s.random.IntN(4)), 200)
-	if v.node.Status().Snapshot.Index != m.Index {
+	if !v.node.Compact(m, uint64(s.random.IntN(4)), 200) {
 		return
 	}
 	base, entries := v.node.Remaining()
--- a/replica/apply.go
+++ b/replica/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bramleymill/errkind"
@@ -48,6 +49,8 @@
 	awaiting []appliedWaiter
 	stopped  bool
 
+	saving atomic.Bool // a snapshot
+
 	// Owned by the goroutine of run.
 	sinceEntries int
 	sinceBytes   int
@@ -158,10 +161,11 @@
 	a.awaiting = rest
 }
 
-// snapshotIfDue saves a snapshot. A failure other than a full disk stops the
-// replica; after a full disk the next interval tries again.
+// snapshotIfDue takes a snapshot and saves it on another goroutine, so that
+// commands are applied while the disk syncs.
 func (a *applier) snapshotIfDue() {
-	if a.sinceEntries < a.group.config.SnapshotEvery && a.sinceBytes < snapshotBytes {
+	due := a.sinceEntries >= a.group.config.SnapshotEvery || a.sinceBytes >= snapshotBytes
+	if !due || a.saving.Load() {
 		return
 	}
 	a.sinceEntries, a.sinceBytes = 0, 0
@@ -171,15 +175,25 @@
 		return
 	}
 	meta := a.state()
-	if err := a.group.storage.saveSnapshot(meta, data); err != nil {
-		if isDiskFull(err) {
-			a.group.config.Logger.Error("snapshot not saved", "error", err)
-		} else {
-			a.group.halt(err)
-		}
-		return
+	a.saving.Store(true)
+	a.group.wait.Go(func() {
+		defer a.saving.Store(false)
+		a.save(meta, data)
+	})
+}
+
+// save stores a snapshot. A failure other than a full disk stops the replica;
+// after a full disk the next interval tries again.
+func (a *applier) save(meta raft.SnapshotMeta, data []byte) {
+	err := a.group.storage.saveSnapshot(meta, data)
+	switch {
+	case err == nil:
+		_ = a.group.post(a.group.ctx, func(raft.Reading) { a.group.compact(meta) }) // fails when stopped
+	case isDiskFull(err):
+		a.group.config.Logger.Error("snapshot not saved", "error", err)
+	default:
+		a.group.halt(err)
 	}
-	_ = a.group.post(a.group.ctx, func(raft.Reading) { a.group.compact(meta) })
 }
 
 func (a *applier) state() raft.SnapshotMeta {
@@ -253,8 +267,20 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.stopped = true
+	a.endAll(errStopped())
+}
+
+// abandon ends every waiting proposal when the leadership is lost: the next
+// leader may or may not commit its command.
+func (a *applier) abandon() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.endAll(errkind.New(errkind.OutcomeUnknown, "the leadership was lost before the command was committed"))
+}
+
+func (a *applier) endAll(err error) {
 	for index, w := range a.waiters {
 		delete(a.waiters, index)
-		w.done <- outcome{err: errStopped()}
+		w.done <- outcome{err: err}
 	}
 }
--- a/replica/fault_test.go
+++ b/replica/fault_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"bramleymill/errkind"
+	"bramleymill/raft"
+	"bramleymill/transport"
 )
 
 // Guards against losing committed commands, or the group, with the leader.
@@ -125,3 +127,28 @@
 		t.Fatalf("after the loss of the leader: %q, %v", result, err)
 	}
 }
+
+// Guards against control messages and proposals from processes that may not send
+// them, and against mixing groups that were started separately.
+func TestStrangersAreRefused(t *testing.T) {
+	c := newCluster(t, "a")
+	node := &client{n: c.network, address: "node", role: "node"}
+	b := batch{Messages: []groupMessage{{1, raft.Message{Kind: raft.Vote, From: raft.ID{Node: "node"}, Term: 99}}}}
+	for kind, request := range map[transport.Kind]any{
+		kindBatch: &b, kindRead: &readRequest{Group: 1}, kindJoin: &joinRequest{Group: 1},
+	} {
+		var reply batch
+		if err := node.Call(c.context(), "a", kind, request, &reply); errkind.Of(err).Kind != errkind.Unauthorized {
+			t.Errorf("kind %d from a node: %v", kind, err)
+		}
+	}
+	forged := &client{n: c.network, address: "b", role: "control"}
+	var reply batch
+	if err := forged.Call(c.context(), "a", kindBatch, &b, &reply); errkind.Of(err).Kind != errkind.Unauthorized {
+		t.Errorf("message in another name: %v", err)
+	}
+	other := &joinRequest{Group: 1, ClusterID: 1, Member: raft.Member{ID: raft.ID{Node: "b", Disk: "d"}, Address: "b"}}
+	if r := c.processes["a"].group.admit(c.context(), other); r.Accepted {
+		t.Error("a replica of another group was admitted")
+	}
+}
--- a/replica/group.go
+++ b/replica/group.go
@@ -18,7 +18,8 @@
 	// such as a clock that only moves when told to.
 	pollInterval = 20 * time.Millisecond
 	maxInputs    = 1024
-	// compaction keeps at most these many bytes of entries that a snapshot covers.
+	// keepLogBytes bounds the entries that compaction keeps although a snapshot
+	// covers them.
 	keepLogBytes = 2 << 20
 )
 
@@ -177,13 +178,16 @@
 }
 
 // execute reports whether everything was done. After a failed write it skips the
-// messages that depend on it.
+// later writes, which continue it, and the messages that depend on it.
 func (g *Group) execute(actions []raft.Action) bool {
 	stored := true
 	for _, a := range actions {
 		var err error
 		switch a := a.(type) {
 		case raft.Persist:
+			if !stored {
+				continue
+			}
 			if err = g.storage.persist(a); err == nil {
 				g.node.Persisted(a)
 			}
@@ -252,7 +256,9 @@
 
 // compact drops log entries that the durable snapshot m covers.
 func (g *Group) compact(m raft.SnapshotMeta) {
-	g.node.Compact(m, uint64(g.config.SnapshotEvery), keepLogBytes)
+	if !g.node.Compact(m, uint64(g.config.SnapshotEvery), keepLogBytes) {
+		return
+	}
 	base, entries := g.node.Remaining()
 	err := g.storage.reset(g.node.HardState(), base, entries)
 	switch {
--- a/replica/host.go
+++ b/replica/host.go
@@ -207,6 +207,8 @@
 			return nil, errkind.New(errkind.Unauthorized, "message of %s sent by %s", m.Message.From.Node, from.Node)
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
 	slots := make([]*answerSlot, 0, 2)
 	for number, messages := range byGroup(b) {
 		if g, err := h.group(number); err == nil {
@@ -258,6 +260,9 @@
 			return nil, err
 		}
 	}
+	// A caller that is gone need not end ctx, so that the wait is bounded here too.
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
 	result, err := g.proposeHere(ctx, r.Command)
 	if err != nil {
 		if e := errkind.Of(err); e.Kind == errkind.ControlUnavailable {
@@ -276,6 +281,8 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	read, err := g.readHere(ctx)
 	if err != nil {
 		return &readReply{}, nil
--- a/replica/join.go
+++ b/replica/join.go
@@ -59,6 +59,12 @@
 
 // join asks the seeds, and the leader that they name, to admit this replica.
 func (g *Group) join(s raft.Status, random *mathrand.Rand) error {
+	if s.Leader == s.ID { // a leader that has moved
+		if reply := g.admit(g.ctx, g.joinRequest(s)); !reply.Accepted {
+			return fmt.Errorf("replica: change of address: %s", reply.Reason)
+		}
+		return nil
+	}
 	targets := make([]string, 0, len(g.config.Seeds)+1)
 	for _, i := range random.Perm(len(g.config.Seeds)) {
 		if a := g.config.Seeds[i]; a != g.config.Address {
@@ -91,17 +97,20 @@
 func (g *Group) askToJoin(s raft.Status, address string) (*joinReply, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, joinTimeout)
 	defer cancel()
-	r := joinRequest{
-		Group: g.config.Group, ClusterID: s.Configuration.ClusterID,
-		Member: raft.Member{ID: s.ID, Address: g.config.Address},
-	}
 	var reply joinReply
-	if err := g.config.Client.Call(ctx, address, kindJoin, &r, &reply); err != nil {
+	if err := g.config.Client.Call(ctx, address, kindJoin, g.joinRequest(s), &reply); err != nil {
 		return nil, err
 	}
 	return &reply, nil
 }
 
+func (g *Group) joinRequest(s raft.Status) *joinRequest {
+	return &joinRequest{
+		Group: g.config.Group, ClusterID: s.Configuration.ClusterID,
+		Member: raft.Member{ID: s.ID, Address: g.config.Address},
+	}
+}
+
 // admit handles a request to join.
 func (g *Group) admit(ctx context.Context, r *joinRequest) *joinReply {
 	done := make(chan *joinReply, 1)
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -20,6 +20,9 @@
 	retryPause = 25 * time.Millisecond
 	// maxPending bounds the proposals that wait at one leader.
 	maxPending = 8192
+	// maxLogBytes bounds the log in memory. It is reached only when entries
+	// cannot be committed or snapshots cannot be saved.
+	maxLogBytes = 32 << 20
 )
 
 // Propose replicates command and returns the result of applying it. A follower
@@ -116,6 +119,9 @@
 	if g.applier.pending() >= maxPending {
 		return nil, errkind.New(errkind.ControlUnavailable, "%d proposals are waiting", maxPending)
 	}
+	if g.node.Status().LogBytes >= maxLogBytes {
+		return nil, errkind.New(errkind.ControlUnavailable, "the log holds %d bytes that cannot be compacted yet", maxLogBytes)
+	}
 	index, term, err := g.node.Propose(now, command)
 	switch {
 	case errors.Is(err, raft.ErrTooLarge):
--- a/replica/status.go
+++ b/replica/status.go
@@ -23,6 +23,9 @@
 	v.termStart, _ = g.node.Established()
 	g.view.Store(v)
 	if v.status.Role != g.role {
+		if g.role == raft.Leader {
+			g.applier.abandon()
+		}
 		g.role = v.status.Role
 		g.config.Logger.Info("role changed", "role", g.role, "term", v.status.Term)
 	}
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -130,13 +130,30 @@
 	return nil
 }
 
-// persist appends hard state and entries with one sync.
+// splitBytes is the size of commands above which entries are spread over several
+// records, well below the limit of a record.
+const splitBytes = 8 << 20
+
+// persist appends hard state and entries, ordinarily with one sync.
 func (s *storage) persist(p raft.Persist) error {
-	b, err := cbor.Marshal(logRecord{HardState: p.HardState, Entries: p.Entries})
-	if err != nil {
-		return fmt.Errorf("encode log record: %w", err)
+	entries := p.Entries
+	for {
+		size, n := 0, 0
+		for n < len(entries) && size < splitBytes {
+			size += len(entries[n].Data)
+			n++
+		}
+		b, err := cbor.Marshal(logRecord{HardState: p.HardState, Entries: entries[:n]})
+		if err != nil {
+			return fmt.Errorf("encode log record: %w", err)
+		}
+		if err := s.log.Append(b); err != nil {
+			return err
+		}
+		if entries = entries[n:]; len(entries) == 0 {
+			return nil
+		}
 	}
-	return s.log.Append(b)
 }
 
 // reset replaces the log.
