--- a/replica/group.go
+++ b/replica/group.go
@@ -8,15 +8,18 @@
 	"sync/atomic"
 	"time"
 
+	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/raft"
 )
 
 const (
-	// tickInterval is the resolution of the timers of the core.
-	tickInterval = 25 * time.Millisecond
+	// pollInterval is the pause between looks at something that does not signal,
+	// such as a clock that only moves when told to.
+	pollInterval = 20 * time.Millisecond
 	maxInputs    = 1024
-	// compaction keeps at most these many bytes of entries that a snapshot covers.
+	// keepLogBytes bounds the entries that compaction keeps although a snapshot
+	// covers them.
 	keepLogBytes = 2 << 20
 )
 
@@ -70,25 +73,26 @@
 			return nil, fmt.Errorf("replica: restore the snapshot of group %d: %w", c.Group, err)
 		}
 	}
+	g.prepare(have.Stored)
 	if err := c.Host.add(g); err != nil {
 		_ = s.log.Close()
 		return nil, err
 	}
-	g.start(have.Stored)
+	g.wait.Go(g.run)
+	g.wait.Go(g.applier.run)
+	g.wait.Go(g.keepJoined)
 	return g, nil
 }
 
-func (g *Group) start(have raft.Stored) {
+// prepare makes g ready to receive messages.
+func (g *Group) prepare(have raft.Stored) {
 	c := g.config
 	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.origin = c.Host.monotonicOrigin(c.Clock)
 	id := raft.ID{Node: c.Node, Disk: g.storage.disk}
 	g.node = raft.New(raft.Config{ID: id, Timing: c.Timing, Seed: c.Seed}, have, g.reading())
 	g.applier = newApplier(g, have.Snapshot)
 	g.publish()
-	g.wait.Add(3)
-	go g.run()
-	go g.applier.run()
-	go g.keepJoined()
 }
 
 func (g *Group) reading() raft.Reading {
@@ -108,6 +112,25 @@
 	}
 }
 
+// ask runs f on the goroutine that owns the core and returns its result. An error
+// of kind OutcomeUnknown leaves open whether f runs: that goroutine may be held
+// up by the disk.
+func ask[T any](ctx context.Context, g *Group, f func(now raft.Reading) T) (T, error) {
+	var none T
+	result := make(chan T, 1)
+	if err := g.post(ctx, func(now raft.Reading) { result <- f(now) }); err != nil {
+		return none, err
+	}
+	select {
+	case r := <-result:
+		return r, nil
+	case <-ctx.Done():
+		return none, errkind.New(errkind.OutcomeUnknown, "group %d is busy: %w", g.config.Group, ctx.Err())
+	case <-g.ctx.Done():
+		return none, errStopped()
+	}
+}
+
 func (g *Group) stoppedError() error {
 	if p := g.failure.Load(); p != nil {
 		return errkind.New(errkind.ControlUnavailable, "group %d stopped: %w", g.config.Group, *p)
@@ -118,14 +141,14 @@
 // run owns the core and the log. Inputs that wait together are handled with one
 // sync.
 func (g *Group) run() {
-	defer g.wait.Done()
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for g.ctx.Err() == nil {
+		timer.Reset(g.untilDeadline())
 		select {
 		case f := <-g.inputs:
 			g.takeInputs(f)
-		case <-ticker.C:
+		case <-timer.C:
 			g.node.Tick(g.reading())
 		case <-g.ctx.Done():
 		}
@@ -137,6 +160,16 @@
 	}
 }
 
+// untilDeadline returns how long the core may sleep. A replica at rest is woken
+// by heartbeats and by its own rounds only.
+func (g *Group) untilDeadline() time.Duration {
+	d := max(0, g.node.Deadline()-g.reading().Mono)
+	if _, ok := g.config.Clock.(clock.System); !ok {
+		d = min(d, pollInterval)
+	}
+	return d
+}
+
 func (g *Group) takeInputs(f input) {
 	now := g.reading()
 	f(now)
@@ -164,13 +197,16 @@
 }
 
 // execute reports whether everything was done. After a failed write it skips the
-// messages that depend on it.
+// later writes, which continue it, and the messages that depend on it.
 func (g *Group) execute(actions []raft.Action) bool {
 	stored := true
 	for _, a := range actions {
 		var err error
 		switch a := a.(type) {
 		case raft.Persist:
+			if !stored {
+				continue
+			}
 			if err = g.storage.persist(a); err == nil {
 				g.node.Persisted(a)
 			}
@@ -239,7 +275,9 @@
 
 // compact drops log entries that the durable snapshot m covers.
 func (g *Group) compact(m raft.SnapshotMeta) {
-	g.node.Compact(m, uint64(g.config.SnapshotEvery), keepLogBytes)
+	if !g.node.Compact(m, uint64(g.config.SnapshotEvery), keepLogBytes) {
+		return
+	}
 	base, entries := g.node.Remaining()
 	err := g.storage.reset(g.node.HardState(), base, entries)
 	switch {
@@ -254,19 +292,12 @@
 // Bootstrap starts a new group with this replica as its only voter and waits
 // until it leads. It fails when the folder belongs to a group already.
 func (g *Group) Bootstrap(ctx context.Context) error {
-	done := make(chan bool, 1)
-	if err := g.post(ctx, func(raft.Reading) {
-		done <- g.node.Bootstrap(g.config.Address, newClusterID())
-	}); err != nil {
+	ok, err := ask(ctx, g, func(raft.Reading) bool { return g.node.Bootstrap(g.config.Address, newClusterID()) })
+	if err != nil {
 		return err
 	}
-	select {
-	case ok := <-done:
-		if !ok {
-			return errkind.New(errkind.VersionConflict, "group %d: %w", g.config.Group, ErrHasGroup)
-		}
-	case <-g.ctx.Done():
-		return g.stoppedError()
+	if !ok {
+		return errkind.New(errkind.VersionConflict, "group %d: %w", g.config.Group, ErrHasGroup)
 	}
 	return g.Confirm(ctx)
 }
@@ -282,20 +313,12 @@
 }
 
 func (g *Group) transfer(ctx context.Context) error {
-	started := make(chan bool, 1)
-	if err := g.post(ctx, func(now raft.Reading) { started <- g.node.Transfer(now) }); err != nil {
+	started, err := ask(ctx, g, g.node.Transfer)
+	if err != nil || !started {
 		return err
 	}
-	select {
-	case ok := <-started:
-		if !ok {
-			return nil
-		}
-	case <-g.ctx.Done():
-		return g.stoppedError()
-	}
 	for g.Status().Role == raft.Leader {
-		if !sleep(ctx, tickInterval/2) {
+		if !sleep(ctx, pollInterval) {
 			return fmt.Errorf("replica: transfer the leadership of group %d: %w", g.config.Group, ctx.Err())
 		}
 	}
--- a/replica/host.go
+++ b/replica/host.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/fleet"
 	"bramleymill/raft"
@@ -23,6 +24,9 @@
 	// maxQueued bounds the messages that wait for one address. The oldest are
 	// dropped first; the core sends again what is still needed.
 	maxQueued = 256
+	// heartbeatDelay holds heartbeats back so that those of all groups, which are
+	// due at the same time, travel in one call.
+	heartbeatDelay = time.Millisecond
 	// maxBatchBytes keeps a batch below the size limit of the transport.
 	maxBatchBytes = transport.MaxMessageBytes / 2
 )
@@ -43,7 +47,8 @@
 // peer holds the messages that wait to be sent to one address.
 type peer struct {
 	queue   []groupMessage
-	sending int
+	sending int    // goroutines that send or are about to
+	delayed bool   // one of them waits for further heartbeats
 	from    string // own address, told to the peer
 }
 
@@ -74,11 +79,16 @@
 		return errkind.New(errkind.BadRequest, "group %d is open already", g.config.Group)
 	}
 	h.groups[g.config.Group] = g
+	return nil
+}
+
+func (h *Host) monotonicOrigin(c clock.Clock) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	if h.origin.IsZero() {
-		h.origin = g.config.Clock.Now()
+		h.origin = c.Now()
 	}
-	g.origin = h.origin
-	return nil
+	return h.origin
 }
 
 func (h *Host) remove(g *Group) {
@@ -116,12 +126,25 @@
 		p.queue = append(p.queue[:0], p.queue[1:]...)
 	}
 	p.queue = append(p.queue, groupMessage{g.config.Group, m})
-	if p.sending < concurrentSends {
+	switch {
+	case p.sending >= concurrentSends:
+	case m.Kind != raft.Heartbeat:
 		p.sending++
 		go h.sendQueued(address, p)
+	case !p.delayed:
+		p.delayed = true
+		p.sending++
+		time.AfterFunc(heartbeatDelay, func() { h.sendDelayed(address, p) })
 	}
 }
 
+func (h *Host) sendDelayed(address string, p *peer) {
+	h.mu.Lock()
+	p.delayed = false
+	h.mu.Unlock()
+	h.sendQueued(address, p)
+}
+
 // sendQueued sends until the queue is empty.
 func (h *Host) sendQueued(address string, p *peer) {
 	for {
@@ -190,6 +213,8 @@
 			return nil, errkind.New(errkind.Unauthorized, "message of %s sent by %s", m.Message.From.Node, from.Node)
 		}
 	}
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
 	slots := make([]*answerSlot, 0, 2)
 	for number, messages := range byGroup(b) {
 		if g, err := h.group(number); err == nil {
@@ -241,6 +266,9 @@
 			return nil, err
 		}
 	}
+	// A caller that is gone need not end ctx, so that the wait is bounded here too.
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
 	result, err := g.proposeHere(ctx, r.Command)
 	if err != nil {
 		if e := errkind.Of(err); e.Kind == errkind.ControlUnavailable {
@@ -259,6 +287,8 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
 	read, err := g.readHere(ctx)
 	if err != nil {
 		return &readReply{}, nil
--- a/replica/join.go
+++ b/replica/join.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -14,7 +15,9 @@
 
 const (
 	joinTimeout = 500 * time.Millisecond
-	joinPause   = 250 * time.Millisecond // doubled at random
+	joinPause   = 250 * time.Millisecond // at most doubled at random
+	// joinedPause is the pause between looks at a membership that is in order.
+	joinedPause = time.Second
 	// silenceBeforeJoin is how long a member waits for a leader before it asks
 	// the seeds whether it is still a member. Elections end well before.
 	silenceBeforeJoin = 3 * time.Second
@@ -29,10 +32,10 @@
 // keepJoined asks the group to admit this replica while it is no member, has
 // moved, or hears from no leader.
 func (g *Group) keepJoined() {
-	defer g.wait.Done()
 	random := mathrand.New(mathrand.NewPCG(g.config.Seed, uint64(g.config.Group)))
 	led := g.config.Clock.Now()
-	for sleep(g.ctx, joinPause+time.Duration(random.Int64N(int64(joinPause)))) {
+	pause := joinPause
+	for sleep(g.ctx, pause+time.Duration(random.Int64N(int64(joinPause)))) {
 		v := g.view.Load()
 		now := g.config.Clock.Now()
 		if v.status.Leader != (raft.ID{}) {
@@ -42,8 +45,10 @@
 		joined := member && self.Address == g.config.Address
 		if joined && now.Sub(led) < silenceBeforeJoin {
 			g.joining.Store(nil)
+			pause = joinedPause
 			continue
 		}
+		pause = joinPause
 		if err := g.join(v.status, random); err != nil {
 			g.joining.Store(&err)
 		} else {
@@ -54,6 +59,12 @@
 
 // join asks the seeds, and the leader that they name, to admit this replica.
 func (g *Group) join(s raft.Status, random *mathrand.Rand) error {
+	if s.Leader == s.ID { // a leader that has moved
+		if reply := g.admit(g.ctx, g.joinRequest(s)); !reply.Accepted {
+			return fmt.Errorf("replica: change of address: %s", reply.Reason)
+		}
+		return nil
+	}
 	targets := make([]string, 0, len(g.config.Seeds)+1)
 	for _, i := range random.Perm(len(g.config.Seeds)) {
 		if a := g.config.Seeds[i]; a != g.config.Address {
@@ -86,37 +97,27 @@
 func (g *Group) askToJoin(s raft.Status, address string) (*joinReply, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, joinTimeout)
 	defer cancel()
-	r := joinRequest{
-		Group: g.config.Group, ClusterID: s.Configuration.ClusterID,
-		Member: raft.Member{ID: s.ID, Address: g.config.Address},
-	}
 	var reply joinReply
-	if err := g.config.Client.Call(ctx, address, kindJoin, &r, &reply); err != nil {
+	if err := g.config.Client.Call(ctx, address, kindJoin, g.joinRequest(s), &reply); err != nil {
 		return nil, err
 	}
 	return &reply, nil
 }
 
+func (g *Group) joinRequest(s raft.Status) *joinRequest {
+	return &joinRequest{
+		Group: g.config.Group, ClusterID: s.Configuration.ClusterID,
+		Member: raft.Member{ID: s.ID, Address: g.config.Address},
+	}
+}
+
 // admit handles a request to join.
 func (g *Group) admit(ctx context.Context, r *joinRequest) *joinReply {
-	done := make(chan *joinReply, 1)
-	err := g.post(ctx, func(now raft.Reading) {
-		reply := &joinReply{Accepted: true}
-		if err := g.admitHere(now, r); err != nil {
-			reply = &joinReply{Reason: err.Error()}
-		}
-		done <- reply
-	})
-	if err != nil {
-		return &joinReply{Reason: err.Error()}
-	}
-	select {
-	case reply := <-done:
-		reply.Leader = g.Status().LeaderAddress
-		return reply
-	case <-g.ctx.Done():
-		return &joinReply{Reason: g.stoppedError().Error()}
+	refusal, err := ask(ctx, g, func(now raft.Reading) error { return g.admitHere(now, r) })
+	if err = cmp.Or(err, refusal); err != nil {
+		return &joinReply{Reason: err.Error(), Leader: g.Status().LeaderAddress}
 	}
+	return &joinReply{Accepted: true}
 }
 
 func (g *Group) admitHere(now raft.Reading, r *joinRequest) error {
@@ -130,14 +131,6 @@
 // Remove removes the learner or, without one, the voter of a node from the
 // group. Only the leader does it. A removed replica that still runs joins again.
 func (g *Group) Remove(ctx context.Context, node fleet.NodeID) error {
-	done := make(chan error, 1)
-	if err := g.post(ctx, func(now raft.Reading) { done <- g.node.Remove(now, node) }); err != nil {
-		return err
-	}
-	select {
-	case err := <-done:
-		return err
-	case <-g.ctx.Done():
-		return g.stoppedError()
-	}
+	refusal, err := ask(ctx, g, func(now raft.Reading) error { return g.node.Remove(now, node) })
+	return cmp.Or(err, refusal)
 }
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -20,6 +21,9 @@
 	retryPause = 25 * time.Millisecond
 	// maxPending bounds the proposals that wait at one leader.
 	maxPending = 8192
+	// maxLogBytes bounds the log in memory. It is reached only when entries
+	// cannot be committed or snapshots cannot be saved.
+	maxLogBytes = 32 << 20
 )
 
 // Propose replicates command and returns the result of applying it. A follower
@@ -82,23 +86,13 @@
 		w   *waiter
 		err error
 	}
-	result := make(chan placed, 1)
-	err := g.post(ctx, func(now raft.Reading) {
+	p, err := ask(ctx, g, func(now raft.Reading) placed {
 		w, err := g.place(now, command)
-		result <- placed{w, err}
+		return placed{w, err}
 	})
-	if err != nil {
+	if err = cmp.Or(err, p.err); err != nil {
 		return nil, err
 	}
-	var p placed
-	select {
-	case p = <-result:
-	case <-g.ctx.Done():
-		return nil, errStopped()
-	}
-	if p.err != nil {
-		return nil, p.err
-	}
 	select {
 	case o := <-p.w.done:
 		return o.result, o.err
@@ -116,6 +110,9 @@
 	if g.applier.pending() >= maxPending {
 		return nil, errkind.New(errkind.ControlUnavailable, "%d proposals are waiting", maxPending)
 	}
+	if g.node.Status().LogBytes >= maxLogBytes {
+		return nil, errkind.New(errkind.ControlUnavailable, "the log holds %d bytes that cannot be compacted yet", maxLogBytes)
+	}
 	index, term, err := g.node.Propose(now, command)
 	switch {
 	case errors.Is(err, raft.ErrTooLarge):
