Test selection and speed it up

Change: small pools are compared whole; another trial follows one without a verdict; unchanged servers keep their endpoint on Update; the fields that Pick reads lie together, and the search for the oldest request stops at the number of outstanding requests. Ruled out: a reservoir sample instead of draws, because it visits every server.

--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -29,12 +29,12 @@
 // Endpoint is a backend server that Pick returned. It is immutable; its
 // estimates are shared with its successors of the same incarnation.
 type Endpoint struct {
-	Server fleet.Server
-
-	epoch   time.Time
-	readyAt int64
+	load    *load // the fields that Pick reads come first
 	zone    *zoneDelay
-	load    *load
+	readyAt int64
+	epoch   time.Time
+
+	Server fleet.Server
 }
 
 // New returns a Balancer with an empty pool.
@@ -69,13 +69,16 @@
 	b.pool.Store(next)
 }
 
+// maxWarmMillis bounds the warm-up age, so that it fits in nanoseconds.
+const maxWarmMillis = int64(24 * time.Hour / time.Millisecond)
+
 func (b *Balancer) endpoint(epoch, now time.Time, s fleet.Server, ownZone string, old *Endpoint) *Endpoint {
-	e := &Endpoint{Server: s, epoch: epoch, zone: b.zone(s.Zone, ownZone)}
-	e.readyAt = now.UnixMilli()
-	if s.ReadySince < e.readyAt {
-		e.readyAt = s.ReadySince
+	if old != nil && old.Server == s {
+		return old
 	}
-	e.readyAt = int64(now.Sub(epoch)) - (now.UnixMilli()-e.readyAt)*int64(time.Millisecond)
+	e := &Endpoint{Server: s, epoch: epoch, zone: b.zone(s.Zone, ownZone)}
+	warm := max(now.UnixMilli()-s.ReadySince, 0) // the other clock may be ahead
+	e.readyAt = int64(now.Sub(epoch)) - min(warm, maxWarmMillis)*int64(time.Millisecond)
 	if old == nil || old.Server.Incarnation != s.Incarnation {
 		e.load = newLoad(s.Slots)
 		return e
--- a/pick/eject.go
+++ b/pick/eject.go
@@ -34,6 +34,13 @@
 		l.samples >= minimumSamples && l.failures.Load() >= c.FailureRate
 }
 
+// undecided lets another trial follow one that was refused or canceled.
+func (l *load) undecided(start int64) {
+	if until := l.ejectedUntil.Load(); until != 0 && start >= until {
+		l.trialAt.Store(never)
+	}
+}
+
 func (l *load) sample(t int64, failure float64) {
 	l.samples++
 	rate := l.failures.Load()
--- /dev/null
+++ b/pick/eject_test.go
@@ -0,0 +1,120 @@
+package pick
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bramleymill/fleet"
+)
+
+// failInARow makes node fail often enough to be ejected.
+func failInARow(b *Balancer, node fleet.NodeID, now time.Time) {
+	for range DefaultConsecutiveFailures {
+		answer(b, node, now, time.Millisecond, Failed, nil)
+	}
+}
+
+func ejected(b *Balancer, node fleet.NodeID) bool {
+	return b.Endpoint(node).load.ejectedUntil.Load() != 0
+}
+
+// Guards against an ejected server that receives requests before its back-off
+// ends, more than one trial at a time, or a back-off that does not double.
+func TestEjectionBacksOffAndAllowsOneTrial(t *testing.T) {
+	b, rng := newBalancer(Config{}, servers(6))
+	now := start
+	for _, backoff := range []time.Duration{DefaultEjectionBase, 2 * DefaultEjectionBase, 4 * DefaultEjectionBase} {
+		if !ejected(b, nodeName(0)) {
+			failInARow(b, nodeName(0), now)
+		}
+		end := now.Add(time.Millisecond + backoff)
+		if got := counts(b, rng, end.Add(-time.Millisecond), 200, nil)[nodeName(0)]; got != 0 {
+			t.Fatalf("back-off %v: %d requests before its end", backoff, got)
+		}
+		if got := counts(b, rng, end, 200, nil)[nodeName(0)]; got != 1 {
+			t.Fatalf("back-off %v: %d trials at its end, want 1", backoff, got)
+		}
+		now = end.Add(time.Millisecond)
+		answer(b, nodeName(0), now, time.Millisecond, Failed, nil)
+	}
+	end := now.Add(time.Millisecond + 8*DefaultEjectionBase)
+	answer(b, nodeName(0), end, time.Millisecond, Succeeded, nil)
+	if ejected(b, nodeName(0)) {
+		t.Fatal("server is still ejected after a successful trial")
+	}
+}
+
+// Guards against a trial that ends without a verdict keeping the server out.
+func TestCanceledTrialIsFollowedByAnother(t *testing.T) {
+	b, rng := newBalancer(Config{}, servers(3))
+	failInARow(b, nodeName(0), start)
+	end := start.Add(time.Millisecond + DefaultEjectionBase)
+	counts(b, rng, end, 100, nil)
+	answer(b, nodeName(0), end, time.Millisecond, Canceled, nil)
+	if got := counts(b, rng, end.Add(time.Millisecond), 100, nil)[nodeName(0)]; got != 1 {
+		t.Fatalf("%d trials after a canceled one, want 1", got)
+	}
+}
+
+// Guards against ejecting more than a third of the pool or its last server,
+// whatever fails and however the pool changes.
+func TestAtMostAThirdIsEjected(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "servers")
+		b, rng := newBalancer(Config{}, servers(n))
+		now := start
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "resize") {
+				n = rapid.IntRange(1, 12).Draw(t, "size")
+				b.Update(now, servers(n), "zone-a")
+			}
+			failInARow(b, nodeName(rapid.IntRange(0, n-1).Draw(t, "failing")), now)
+			if got := b.pool.Load().ejected(); got > n/3 {
+				t.Fatalf("%d of %d servers are ejected", got, n)
+			}
+			if e, kind := b.Pick(now, rng, nil); e == nil {
+				t.Fatalf("no server of %d: %s", n, kind)
+			}
+		}
+	})
+}
+
+// Guards against refusing all work when every server that is left is ejected.
+func TestEjectedServersServeWhenNothingElseIsLeft(t *testing.T) {
+	list := servers(3)
+	b, rng := newBalancer(Config{}, list)
+	failInARow(b, list[0].Node, start)
+	for _, s := range list[1:] {
+		b.Observe(s.Node, start, &fleet.LoadReport{Incarnation: 1, Sequence: 1, Draining: true})
+	}
+	if got := counts(b, rng, start.Add(10*time.Millisecond), 10, nil)[list[0].Node]; got != 10 {
+		t.Fatalf("the only server that does not drain was picked %d times of 10", got)
+	}
+}
+
+// Guards against a server that fails half of its requests and stays below the
+// limit of failures in a row.
+func TestFailureRateAddsCostAndEjects(t *testing.T) {
+	b, rng := newBalancer(Config{}, servers(4))
+	for i := range 4 {
+		answer(b, nodeName(i), start, 10*time.Millisecond, Succeeded, nil)
+	}
+	answer(b, nodeName(0), start, time.Millisecond, Failed, nil)
+	now := start.Add(10 * time.Millisecond)
+	if got := counts(b, rng, now, 400, nil)[nodeName(0)]; got > 0 {
+		t.Errorf("server with a recent failure was picked %d times of 400", got)
+	}
+	for i := range 40 {
+		o := Failed
+		if i%3 == 0 {
+			o = Succeeded
+		}
+		answer(b, nodeName(0), now, time.Millisecond, o, nil)
+	}
+	if !ejected(b, nodeName(0)) {
+		t.Error("server that fails two requests of three is not ejected")
+	}
+}
--- a/pick/load.go
+++ b/pick/load.go
@@ -17,26 +17,26 @@
 const trackedStarts = 8
 
 // load holds the estimates of one server incarnation. Pick reads the atomic
-// fields; mu serialises the writers of answers.
+// fields, which are ordered so that it touches few cache lines; mu serialises
+// the writers of answers.
 type load struct {
-	starts      [trackedStarts]atomic.Int64 // start times of outstanding requests; never when free
-	outstanding atomic.Int64
-	started     atomic.Int64
-
-	queue    atomic.Int64 // in flight and queued by the newest report
-	mean     atomicFloat  // recent mean of queue
-	slots    atomic.Int64
-	reportAt atomic.Int64
-	baseline atomic.Int64 // value of started when the report arrived
+	ejectedUntil atomic.Int64 // zero: not ejected
+	outstanding  atomic.Int64
+	started      atomic.Int64
+	queue        atomic.Int64 // in flight and queued by the newest report
+	mean         atomicFloat  // recent mean of queue
+	reportAt     atomic.Int64
+	baseline     atomic.Int64 // value of started when the report arrived
+	slots        atomic.Int32
+	draining     atomic.Bool
 
 	service   atomicFloat // service time in nanoseconds; zero until the first answer
 	serviceAt atomic.Int64
 	failures  atomicFloat // recent failure rate
 	failureAt atomic.Int64
+	trialAt   atomic.Int64
 
-	ejectedUntil atomic.Int64 // zero: not ejected
-	trialAt      atomic.Int64
-	draining     atomic.Bool
+	starts [trackedStarts]atomic.Int64 // start times of outstanding requests; never when free
 
 	mu          sync.Mutex
 	sequence    uint64
@@ -51,7 +51,7 @@
 	for i := range l.starts {
 		l.starts[i].Store(never)
 	}
-	l.slots.Store(int64(max(slots, 1)))
+	l.slots.Store(int32(max(slots, 1)))
 	l.reportAt.Store(never)
 	l.trialAt.Store(never)
 	return l
@@ -78,13 +78,12 @@
 
 // oldest returns the age of the oldest tracked request, or zero.
 func (l *load) oldest(now int64) int64 {
-	if l.outstanding.Load() == 0 {
-		return 0
-	}
 	age := int64(0)
-	for i := range l.starts {
+	left := l.outstanding.Load()
+	for i := 0; i < trackedStarts && left > 0; i++ {
 		if at := l.starts[i].Load(); at != never {
 			age = max(age, now-at)
+			left--
 		}
 	}
 	return age
@@ -138,7 +137,7 @@
 	}
 	l.queue.Store(queue)
 	if r.Slots > 0 {
-		l.slots.Store(int64(r.Slots))
+		l.slots.Store(int32(min(r.Slots, math.MaxInt32)))
 	}
 	if r.ServiceTime > 0 {
 		l.service.Store(float64(r.ServiceTime))
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -60,18 +60,21 @@
 // servers that may not be chosen.
 const drawsPerCandidate = 3
 
+// sample returns the best of a few random candidates, or of all servers of a
+// small pool.
 func (b *Balancer) sample(p *pool, t int64, rng *rand.Rand, exclude *Exclude) *Endpoint {
+	want := b.config.Candidates
+	if len(p.endpoints) <= want {
+		return nil
+	}
 	var seen [maxCandidates]int
-	found, want := 0, min(b.config.Candidates, len(p.endpoints))
 	var best *Endpoint
 	var bestCost float64
+	found := 0
 	for draw := 0; found < want && draw < want*drawsPerCandidate; draw++ {
 		i := rng.IntN(len(p.endpoints))
-		if contains(seen[:found], i) {
-			continue
-		}
 		e := p.endpoints[i]
-		if e.load.draining.Load() || exclude.Has(e.Server.Node) {
+		if contains(seen[:found], i) || !e.eligible(exclude) {
 			continue
 		}
 		if e.load.ejectedUntil.Load() != 0 {
@@ -89,6 +92,11 @@
 	return best
 }
 
+// eligible reports whether e may be chosen when it is not ejected.
+func (e *Endpoint) eligible(exclude *Exclude) bool {
+	return !e.load.draining.Load() && (exclude == nil || !exclude.Has(e.Server.Node))
+}
+
 func contains(list []int, v int) bool {
 	for _, x := range list {
 		if x == v {
@@ -98,19 +106,22 @@
 	return false
 }
 
-// scan looks at every server when no random candidate may be chosen. Ejected
-// servers are considered only when nothing else is left.
+// scan returns the best of all servers. Ejected servers are considered for
+// their trial and when nothing else is left.
 func (b *Balancer) scan(p *pool, t int64, rng *rand.Rand, exclude *Exclude) *Endpoint {
 	var best, ejected *Endpoint
 	var bestCost, ejectedCost float64
 	first := rng.IntN(len(p.endpoints))
 	for i := range p.endpoints {
 		e := p.endpoints[(first+i)%len(p.endpoints)]
-		if e.load.draining.Load() || exclude.Has(e.Server.Node) {
+		if !e.eligible(exclude) {
 			continue
 		}
 		c := b.cost(e, t)
 		if e.load.ejectedUntil.Load() != 0 {
+			if b.takeTrial(e, t) {
+				return e
+			}
 			if ejected == nil || c < ejectedCost {
 				ejected, ejectedCost = e, c
 			}
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -113,3 +113,95 @@
 		t.Errorf("outstanding = %d after the request ended", n)
 	}
 }
+
+// Guards against losing the estimates of a server when the pool is updated, and
+// against keeping those of an earlier life.
+func TestEstimatesSurviveUpdates(t *testing.T) {
+	list := servers(3)
+	b, _ := newBalancer(Config{}, list)
+	answer(b, nodeName(0), start, 300*time.Millisecond, Succeeded, nil)
+	pending := b.Started(b.Endpoint(nodeName(0)), start)
+	list[0].Sequence++
+	b.Update(start.Add(time.Second), list, "zone-a")
+	l := b.Endpoint(nodeName(0)).load
+	if l.service.Load() == 0 || l.outstanding.Load() != 1 {
+		t.Errorf("after an update: service %v, outstanding %d", l.service.Load(), l.outstanding.Load())
+	}
+	b.Finished(pending, start.Add(time.Second), Result{Outcome: Canceled})
+	if l.outstanding.Load() != 0 {
+		t.Error("the end of a request that began before the update is lost")
+	}
+	list[0].Incarnation = 2
+	b.Update(start.Add(2*time.Second), list, "zone-a")
+	if b.Endpoint(nodeName(0)).load == l {
+		t.Error("a new incarnation inherits the estimates of the old one")
+	}
+}
+
+// Guards against flooding a server that has just started, even when its clock
+// is ahead.
+func TestSlowStart(t *testing.T) {
+	list := servers(3)
+	list[1].ReadySince = start.Add(time.Minute).UnixMilli()
+	b, _ := newBalancer(Config{}, list)
+	views := b.Views(start)
+	if want := DefaultSlowStartFactor * views[0].Cost; views[1].Cost != want {
+		t.Errorf("cost at the start is %v, want %v", views[1].Cost, want)
+	}
+	views = b.Views(start.Add(DefaultSlowStart))
+	if views[1].Cost != views[0].Cost {
+		t.Errorf("cost after the warm-up is %v, want %v", views[1].Cost, views[0].Cost)
+	}
+}
+
+// Guards against a report that is believed for ever, against reports out of
+// order or of another life, and against forgetting requests sent since.
+func TestReportsAgeAndRequestsSinceCount(t *testing.T) {
+	b, _ := newBalancer(Config{}, servers(2))
+	l := b.Endpoint(nodeName(0)).load
+	report := func(seq uint64, inFlight int) *fleet.LoadReport {
+		return &fleet.LoadReport{Incarnation: 1, Sequence: seq, InFlight: inFlight}
+	}
+	trust := int64(DefaultReportTrust)
+	b.Observe(nodeName(0), start, report(5, 4))
+	b.Observe(nodeName(0), start, report(6, 24))
+	b.Observe(nodeName(0), start, report(5, 90))
+	b.Observe(nodeName(0), start, &fleet.LoadReport{Incarnation: 2, Sequence: 9, InFlight: 90})
+	if got := l.ahead(0, trust); got != 24 {
+		t.Errorf("expected queue with a new report is %v, want 24", got)
+	}
+	if got := l.ahead(trust, trust); got != 15 {
+		t.Errorf("expected queue at the half-trust age is %v, want 15, between 24 and the mean 6", got)
+	}
+	b.Started(b.Endpoint(nodeName(0)), start)
+	if got := l.ahead(0, trust); got != 25 {
+		t.Errorf("expected queue after one more request is %v, want 25", got)
+	}
+}
+
+// Guards against choosing a distant zone at equal load, and against a zone delay
+// that is never corrected by measurement.
+func TestZoneDelayIsLearned(t *testing.T) {
+	list := servers(2)
+	list[1].Zone = "zone-b"
+	b, rng := newBalancer(Config{}, list)
+	if got := counts(b, rng, start, 100, nil); got[nodeName(1)] != 0 {
+		t.Errorf("picks at equal load = %v, want only the own zone", got)
+	}
+	a := b.Started(b.Endpoint(nodeName(1)), start)
+	b.Finished(a, start, Result{Duration: 10*time.Millisecond + 200*time.Microsecond, AtServer: 10 * time.Millisecond, Outcome: Succeeded})
+	if got := time.Duration(b.zones["zone-b"].nanos.Load()); got != 200*time.Microsecond {
+		t.Errorf("learned zone delay is %v, want 200µs", got)
+	}
+}
+
+// Guards against herding: nodes with equal information spread over the pool.
+func TestEqualServersShareTheLoad(t *testing.T) {
+	b, rng := newBalancer(Config{}, servers(20))
+	got := counts(b, rng, start, 20000, nil)
+	for node, n := range got {
+		if n < 500 || n > 1500 {
+			t.Errorf("%s got %d of 20000 requests for 20 servers", node, n)
+		}
+	}
+}
--- a/pick/result.go
+++ b/pick/result.go
@@ -73,6 +73,8 @@
 		l.succeeded(t, a.start)
 	case Failed:
 		eject = l.failed(t, a.start, &b.config)
+	default:
+		l.undecided(a.start)
 	}
 	l.mu.Unlock()
 	if eject {
