filter, proxy: bound writes to callers, record ejections, verify the tests

Cause: a caller that stops reading kept its slot beyond the deadline, because the end of a context does not end a blocked write. Ejections and refused fingerprints left no event.

--- a/filter/answer.go
+++ b/filter/answer.go
@@ -1,6 +1,7 @@
 package filter
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"sync/atomic"
@@ -114,6 +115,31 @@
 	_ = http.NewResponseController(w.rw).SetReadDeadline(t)
 }
 
+// writeGrace is the time left for an error answer after the end of a call.
+const writeGrace = time.Second
+
+// BoundWrites ends a write that blocks because the receiver does not read, soon
+// after ctx has ended. The request would otherwise keep its slot. The returned
+// function has to be called before the end of ctx has another cause.
+func (w *Writer) BoundWrites(ctx context.Context) (release func()) {
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(done)
+		w.setWriteDeadline(time.Now().Add(writeGrace))
+	})
+	return func() {
+		if !stop() {
+			<-done
+			w.setWriteDeadline(time.Time{}) // the connection may be used again
+		}
+	}
+}
+
+func (w *Writer) setWriteDeadline(t time.Time) {
+	// Without the support of the ResponseWriter writes are not bounded.
+	_ = http.NewResponseController(w.rw).SetWriteDeadline(t)
+}
+
 // End completes the answer with its trailer.
 func (w *Writer) End(trailer http.Header) error {
 	h := w.rw.Header()
--- a/filter/body.go
+++ b/filter/body.go
@@ -217,10 +217,11 @@
 			limit = min(limit, prefixBytes)
 		}
 	}
-	setReadDeadline(c, f.clock)
+	setReadDeadline(c, time.Now().Add(c.Deadline.Sub(f.clock.Now())))
 	if err := c.Body.fill(limit); err != nil {
 		return f.readError(c, err)
 	}
+	setReadDeadline(c, time.Time{}) // or the server would take its end for the departure of the caller
 	if c.Key != "" && int64(len(c.Body.prefix)) > c.Class.MaxBody {
 		return errkind.New(errkind.BodyTooLarge, "body exceeds %d bytes", c.Class.MaxBody)
 	}
@@ -235,9 +236,9 @@
 	return errkind.New(errkind.BadRequest, "read body: %w", err)
 }
 
-func setReadDeadline(c *Call, k clock.Clock) {
+func setReadDeadline(c *Call, t time.Time) {
 	if w, ok := c.Answer.(*Writer); ok {
-		w.SetReadDeadline(time.Now().Add(c.Deadline.Sub(k.Now())))
+		w.SetReadDeadline(t)
 	}
 }
 
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -1,6 +1,7 @@
 package filter
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -33,8 +34,11 @@
 // pool is a balancer with the list of servers it was updated with.
 type pool struct {
 	balancer *pick.Balancer
+	service  string
 	mu       sync.Mutex
 	servers  atomic.Pointer[[]fleet.Server]
+	ejected  map[fleet.NodeID]bool // as recorded in the events
+	anyOut   atomic.Bool           // ejected is not empty
 }
 
 // NewChoose returns the filter for a node in zone. The seed decides its random
@@ -46,17 +50,19 @@
 }
 
 // Balancer returns the balancer of a service, brought up to date with the directory.
-func (f *Choose) Balancer(service string) *pick.Balancer {
+func (f *Choose) Balancer(service string) *pick.Balancer { return f.pool(service).balancer }
+
+func (f *Choose) pool(service string) *pool {
 	found, ok := f.services.Load(service)
 	if !ok {
-		found, _ = f.services.LoadOrStore(service, &pool{balancer: pick.New(pick.Config{})})
+		found, _ = f.services.LoadOrStore(service, &pool{balancer: pick.New(pick.Config{}), service: service, ejected: map[fleet.NodeID]bool{}})
 	}
 	p := found.(*pool)
 	servers := f.directory.Servers(service)
 	if known := p.servers.Load(); known == nil || !slices.Equal(*known, servers) {
 		f.update(p, servers)
 	}
-	return p.balancer
+	return p
 }
 
 func (f *Choose) update(p *pool, servers []fleet.Server) {
@@ -69,7 +75,8 @@
 
 // Serve chooses a target that the call has not tried yet.
 func (f *Choose) Serve(c *Call) error {
-	b := f.Balancer(c.Class.Service)
+	p := f.pool(c.Class.Service)
+	b := p.balancer
 	now := f.clock.Now()
 	exclude := c.tried.excluded()
 	rng := f.random.Get().(*rand.Rand)
@@ -84,10 +91,36 @@
 	f.explain(c, b, e, now)
 	a := b.Started(e, now)
 	err := f.next.Serve(c)
-	b.Finished(a, f.clock.Now(), result(c, err))
+	r := result(c, err)
+	end := f.clock.Now()
+	b.Finished(a, end, r)
+	if r.Outcome == pick.Failed || p.anyOut.Load() {
+		f.recordEjections(p, end)
+	}
 	return err
 }
 
+// recordEjections records as events which servers were ejected or readmitted. It
+// runs after failures, and after each attempt while a server is ejected.
+func (f *Choose) recordEjections(p *pool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[fleet.NodeID]bool{}
+	for _, v := range p.balancer.Views(now) {
+		if v.Ejected {
+			out[v.Server.Node] = true
+		}
+		switch {
+		case v.Ejected && !p.ejected[v.Server.Node]:
+			f.events.AddEvent(now, explain.Ejected, v.Server.Node, p.service, fmt.Sprintf("failure rate %.2f", v.FailureRate))
+		case !v.Ejected && p.ejected[v.Server.Node]:
+			f.events.AddEvent(now, explain.Readmitted, v.Server.Node, p.service, "")
+		}
+	}
+	p.ejected = out
+	p.anyOut.Store(len(out) > 0)
+}
+
 // Computing the costs of all candidates again for the record takes 1 µs to 2.5 µs
 // for 3 to 8 servers, which is more than a record may add to each request.
 const (
--- a/filter/crashguard.go
+++ b/filter/crashguard.go
@@ -150,10 +150,10 @@
 	blamed := f.blame(life)
 	f.mu.Unlock()
 	defer close(done)
+	f.events.AddEvent(f.clock.Now(), explain.CrashDetected, f.node, f.service, "the backend server died")
 	for _, r := range blamed {
-		f.suspects.Report(f.clock.Now(), r)
+		RecordCrash(f.clock.Now(), f.suspects, f.events, r)
 	}
-	f.events.AddEvent(f.clock.Now(), explain.CrashDetected, f.node, f.service, "the backend server died")
 	if len(blamed) > 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), reportWait)
 		defer cancel()
@@ -161,6 +161,18 @@
 	}
 }
 
+// RecordCrash merges a crash report into the table and records an event when its
+// request is refused from now on. It tells whether the report was new.
+func RecordCrash(now time.Time, t *suspect.Table, events *explain.Store, r fleet.CrashReport) bool {
+	if !t.Report(now, r) {
+		return false
+	}
+	if t.Check(now, suspect.Key{Service: r.Service, Fingerprint: r.Fingerprint}) == suspect.Refuse {
+		events.AddEvent(now, explain.Quarantined, r.Node, r.Service, "class "+r.Class+" path "+r.Path)
+	}
+	return true
+}
+
 // keptLives is the number of ended lives whose report is remembered.
 const keptLives = 16
 
--- a/filter/deadline.go
+++ b/filter/deadline.go
@@ -52,6 +52,9 @@
 	ctx, cancel := context.WithTimeout(c.Ctx, remaining)
 	defer cancel()
 	c.Ctx = ctx
+	if w, ok := c.Answer.(*Writer); ok {
+		defer w.BoundWrites(ctx)()
+	}
 	return f.next.Serve(c)
 }
 
--- a/filter/suspects.go
+++ b/filter/suspects.go
@@ -12,8 +12,9 @@
 
 // Times of the lock for confined attempts.
 const (
-	lockPoll  = 25 * time.Millisecond // between two requests for a lock that is held
-	lockGrace = time.Second           // lease beyond the deadline of the confined attempt
+	lockPoll    = 25 * time.Millisecond // between two requests for a lock that is held; doubles
+	lockPollMax = 400 * time.Millisecond
+	lockGrace   = time.Second // lease beyond the deadline of the confined attempt
 	// unlockTimeout bounds the release; the lease ends by itself.
 	unlockTimeout = 2 * time.Second
 )
@@ -76,7 +77,7 @@
 // lock returns the lock and the end of the time in which it may be used.
 func (f *suspects) lock(c *Call, key suspect.Key) (claim.UnlockRequest, time.Time, error) {
 	request := claim.LockRequest{Key: "suspect/" + key.Service, Owner: c.Meta.RequestID}
-	for {
+	for delay := lockPoll; ; delay = min(2*delay, lockPollMax) {
 		asked := f.clock.Now()
 		request.Lease = min(c.Deadline.Sub(asked)+lockGrace, claim.MaxLease)
 		r, err := f.locks.Lock(c.Ctx, request)
@@ -88,7 +89,7 @@
 		case r.State != claim.InProgress:
 			return claim.UnlockRequest{}, time.Time{}, errkind.New(errkind.ClaimsUnavailable, "lock for a confined attempt: %s", r.State)
 		}
-		if !sleep(c.Ctx, lockPoll) {
+		if !sleep(c.Ctx, delay) {
 			return claim.UnlockRequest{}, time.Time{}, errkind.New(errkind.DeadlineBeforeRun, "another suspect request held the lock of %s until the deadline", key.Service)
 		}
 	}
--- a/proxy/answer_test.go
+++ b/proxy/answer_test.go
@@ -185,16 +185,25 @@
 	c.node("a", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_ = http.NewResponseController(w).EnableFullDuplex()
 		_, _ = io.CopyN(io.Discard, r.Body, 1<<20)
-		http.Error(w, "too large", http.StatusRequestEntityTooLarge)
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		_, _ = io.WriteString(w, "too large\n")
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.Copy(io.Discard, r.Body)
 	}))
 	for _, n := range []*node{entry, c.nodes[1]} {
-		// The rest of the body comes only after the answer.
+		// The body ends only when the answer has been read.
 		rest, answered := io.Pipe()
-		resp, body, err := request(t, "PUT", n.caller.URL+"/x", io.MultiReader(io.LimitReader(&endless{}, 1<<20), rest))
-		_ = answered.Close()
-		if err != nil || resp.StatusCode != 413 || body != "too large\n" {
-			t.Errorf("node %s: %v %v %q", n.name, resp, err, body)
+		req, _ := http.NewRequestWithContext(t.Context(), "PUT", n.caller.URL+"/x", io.MultiReader(io.LimitReader(&endless{}, 1<<20), rest))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
 		}
+		line, err := bufio.NewReader(resp.Body).ReadString('\n')
+		if err != nil || resp.StatusCode != 413 || line != "too large\n" {
+			t.Errorf("node %s: %v %v %q", n.name, resp, err, line)
+		}
+		_ = answered.Close()
+		_ = resp.Body.Close()
 	}
 }
 
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -87,6 +87,27 @@
 	}
 }
 
+// Guards against a suspect that runs beside other requests because its entry node
+// has not heard of the suspicion.
+func TestSuspectIsConfinedAlthoughItsEntryNodeDoesNotKnow(t *testing.T) {
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	var crashes atomic.Int32
+	for i := range 3 {
+		f := newFragile(t, &crashes, func(w http.ResponseWriter, r *http.Request) {})
+		c.node(fmt.Sprintf("n%d", i), nil, (&rawBackend{listener: f.listener}).with)
+	}
+	for _, confined := range []bool{false, true} {
+		id := expect(t, 502, "connection_lost", "", "POST", entry.caller.URL+"/poison").Header.Get(fleet.HeaderRequestID)
+		if r := entry.Explain().Find(id)[0]; r.Confined != confined {
+			t.Errorf("confined %v: %+v", confined, r)
+		}
+	}
+	if len(entry.Suspects().List(c.clock.Now())) != 0 || crashes.Load() != 2 {
+		t.Errorf("the entry node knows %v; %d crashes", entry.Suspects().List(c.clock.Now()), crashes.Load())
+	}
+}
+
 // Guards against innocent requests that stay suspect after they were in flight
 // during a crash, and against blaming them for the crash of a confined request.
 func TestInnocentRequestsRecover(t *testing.T) {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -37,6 +37,7 @@
 	mu     sync.Mutex
 	conn   *countedConn
 	before uint64 // writes of conn before this request
+	other  bool   // a connection was used that does not count its writes
 
 	asked   atomic.Bool  // 100 Continue was received
 	waiting atomic.Int64 // when the wait for it began, in Unix nanoseconds
@@ -63,16 +64,20 @@
 func (x *exchange) unwritten() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.other {
+		return false
+	}
 	return x.conn == nil || x.conn.Unwritten(x.before)
 }
 
 func (x *exchange) gotConn(info httptrace.GotConnInfo) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	c, ok := info.Conn.(*countedConn)
 	if !ok {
+		x.other = true
 		return
 	}
-	x.mu.Lock()
-	defer x.mu.Unlock()
 	x.conn, x.before = c, c.Writes()
 }
 
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -138,6 +138,7 @@
 		ctx, cancel := context.WithTimeout(r.Context(), c.Meta.Remaining)
 		defer cancel()
 		c.Ctx = ctx
+		defer writer.BoundWrites(ctx)()
 		err = p.serveAttempt(c)
 	}
 	defer func() {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -149,7 +149,7 @@
 func (p *Proxy) ReceiveCrash(reports []fleet.CrashReport) (fresh []fleet.CrashReport) {
 	now := p.config.Clock.Now()
 	for _, r := range reports {
-		if p.config.Suspects.Report(now, r) {
+		if filter.RecordCrash(now, p.config.Suspects, p.store, r) {
 			fresh = append(fresh, r)
 			p.store.AddEvent(now, explain.CrashDetected, r.Node, r.Service, "reported by the server's node for class "+r.Class)
 		}
