filter, proxy: read small bodies ahead at the server node

Cause: a server node streamed every body, so that a request with a body could not be sent again when an idle connection to the backend server turned out to be closed although nothing had been written to it. Headers and body of a buffered request went out in two writes.

Change: a body of at most 64 KiB that is not announced with Expect is read before the admission; buffered bodies are given to the Transport in a form that it sends together with the headers.

--- a/filter/body.go
+++ b/filter/body.go
@@ -57,6 +57,11 @@
 	if !b.Replayable() {
 		return nil, ErrBodyConsumed
 	}
+	if b.complete {
+		// The Transport recognises this reader as one that does not block, and
+		// sends the headers and the body in one write.
+		return io.NopCloser(bytes.NewReader(b.prefix)), nil
+	}
 	return &bodyReader{body: b, prefix: bytes.NewReader(b.prefix)}, nil
 }
 
@@ -84,9 +89,6 @@
 	if r.prefix.Len() > 0 {
 		return r.prefix.Read(p)
 	}
-	if r.body.complete {
-		return 0, io.EOF
-	}
 	if !r.owner {
 		if !r.body.take() {
 			return 0, ErrBodyConsumed
@@ -140,6 +142,14 @@
 	return b
 }
 
+// ReadAhead buffers the whole body if its length is known and at most limit.
+func (b *Body) ReadAhead(limit int64) error {
+	if b.complete || b.Length < 0 || b.Length > limit {
+		return nil
+	}
+	return b.fill(limit)
+}
+
 // fill reads up to limit bytes ahead.
 func (b *Body) fill(limit int64) error {
 	if b.complete {
--- a/filter/body_test.go
+++ b/filter/body_test.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// Guards against a small body at the server node that cannot be sent again, and
+// against reading a large one ahead.
+func TestReadAhead(t *testing.T) {
+	for _, tt := range []struct {
+		length int64
+		whole  bool
+	}{{8, true}, {9, false}, {-1, false}} {
+		r := httptest.NewRequest("POST", "/x", strings.NewReader("123456789"[:max(tt.length, 1)]))
+		r.ContentLength = tt.length
+		b := NewBody(r)
+		if err := b.ReadAhead(8); err != nil || b.Whole() != tt.whole {
+			t.Errorf("%+v: whole %v, %v", tt, b.Whole(), err)
+		}
+	}
+}
+
 // Guards against a claim without the whole body, and against a body that ends early.
 func TestBodyWithKey(t *testing.T) {
 	k := clock.NewManual(time.Unix(1000, 0))
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -180,6 +180,9 @@
 	c.Deadline = c.Started.Add(meta.Remaining)
 	c.Attempts = retry.NewAttempts(meta.AttemptsLeft)
 	c.Body = filter.NewBody(r)
+	if err := p.readAhead(c); err != nil {
+		return err
+	}
 	c.Body.Expect = r.Header.Get(headerExpect) != ""
 	if w, ok := c.Answer.(*filter.Writer); ok && !c.Body.Whole() {
 		w.EnableFullDuplex()
@@ -190,6 +193,26 @@
 	return nil
 }
 
+// readAheadBytes is the size up to which a server node reads a body before the
+// admission. The entry node sends such a body together with the headers.
+const readAheadBytes = 64 << 10
+
+// readAhead makes a small body replayable, so that it can be sent again if an
+// idle connection to the backend server turns out to be closed. A body that is
+// announced with Expect waits for the admission.
+func (p *Proxy) readAhead(c *filter.Call) error {
+	w, ok := c.Answer.(*filter.Writer)
+	if !ok || c.Body.Expect || c.Body.Whole() || c.Meta.Remaining <= 0 {
+		return nil
+	}
+	w.SetReadDeadline(time.Now().Add(c.Meta.Remaining))
+	if err := c.Body.ReadAhead(readAheadBytes); err != nil {
+		return errkind.New(errkind.BadRequest, "read body: %w", err)
+	}
+	w.SetReadDeadline(time.Time{})
+	return nil
+}
+
 // Bounds of the values that a CallMeta may hold.
 const (
 	maxRequestID    = 160
