Test control under failure in separate processes

Cause: accepted changes must survive killed, frozen, cut-off and emptied control instances. Change: e2e tests for killed instances, a lost disk and a second loss, frozen instances, racing operators, a resent change, and one-way and two-way cuts. Ruled out: nothing yet.

--- /dev/null
+++ b/e2e/control_test.go
@@ -0,0 +1,288 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"bramleymill/faultlink"
+)
+
+// Exit statuses of bramleymillctl.
+const (
+	exitAccepted = 0
+	exitRefused  = 2
+)
+
+type status struct {
+	Version   uint64 `json:"version"`
+	Confirmed bool   `json:"confirmed"`
+	Nodes     []struct {
+		Node          string `json:"node"`
+		Live          bool   `json:"live"`
+		ConfigVersion uint64 `json:"config_version"`
+	} `json:"nodes"`
+}
+
+func (f *fleet) statusAt(in *instance) (status, bool) {
+	f.t.Helper()
+	out, code := f.try("bramleymillctl", f.operateAt(in, "status", "--output", "json")...)
+	var s status
+	if code != 0 || json.Unmarshal([]byte(out), &s) != nil {
+		return status{}, false
+	}
+	return s, true
+}
+
+// apply applies a document until it is accepted and returns the version. The
+// change id is kept, so that an answer that was lost is not a second change.
+func (f *fleet) apply(number int) uint64 {
+	f.t.Helper()
+	id := fmt.Sprintf("change-%d", number)
+	file := f.document(number)
+	f.await(id+" accepted", func() bool {
+		_, code := f.try("bramleymillctl", f.operate("apply", file, "--change-id", id)...)
+		return code == exitAccepted
+	})
+	var version uint64
+	f.await("status", func() bool {
+		for _, in := range f.instances {
+			if s, ok := f.statusAt(in); ok && s.Confirmed {
+				version = s.Version
+				return true
+			}
+		}
+		return false
+	})
+	return version
+}
+
+// awaitInForce waits until every node that is live has at least the version.
+func (f *fleet) awaitInForce(version uint64, nodes int) {
+	f.t.Helper()
+	f.await(fmt.Sprintf("version %d at %d nodes", version, nodes), func() bool {
+		for _, in := range f.instances {
+			s, ok := f.statusAt(in)
+			if !ok || !s.Confirmed {
+				continue
+			}
+			current := 0
+			for _, n := range s.Nodes {
+				if n.Live && n.ConfigVersion >= version {
+					current++
+				}
+			}
+			return current >= nodes
+		}
+		return false
+	})
+}
+
+// Guards against accepted changes that are lost or reverted while one control
+// instance after the other is killed and restarted.
+func TestChangesWhileControlInstancesAreKilled(t *testing.T) {
+	f := newFleet(t, fleetOptions{controls: 3, plain: 1})
+	f.begin()
+	last := uint64(1)
+	for round := range 6 {
+		in := f.instances[round%3]
+		in.node.kill()
+		v := f.apply(round + 1)
+		if v != last+1 {
+			t.Fatalf("round %d: version %d after %d", round, v, last)
+		}
+		last = v
+		f.startNode(in)
+	}
+	f.awaitInForce(last, 4)
+	f.ctl("history", "--verify")
+}
+
+// Guards against a lost disk that makes the fleet forget: after the data folder
+// of one control instance is gone and the instance has rejoined, the loss of a
+// second one must lose nothing and stop nothing.
+func TestLostDiskThenASecondLoss(t *testing.T) {
+	f := newFleet(t, fleetOptions{controls: 3, plain: 1})
+	f.begin()
+	before := f.apply(1)
+	f.instances[2].node.kill()
+	if err := os.RemoveAll(f.path("data", f.instances[2].name)); err != nil {
+		t.Fatal(err)
+	}
+	from := len(f.log(f.instances[2]))
+	f.startNode(f.instances[2])
+	f.awaitVotes(f.instances[2], from)
+	f.instances[1].node.kill()
+	after := f.apply(2)
+	if after != before+1 {
+		t.Fatalf("version %d after %d", after, before)
+	}
+	first := f.send(f.instances[3], "POST", "/orders", "order", "key", nil)
+	if first.status != 200 {
+		t.Errorf("order with two of three control instances: %+v", first)
+	}
+	f.startNode(f.instances[1])
+	f.awaitInForce(after, 4)
+}
+
+// awaitVotes waits until the log of a restarted control instance shows that it
+// votes in both groups. from is the size of the log before the restart.
+func (f *fleet) awaitVotes(in *instance, from int) {
+	f.t.Helper()
+	f.await(in.name+" votes again", func() bool {
+		log := f.log(in)[from:]
+		return strings.Contains(log, `msg="vote changed" node=`+in.name+` group=0 votes=true`) &&
+			strings.Contains(log, `msg="vote changed" node=`+in.name+` group=1 votes=true`)
+	})
+}
+
+func (f *fleet) log(in *instance) string {
+	f.t.Helper()
+	b, err := os.ReadFile(f.path(in.name + "-node.log"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return string(b)
+}
+
+// Guards against a control instance that was frozen for longer than every lease
+// and then serves or accepts on its old state.
+func TestFrozenControlInstances(t *testing.T) {
+	f := newFleet(t, fleetOptions{controls: 3, plain: 1})
+	f.begin()
+	last := uint64(1)
+	for i := range 3 {
+		in := f.instances[i]
+		in.node.signal(syscall.SIGSTOP)
+		last = f.apply(i + 1)
+		in.node.signal(syscall.SIGCONT)
+		f.await(in.name+" current after waking", func() bool {
+			s, ok := f.statusAt(in)
+			if ok && s.Confirmed && s.Version < last {
+				t.Fatalf("%s confirmed version %d, %d was accepted", in.name, s.Version, last)
+			}
+			return ok && s.Confirmed && s.Version == last
+		})
+	}
+	f.awaitInForce(last, 4)
+}
+
+// Guards against two operators who both win a race at the same version.
+func TestRacingOperators(t *testing.T) {
+	f := newFleet(t, fleetOptions{controls: 3})
+	f.begin()
+	for round := 1; round <= 15; round++ {
+		var codes [2]int
+		var racing sync.WaitGroup
+		for who := range codes {
+			file := f.document(100*round + who)
+			racing.Go(func() {
+				_, codes[who] = f.try("bramleymillctl", f.operate("apply", file, "--expect", fmt.Sprint(round))...)
+			})
+		}
+		racing.Wait()
+		if codes[0]+codes[1] != exitAccepted+exitRefused || codes[0] == codes[1] {
+			t.Fatalf("round %d: exit statuses %v, want one accepted and one refused", round, codes)
+		}
+	}
+}
+
+// Guards against a change that is applied twice when its answer was lost and it
+// is sent again, also after the leader was killed.
+func TestResentChange(t *testing.T) {
+	f := newFleet(t, fleetOptions{controls: 3})
+	f.begin()
+	file := f.document(1)
+	f.ctl("apply", file, "--change-id", "same")
+	for _, in := range f.instances {
+		in.node.kill()
+		f.await("resent change answered", func() bool {
+			_, code := f.try("bramleymillctl", f.operate("apply", file, "--change-id", "same", "--expect", "1")...)
+			return code == exitAccepted
+		})
+		f.startNode(in)
+		f.await(in.name+" back", func() bool { s, ok := f.statusAt(in); return ok && s.Confirmed })
+	}
+	if s, _ := f.statusAt(f.instances[0]); s.Version != 2 {
+		t.Errorf("version %d, want 2", s.Version)
+	}
+}
+
+// Guards against a control instance that is cut off and still accepts, confirms
+// or disturbs the others when it returns; its own callers must be refused as not
+// run once its configuration is no longer confirmed.
+func TestCutOffControlInstance(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		in, out bool
+	}{{"both ways", true, true}, {"cannot send", false, true}, {"cannot receive", true, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t, fleetOptions{controls: 3, plain: 1, links: true})
+			f.begin()
+			victim := f.instances[0]
+			f.cut(victim, c.in, c.out)
+			last := f.applyWithout(victim, 1)
+			if s, ok := f.statusAt(victim); ok && s.Confirmed && s.Version < last {
+				t.Errorf("the cut-off instance confirmed version %d, %d was accepted", s.Version, last)
+			}
+			if _, code := f.try("bramleymillctl", f.operateAt(victim, "apply", f.document(50), "--expect", "1")...); code == exitAccepted {
+				t.Error("the cut-off instance accepted a change at an old version")
+			}
+			f.heal()
+			f.await("cut-off instance current", func() bool {
+				s, ok := f.statusAt(victim)
+				return ok && s.Confirmed && s.Version == last
+			})
+			f.awaitInForce(last, 4)
+		})
+	}
+}
+
+func (f *fleet) applyWithout(victim *instance, number int) uint64 {
+	f.t.Helper()
+	file := f.document(number)
+	var version uint64
+	f.await("change accepted by the others", func() bool {
+		for _, in := range f.instances {
+			if in == victim || !in.control {
+				continue
+			}
+			_, code := f.try("bramleymillctl", f.operateAt(in, "apply", file, "--change-id", fmt.Sprint("cut-", number))...)
+			s, ok := f.statusAt(in)
+			if code == exitAccepted && ok && s.Confirmed {
+				version = s.Version
+				return true
+			}
+		}
+		return false
+	})
+	return version
+}
+
+// cut stops control traffic of an instance in the chosen directions.
+func (f *fleet) cut(victim *instance, in, out bool) {
+	source := victim.address["peer"]
+	for _, other := range f.instances {
+		if other == victim {
+			continue
+		}
+		if out { // requests to others, and answers to their requests
+			other.link.Set(source, faultlink.Forward, faultlink.Cut)
+			victim.link.Set(other.address["peer"], faultlink.Backward, faultlink.Cut)
+		}
+		if in {
+			other.link.Set(source, faultlink.Backward, faultlink.Cut)
+			victim.link.Set(other.address["peer"], faultlink.Forward, faultlink.Cut)
+		}
+	}
+}
+
+func (f *fleet) heal() {
+	for _, in := range f.instances {
+		in.link.Heal()
+	}
+}
--- a/node/control.go
+++ b/node/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -138,12 +139,14 @@
 func (c *control) maintainConfirmation(ctx context.Context) {
 	t := time.NewTicker(confirmInterval)
 	defer t.Stop()
+	votes := map[*replica.Group]bool{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		c.logVotes(votes)
 		if _, leads := c.config.Confirmed(); leads {
 			continue
 		}
@@ -156,6 +159,19 @@
 	}
 }
 
+// logVotes logs when this replica gains or loses its vote in a group, so that
+// an operator sees when a replaced instance counts again.
+func (c *control) logVotes(votes map[*replica.Group]bool) {
+	for _, g := range []*replica.Group{c.config, c.claims} {
+		s := g.Status()
+		now := slices.ContainsFunc(s.Voters, func(m raft.Member) bool { return m.ID == s.ID })
+		if now != votes[g] {
+			votes[g] = now
+			c.logger.Info("vote changed", "group", s.Group, "votes", now, "voters", len(s.Voters))
+		}
+	}
+}
+
 // maintainLimits sets the limits of the claim store from the settings of the
 // instance that leads the claims group.
 func (c *control) maintainLimits(ctx context.Context, client *claim.Client) {
