operator: state that the fleet view is that of a control instance

Cause: a wait over the partial view of another node would end before every node has applied the change. Change: comments of FleetView and Config. Ruled out: a check in the server, which cannot tell a partial view.

--- a/operator/server.go
+++ b/operator/server.go
@@ -34,7 +34,9 @@
 	Confirm(ctx context.Context) error
 }
 
-// FleetView lists the nodes of the fleet.
+// FleetView lists the nodes of the fleet. It is the registry of a control
+// instance, because other nodes know only the services that they call and a
+// wait would end without the rest.
 type FleetView interface {
 	Nodes() []NodeStatus
 }
@@ -55,8 +57,8 @@
 	Bootstrap(ctx context.Context) error
 }
 
-// Config is what a Server needs. The fields from State to Bootstrapper are nil
-// on a node without the control role, where their requests are refused.
+// Config is what a Server needs. State, Confirmer, Bootstrapper and Fleet are
+// nil on a node without the control role, where their requests are refused.
 type Config struct {
 	Node     fleet.NodeID
 	Identify Identify
