Batch stream credits, flush replies on close, test the remaining rules

Cause: quic-go returned the right to open a stream after each message, which took two more packets. Close discarded the replies of handlers that had just finished. Following, leaving, callbacks, back-off and the key commands had no tests.

Change: credits are returned in batches of 16. Close waits 100 ms for the last replies to leave.

Ruled out: waiting for the acknowledgement of the replies (quic-go does not report it), and one long stream for heartbeats (the design has one stream for each message, without blocking between them).

--- /dev/null
+++ b/cmd/bramleymillctl/keys_test.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"bramleymill/keys"
+)
+
+func run(args ...string) error {
+	c := newRootCommand()
+	c.SetArgs(args)
+	c.SetOut(io.Discard)
+	return c.Execute()
+}
+
+// Guards against a fleet that is made in one command but lacks a key, and against
+// a second run that replaces the authority or a key.
+func TestKeysFleet(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "keys")
+	if err := run("keys", "fleet", "--folder", folder, "control-1:control", "katalog-1", "anna:operator"); err != nil {
+		t.Fatal(err)
+	}
+	for name, role := range map[string]string{"control-1": "control", "katalog-1": "node", "anna": "operator"} {
+		s, err := keys.Load(keys.Config{Files: keys.Files{Authority: filepath.Join(folder, keys.AuthorityFile),
+			Certificate: filepath.Join(folder, name+".pem"), PrivateKey: filepath.Join(folder, name+".key")}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, r := s.Self(); string(n) != name || string(r) != role {
+			t.Errorf("%s: certificate of %s with role %s", name, n, r)
+		}
+	}
+	authority, err := os.ReadFile(filepath.Join(folder, keys.AuthorityFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := run("keys", "fleet", "--folder", folder, "katalog-1"); err == nil {
+		t.Error("existing key replaced without being asked to")
+	}
+	if err := run("keys", "fleet", "--folder", folder, "--overwrite", "katalog-1", "katalog-2"); err != nil {
+		t.Error(err)
+	}
+	after, err := os.ReadFile(filepath.Join(folder, keys.AuthorityFile))
+	if err != nil || string(after) != string(authority) {
+		t.Errorf("authority replaced, error %v", err)
+	}
+	for _, step := range []string{"trust", "reissue", "drop"} {
+		if err := run("keys", "rotate", step, "--folder", folder); err != nil {
+			t.Errorf("rotate %s: %v", step, err)
+		}
+	}
+}
--- a/member/config_test.go
+++ b/member/config_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -78,6 +79,8 @@
 func TestVersionsNeverGoDown(t *testing.T) {
 	s := newSim(t, 3, 4)
 	s.startNodes(30, "katalog")
+	var told []uint64
+	s.names[nodeName(29)].OnConfig(func(v uint64, _ []byte) { told = append(told, v) })
 	highest := map[*member.Member]uint64{} // of each process
 	s.after = func() {
 		s.each("", func(n fleet.NodeID, m *member.Member) {
@@ -104,6 +107,9 @@
 	}
 	s.setVersion(8)
 	s.runUntil(4*time.Second, "version 8 everywhere", func() bool { return s.everywhere(8) })
+	if !slices.Equal(told, []uint64{1, 7, 8}) {
+		t.Errorf("callbacks told versions %v, want 1, 7 and 8", told)
+	}
 }
 
 // Guards against a restarted node that adopts what a cut-off parent has.
--- a/member/core_test.go
+++ b/member/core_test.go
@@ -178,3 +178,15 @@
 		t.Error("node kept that nobody hears")
 	}
 }
+
+// Guards against a lookup on the request path that allocates.
+func TestServersDoesNotAllocate(t *testing.T) {
+	m, net := startControl(t)
+	c := join(net, "katalog-1", fleet.RoleNode)
+	if err := c.Call(context.Background(), "c", kindHeartbeat, &heartbeat{Self: serverOf("katalog-1", 1, fleet.Ready)}, &heartbeatReply{}); err != nil {
+		t.Fatal(err)
+	}
+	if n := testing.AllocsPerRun(100, func() { m.Servers("katalog") }); n != 0 || len(m.Servers("katalog")) != 1 {
+		t.Errorf("%v allocations for %d servers", n, len(m.Servers("katalog")))
+	}
+}
--- a/member/spread_test.go
+++ b/member/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime"
 	"testing"
 	"time"
 
@@ -121,6 +122,32 @@
 	}
 }
 
+// Guards against a shutdown that goes on before anyone knows of it.
+func TestLeaveWaitsForNeighbour(t *testing.T) {
+	s := newSim(t, 2, 8)
+	s.startNodes(4, "katalog")
+	s.settle("katalog", 4)
+	for _, n := range []fleet.NodeID{nodeName(2), controlName(1)} {
+		m := s.names[n]
+		done := make(chan error, 1)
+		go func() { done <- m.Leave(context.Background()) }()
+		left := func() bool { return m.Self().State == fleet.Left }
+		for !left() {
+			runtime.Gosched()
+		}
+		s.runUntil(time.Second, "left everywhere", func() bool { return s.gone(nodeName(2), "katalog") })
+		s.run(time.Second)
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		s.stop(n)
+	}
+	s.run(5 * time.Second)
+	if got := len(s.names[nodeName(0)].Servers("katalog")); got != 3 {
+		t.Errorf("%d servers, want 3", got)
+	}
+}
+
 // Guards against crash reports that reach some nodes only, twice, or for ever.
 func TestCrashReportsSpread(t *testing.T) {
 	s := newSim(t, 3, 3)
--- a/transport/call.go
+++ b/transport/call.go
@@ -127,6 +127,7 @@
 }
 
 func (e *Endpoint) serveStream(l *link, s *quic.Stream) {
+	defer l.release(s)
 	if !e.begin() {
 		s.CancelRead(streamCodeCancelled)
 		s.CancelWrite(streamCodeCancelled)
--- a/transport/endpoint.go
+++ b/transport/endpoint.go
@@ -26,6 +26,9 @@
 	initialConnectionWindow = 32 << 10
 	maxConnectionWindow     = 512 << 10
 	maxIncomingStreams      = 64
+	// A peer gets the right to open further streams in batches. One at a time
+	// costs two packets for each message.
+	creditBatch = 16
 
 	handshakeTimeout = 2 * time.Second
 	// Heartbeats keep the connections of the tree open. Others close after this.
@@ -35,6 +38,8 @@
 	// request from a sender that stopped half-way.
 	defaultDeadline = 10 * time.Second
 
+	closeLinger = 100 * time.Millisecond
+
 	closeCodeNormal  quic.ApplicationErrorCode = 0
 	closeCodeRefused quic.ApplicationErrorCode = 1
 	closeCodeSilent  quic.ApplicationErrorCode = 2
@@ -161,6 +166,7 @@
 		MaxConnectionReceiveWindow:     maxConnectionWindow,
 		MaxIncomingStreams:             maxIncomingStreams,
 		MaxIncomingUniStreams:          -1,
+		RequireStreamCreditRelease:     true,
 		DisablePathMTUDiscovery:        true,
 	}
 }
@@ -207,13 +213,28 @@
 	e.closed = true
 	e.mu.Unlock()
 	err := e.waitHandlers(ctx)
+	links := e.takeLinks()
+	if len(links) > 0 {
+		linger(ctx)
+	}
 	e.cancel()
-	for _, l := range e.takeLinks() {
+	for _, l := range links {
 		_ = l.conn.CloseWithError(closeCodeNormal, "shutdown")
 	}
 	return errors.Join(err, e.listener.Close(), e.transport.Close(), e.transport.Conn.Close())
 }
 
+// linger gives the last replies time to reach the peers: closing a connection
+// discards what is still to be sent, and QUIC does not tell when that is done.
+func linger(ctx context.Context) {
+	t := time.NewTimer(closeLinger)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (e *Endpoint) waitHandlers(ctx context.Context) error {
 	done := make(chan struct{})
 	go func() {
--- a/transport/link.go
+++ b/transport/link.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,24 @@
 	peer    Peer
 	made    uint64        // generation of the keys that it was made with
 	checked atomic.Uint64 // generation of the keys that the peer was checked with
+
+	mu    sync.Mutex
+	spent []*quic.Stream // served streams that still count against the peer
+}
+
+// release lets the peer open further streams once a batch has been served.
+func (l *link) release(s *quic.Stream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spent = append(l.spent, s)
+	if len(l.spent) < creditBatch {
+		return
+	}
+	for _, s := range l.spent {
+		s.ReleaseStreamCredit()
+	}
+	clear(l.spent)
+	l.spent = l.spent[:0]
 }
 
 // backoff delays the next dial of an address that could not be reached. While
--- a/transport/rotation_test.go
+++ b/transport/rotation_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
+	"net"
 	"os"
 	"path/filepath"
+	"runtime"
 	"testing"
 	"time"
 
@@ -101,3 +104,77 @@
 	}
 	return s.QUICClient()
 }
+
+// Guards against a node that dials an unreachable peer for every message.
+func TestDialBacksOff(t *testing.T) {
+	f := newFolder(t, "katalog-1", "control-1")
+	clk := clock.NewManual(time.Now())
+	e, err := transport.NewEndpoint(echoMux(), transport.Config{Address: "127.0.0.1:0", Keys: loadStore(t, f, "katalog-1", nil), Clock: clk})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = e.Close(context.Background()) }()
+	// A socket that never answers.
+	silent, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	try := func() {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		if err := e.Call(ctx, silent.LocalAddr().String(), kindEcho, &echo{}, &echo{}); !errors.Is(err, transport.ErrNotSent) {
+			t.Fatalf("error %v, want %v", err, transport.ErrNotSent)
+		}
+	}
+	for range 3 {
+		try()
+	}
+	if n := e.Stats().Dials; n != 1 {
+		t.Errorf("%d dials without time passing, want 1", n)
+	}
+	clk.Advance(2 * time.Second)
+	if try(); e.Stats().Dials != 2 {
+		t.Errorf("%d dials after the back-off, want 2", e.Stats().Dials)
+	}
+}
+
+// Guards against a shutdown that cuts off a handler, and against messages that
+// are taken afterwards.
+func TestCloseWaitsForHandlers(t *testing.T) {
+	f := newFolder(t, "katalog-1", "control-1")
+	started, finish := make(chan struct{}), make(chan struct{})
+	m := transport.NewMux()
+	transport.Handle(m, kindEcho, func(context.Context, transport.Peer, *echo) (*echo, error) {
+		close(started)
+		<-finish
+		return &echo{Text: "done"}, nil
+	})
+	const kindNothing transport.Kind = 2
+	transport.Handle(m, kindNothing, func(context.Context, transport.Peer, *echo) (*echo, error) { return &echo{}, nil })
+	c, err := transport.NewEndpoint(m, transport.Config{Address: "127.0.0.1:0", Keys: loadStore(t, f, "control-1", nil)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = c.Serve(context.Background()) }()
+	n := open(t, loadStore(t, f, "katalog-1", nil))
+	replies := make(chan string, 1)
+	go func() {
+		got, _ := call(t, n, c, echo{})
+		replies <- got
+	}()
+	<-started
+	closed := make(chan error, 1)
+	go func() { closed <- c.Close(context.Background()) }()
+	for c.Call(context.Background(), c.Address(), kindNothing, &echo{}, &echo{}) == nil {
+		runtime.Gosched()
+	}
+	close(finish)
+	if err := <-closed; err != nil {
+		t.Error(err)
+	}
+	if got := <-replies; got != "done" {
+		t.Errorf("reply %q of a handler that ran during the shutdown", got)
+	}
+}
