Keep the time of log entries at the pace of the monotonic clock

Change: the stamped time may run at most 1% faster or slower than the monotonic clock since the last entry, and slews to the wall clock. Ruled out: trusting the wall clock within a bound, because one jump per leader change adds up.

--- a/raft/follower.go
+++ b/raft/follower.go
@@ -125,6 +125,7 @@
 	in := n.incoming
 	n.incoming = nil
 	n.log.reset(in.meta)
+	n.noteEntry()
 	n.stable, n.commit, n.applied = in.meta.Index, in.meta.Index, in.meta.Index
 	n.confs = []confAt{{in.meta.Index, in.meta.Configuration}}
 	n.useConfiguration()
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -30,7 +30,7 @@
 
 func (n *Node) propose(e Entry) uint64 {
 	e.Index, e.Term = n.log.lastIndex()+1, n.hard.Term
-	e.Time = max(n.log.lastTime(), n.now.Unix)
+	e.Time = n.timestamp()
 	n.appendEntries(e)
 	n.lead.unsent = true
 	return e.Index
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -20,6 +20,7 @@
 // its entry is in the log.
 func (n *Node) appendEntries(entries ...Entry) {
 	n.log.append(entries...)
+	n.noteEntry()
 	changed := false
 	for _, e := range entries {
 		if e.Kind == Reconfigure && e.Configuration != nil {
--- a/raft/node.go
+++ b/raft/node.go
@@ -49,10 +49,11 @@
 
 // Node is the core of one replica. It is not safe for concurrent use.
 type Node struct {
-	id     ID
-	timing Timing
-	random *rand.Rand
-	now    Reading
+	id          ID
+	timing      Timing
+	random      *rand.Rand
+	now         Reading
+	lastEntryAt time.Duration // monotonic
 
 	role      Role
 	leader    ID
@@ -98,6 +99,7 @@
 	n.log = memoryLog{baseIndex: s.Base.Index, baseTerm: s.Base.Term, baseTime: s.Base.Time}
 	n.log.append(s.Entries...)
 	n.stable = n.log.lastIndex()
+	n.noteEntry()
 	n.commit, n.applied = s.Snapshot.Index, s.Snapshot.Index
 	n.rebuildConfigurations()
 	n.resetElectionTimer()
