Date audit entries by the submission of the change

Cause: the time of log entries follows the monotonic clock and falls behind while all control instances are stopped; an audit trail has to state wall time. Change: the operator interface stamps each change; the trail and the versions state that time. It is no part of the identity of a change id. Ruled out: stamping in the state machine, which must not read a clock.

--- a/cmd/bramleymillctl/ctl_test.go
+++ b/cmd/bramleymillctl/ctl_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/datadriven"
 
+	"bramleymill/clock"
 	"bramleymill/configstate"
 	"bramleymill/errkind"
 	"bramleymill/fleet"
@@ -121,6 +122,9 @@
 		t.Fatal(err)
 	}
 	s := httptest.NewUnstartedServer(operator.New(operator.Config{
+		// Without a time of submission, changes are dated by the log of the test.
+		Clock: clock.NewManual(time.Unix(0, 0)),
+
 		Node: "control-1", Identify: operator.IdentifyPeer(keys.PeerOf), State: state{g.machine, &g.altered}, Confirmer: g,
 		Proposer: g, Bootstrapper: g, Fleet: g, Explainer: g, Suspects: g, PollInterval: time.Millisecond}))
 	s.TLS = store.AdminServer()
--- a/cmd/bramleymillctl/keys_test.go
+++ b/cmd/bramleymillctl/keys_test.go
@@ -9,7 +9,7 @@
 	"bramleymill/keys"
 )
 
-func run(args ...string) error {
+func execute(args ...string) error {
 	c := newRootCommand()
 	c.SetArgs(args)
 	c.SetOut(io.Discard)
@@ -20,7 +20,7 @@
 // a second run that replaces the authority or a key.
 func TestKeysFleet(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "keys")
-	if err := run("keys", "fleet", "--folder", folder, "control-1:control", "katalog-1", "anna:operator"); err != nil {
+	if err := execute("keys", "fleet", "--folder", folder, "control-1:control", "katalog-1", "anna:operator"); err != nil {
 		t.Fatal(err)
 	}
 	for name, role := range map[string]string{"control-1": "control", "katalog-1": "node", "anna": "operator"} {
@@ -37,10 +37,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := run("keys", "fleet", "--folder", folder, "katalog-1"); err == nil {
+	if err := execute("keys", "fleet", "--folder", folder, "katalog-1"); err == nil {
 		t.Error("existing key replaced without being asked to")
 	}
-	if err := run("keys", "fleet", "--folder", folder, "--overwrite", "katalog-1", "katalog-2"); err != nil {
+	if err := execute("keys", "fleet", "--folder", folder, "--overwrite", "katalog-1", "katalog-2"); err != nil {
 		t.Error(err)
 	}
 	after, err := os.ReadFile(filepath.Join(folder, keys.AuthorityFile))
@@ -48,7 +48,7 @@
 		t.Errorf("authority replaced, error %v", err)
 	}
 	for _, step := range []string{"trust", "reissue", "drop"} {
-		if err := run("keys", "rotate", step, "--folder", folder); err != nil {
+		if err := execute("keys", "rotate", step, "--folder", folder); err != nil {
 			t.Errorf("rotate %s: %v", step, err)
 		}
 	}
--- a/configstate/answers.go
+++ b/configstate/answers.go
@@ -63,10 +63,10 @@
 }
 
 // identity hashes what distinguishes one change from another under the same id.
-// The origin, the expected version and the reason are left out: a change may be
+// The origin, the expected version, the reason and the time are left out: a change may be
 // sent again through another address, after the version was read again, or
 // without its comment.
 func (c Change) identity() Hash {
-	c.ID, c.Origin, c.Expected, c.Reason = "", "", 0, ""
+	c.ID, c.Origin, c.Expected, c.Reason, c.Submitted = "", "", 0, "", 0
 	return HashOf(mustEncode(c))
 }
--- a/configstate/machine.go
+++ b/configstate/machine.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return m.answer(Invalid, err.Error())
 	}
-	v := Version{Version: c.Expected + 1, Time: m.time(), Operator: c.Operator, ChangeID: c.ID, Document: document, Hash: HashOf(document)}
+	v := Version{Version: c.Expected + 1, Time: m.timeOf(c), Operator: c.Operator, ChangeID: c.ID, Document: document, Hash: HashOf(document)}
 	m.docs.add(v)
 	m.publish(&View{Version: v.Version, Document: document, Set: class.NewSet(v.Version, parsed), Orders: m.orders})
 	return m.answer(Accepted, "")
@@ -164,6 +164,14 @@
 
 func (m *Machine) time() time.Time { return time.Unix(0, m.now).UTC() }
 
+// timeOf returns when a change was submitted.
+func (m *Machine) timeOf(c *Change) time.Time {
+	if c.Submitted != 0 {
+		return time.Unix(0, c.Submitted).UTC()
+	}
+	return m.time()
+}
+
 // check refuses a change that is out of bounds.
 func (c *Change) check() error {
 	switch {
@@ -187,7 +195,7 @@
 func (m *Machine) entry(c *Change) Entry {
 	current := m.docs.current()
 	e := Entry{
-		Time:     m.time(),
+		Time:     m.timeOf(c),
 		ChangeID: cut(c.ID, MaxIDBytes),
 		Action:   Action(cut(string(c.Action), MaxNameBytes)),
 		Operator: cut(c.Operator, MaxNameBytes),
--- a/configstate/messages.go
+++ b/configstate/messages.go
@@ -33,6 +33,12 @@
 	Node        fleet.NodeID `cbor:"9,keyasint,omitempty" json:"node,omitempty"`     // for Drain and Undrain
 	Service     string       `cbor:"10,keyasint,omitempty" json:"service,omitempty"` // for ReleaseSuspect
 	Fingerprint uint64       `cbor:"11,keyasint,omitempty" json:"fingerprint,omitempty"`
+
+	// Submitted is the wall clock of the node that took the change from the
+	// operator, in nanoseconds since the Unix epoch. The audit trail states it,
+	// because the time of log entries falls behind while all control instances
+	// are stopped. Zero: the time of the log entry.
+	Submitted int64 `cbor:"12,keyasint,omitempty" json:"submitted,omitempty"`
 }
 
 // Outcome is the decision on a change.
--- /dev/null
+++ b/configstate/submitted_test.go
@@ -0,0 +1,28 @@
+package configstate
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against an audit trail that states the time of the log, which falls
+// behind the wall clock while all control instances are stopped, and against a
+// resent change that counts as another one because it was sent later.
+func TestAuditStatesWhenAChangeWasSubmitted(t *testing.T) {
+	m := New(nil)
+	logTime := time.Unix(1_000_000, 0)
+	submitted := time.Unix(2_000_000, 0).UTC()
+	for i := range 2 {
+		command, err := EncodeChange(Change{ID: "c", Action: Drain, Operator: "op", Node: "n", Submitted: submitted.Add(time.Duration(i) * time.Minute).UnixNano()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		a, err := DecodeAnswer(m.Apply(uint64(i+1), logTime, command))
+		if err != nil || a.Outcome != Accepted || a.Repeated != (i == 1) {
+			t.Fatalf("sending %d: %+v %v", i, a, err)
+		}
+	}
+	if e := m.History(0, 1).Entries[0]; !e.Time.Equal(submitted) {
+		t.Errorf("audit entry of %v, submitted %v", e.Time, submitted)
+	}
+}
--- a/operator/change.go
+++ b/operator/change.go
@@ -61,7 +61,7 @@
 	if s.config.Proposer == nil {
 		return nil, errorf(errkind.ControlUnavailable, "node %s does not reach the configuration group", s.config.Node)
 	}
-	c.Operator, c.Origin = by.Name, r.RemoteAddr
+	c.Operator, c.Origin, c.Submitted = by.Name, r.RemoteAddr, s.config.Clock.Now().UnixNano()
 	command, err := configstate.EncodeChange(c)
 	if err != nil {
 		return nil, errorf(errkind.BadRequest, "%v", err)
--- a/operator/server.go
+++ b/operator/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"bramleymill/clock"
 	"bramleymill/configstate"
 	"bramleymill/errkind"
 	"bramleymill/fleet"
@@ -63,6 +64,7 @@
 	Node     fleet.NodeID
 	Identify Identify
 	Log      *slog.Logger
+	Clock    clock.Clock // stamps changes; nil: the system's
 
 	State        State
 	Confirmer    Confirmer
@@ -90,6 +92,9 @@
 
 // New returns a Server.
 func New(c Config) *Server {
+	if c.Clock == nil {
+		c.Clock = clock.System{}
+	}
 	if c.PollInterval == 0 {
 		c.PollInterval = DefaultPollInterval
 	}
