Rename internals of membership and bound ages from the wire

Cause: some internal names were no terms of the field, and a negative age in a report, a notice or a confirmation would have counted as news from the future.

Change: urgency, renewal and others replace the private names; negative ages count as zero. ConfigSource states what it may not do.

--- a/member/bench_test.go
+++ b/member/bench_test.go
@@ -71,7 +71,7 @@
 	now := m.clock.Now()
 	for i := range nodes {
 		s := serverOf(fleet.NodeID(fmt.Sprintf("katalog-%04d", i)), 1, fleet.Ready)
-		m.core.heardOf(s, false, "control-0", 1, now, now)
+		m.core.mergeReport(s, false, "control-0", 1, now, now)
 	}
 	m.publish()
 	return m, join(net, "katalog-0001", fleet.RoleNode)
--- a/member/config.go
+++ b/member/config.go
@@ -54,7 +54,7 @@
 	retryAfterFailure = 100 * time.Millisecond
 	maxFailures       = 2
 
-	// Hastened messages are merged within these times.
+	// Messages that do not wait for their interval are merged within these times.
 	minNotifyGap    = 50 * time.Millisecond
 	minHeartbeatGap = 20 * time.Millisecond
 	soonGap         = 200 * time.Millisecond
@@ -89,13 +89,15 @@
 type ConfigSource interface {
 	// Accepted returns the newest committed document and the age of the proof
 	// that no newer one is accepted. confirmed is false without such a proof.
+	// It is called for each heartbeat with a lock held: it must neither block nor
+	// call the Member. A document above 512 KiB is not distributed.
 	Accepted() (version uint64, document []byte, age time.Duration, confirmed bool)
 }
 
 // Config configures a Member.
 type Config struct {
-	Self   fleet.Server
-	Seeds  []string // peer addresses of control instances
+	Self   fleet.Server // PeerAddress as other nodes and Seeds state it
+	Seeds  []string     // peer addresses of control instances
 	Client transport.Client
 	Mux    *transport.Mux
 	Clock  clock.Clock
--- a/member/config_test.go
+++ b/member/config_test.go
@@ -134,7 +134,7 @@
 
 // Guards against a node that waits for its heartbeat although a peer has shown it
 // a later version, and against one that asks again for each message.
-func TestPeerVersionHastensHeartbeat(t *testing.T) {
+func TestPeerVersionCausesHeartbeat(t *testing.T) {
 	s := newSim(t, 1, 8)
 	s.startNodes(2, "katalog")
 	s.settle("katalog", 2)
--- a/member/confirm.go
+++ b/member/confirm.go
@@ -68,6 +68,7 @@
 // takeConfig takes the document and the confirmation in a reply to a heartbeat
 // sent at sent.
 func (k *core) takeConfig(reply *heartbeatReply, sent, now time.Time) {
+	reply.Age = max(reply.Age, 0)
 	if reply.Document != nil {
 		k.adopt(reply.Version, reply.Document, now.Sub(sent)+reply.Age, reply.Confirmed)
 	}
--- a/member/core.go
+++ b/member/core.go
@@ -139,7 +139,7 @@
 func (k *core) announce(now time.Time) {
 	e, _ := k.reg.put(k.self, false, now)
 	e.via, e.heard, e.applied, e.claimed = k.id, now, k.conf.version, true
-	k.changed(hasteOf(k.self, false))
+	k.changed(urgencyOf(k.self, false))
 }
 
 // setState announces a new state at once.
@@ -159,12 +159,12 @@
 	k.announce(now)
 }
 
-// changed hastens the messages that carry a change in the own subtree upwards
-// or to the other control instances.
-func (k *core) changed(h haste) {
-	k.up.haste.raise(h)
+// changed brings forward the messages that carry a change in the own subtree
+// upwards or to the other control instances.
+func (k *core) changed(h urgency) {
+	k.up.urgency.raise(h)
 	for _, p := range k.peers {
-		p.haste.raise(h)
+		p.urgency.raise(h)
 	}
 }
 
--- a/member/downstream.go
+++ b/member/downstream.go
@@ -22,7 +22,7 @@
 	children   int                   // of the child
 	assigned   int                   // nodes sent there since its last heartbeat
 	heard      time.Time
-	haste      haste // of a notification
+	urgency    urgency // of a notification
 	inFlight   bool
 	notified   time.Time
 }
@@ -56,8 +56,8 @@
 		return reply
 	}
 	c.address, c.zone, c.heard = h.Self.PeerAddress, h.Self.Zone, now
-	c.children, c.assigned, c.haste = h.Children, 0, 0
-	k.hear(h, c, reply, now)
+	c.children, c.assigned, c.urgency = h.Children, 0, 0
+	k.mergeHeartbeat(h, c, reply, now)
 	k.takeFollows(c, h, reply)
 	k.answer(c, h, reply, now)
 	return reply
@@ -167,21 +167,21 @@
 	}
 	e.via = ""
 	k.reg.touch(e)
-	k.askAgain(e.server.Service)
+	k.refetch(e.server.Service)
 }
 
-// askAgain requests the complete list of a service from the parent, whose earlier
+// refetch requests the complete list of a service from the parent, whose earlier
 // word was set aside for a node in the own subtree.
-func (k *core) askAgain(service string) {
+func (k *core) refetch(service string) {
 	if f := k.follows[service]; f != nil {
 		f.fresh = true
 	}
 }
 
-// hear merges what a heartbeat announces.
-func (k *core) hear(h *heartbeat, c *child, reply *heartbeatReply, now time.Time) {
-	k.heardOf(h.Self, false, k.id, h.Applied, now, now)
-	listed := make(map[fleet.NodeID]bool, len(h.Subtree)+len(h.Pulses))
+// mergeHeartbeat merges what a heartbeat announces.
+func (k *core) mergeHeartbeat(h *heartbeat, c *child, reply *heartbeatReply, now time.Time) {
+	k.mergeReport(h.Self, false, k.id, h.Applied, now, now)
+	listed := make(map[fleet.NodeID]bool, len(h.Subtree)+len(h.Renewals))
 	for _, r := range h.Subtree {
 		if r.Server.Node == k.id || r.Server.Node == c.node {
 			continue
@@ -189,9 +189,9 @@
 		if !r.Lost && r.Server.State != fleet.Left {
 			listed[r.Server.Node] = true
 		}
-		k.heardOf(r.Server, r.Lost, c.node, r.Applied, now.Add(-r.Age), now)
+		k.mergeReport(r.Server, r.Lost, c.node, r.Applied, now.Add(-max(r.Age, 0)), now)
 	}
-	for _, p := range h.Pulses {
+	for _, p := range h.Renewals {
 		listed[p.Node] = true
 		e := k.reg.entries[p.Node]
 		if e == nil || stampOf(e.server) != (stamp{p.Incarnation, p.Sequence}) {
@@ -199,7 +199,7 @@
 			continue
 		}
 		at := now.Add(-time.Duration(p.AgeMillis) * time.Millisecond)
-		k.heardOf(e.server, false, c.node, p.Applied, at, now)
+		k.mergeReport(e.server, false, c.node, p.Applied, at, now)
 	}
 	for n := range c.subtree {
 		if !listed[n] {
@@ -209,9 +209,9 @@
 	c.subtree = listed
 }
 
-// heardOf merges one announcement that came through a child, or directly when
+// mergeReport merges one announcement that came through a child, or directly when
 // via is the own name.
-func (k *core) heardOf(s fleet.Server, lost bool, via fleet.NodeID, applied uint64, at, now time.Time) {
+func (k *core) mergeReport(s fleet.Server, lost bool, via fleet.NodeID, applied uint64, at, now time.Time) {
 	e, o := k.reg.put(s, lost, now)
 	switch {
 	case o == older:
@@ -238,7 +238,7 @@
 		e.via, e.claimed = via, true
 		k.reg.touch(e)
 		// The former parent may be about to drop the node.
-		k.up.haste.raise(atOnce)
+		k.up.urgency.raise(immediate)
 	}
 	if at.After(e.heard) {
 		e.heard, e.suspect = at, nil
@@ -248,10 +248,10 @@
 
 func (k *core) dueNotifications(out []action, now time.Time) []action {
 	for _, c := range k.sortedChildren() {
-		if c.inFlight || !c.haste.due(c.notified, now, minNotifyGap) {
+		if c.inFlight || !c.urgency.due(c.notified, now, minNotifyGap) {
 			continue
 		}
-		c.haste, c.inFlight, c.notified = 0, true, now
+		c.urgency, c.inFlight, c.notified = 0, true, now
 		out = append(out, sendNotify{c.node, c.address})
 	}
 	return out
@@ -268,14 +268,14 @@
 	}
 }
 
-// onNotify hastens the heartbeat to the parent.
+// onNotify brings forward the heartbeat to the parent.
 func (k *core) onNotify(from transport.Peer) *notifyReply {
 	u := &k.up
 	if len(u.path) == 0 || u.path[len(u.path)-1] != from.Node {
 		// A reply that makes the sender the parent may still be on its way.
 		return &notifyReply{Gone: !u.inFlight}
 	}
-	u.haste.raise(atOnce)
+	u.urgency.raise(immediate)
 	return &notifyReply{}
 }
 
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -19,7 +19,7 @@
 	life       uint64       // epoch that its claims belong to
 	claims     map[fleet.NodeID]stamp
 	applied    uint64
-	exceptions map[fleet.NodeID]pulse
+	exceptions map[fleet.NodeID]renewal
 	heard      time.Time
 	full       bool // sent everything since this process started
 
@@ -28,7 +28,7 @@
 	noticed  uint64 // own notice revision that it has
 	next     time.Time
 	last     time.Time
-	haste    haste
+	urgency  urgency
 	inFlight bool
 }
 
@@ -55,10 +55,10 @@
 		k.finishSync()
 	}
 	for _, p := range k.sortedPeers() {
-		if p.inFlight || (now.Before(p.next) && !p.haste.due(p.last, now, minNotifyGap)) {
+		if p.inFlight || (now.Before(p.next) && !p.urgency.due(p.last, now, minNotifyGap)) {
 			continue
 		}
-		p.inFlight, p.haste, p.last = true, 0, now
+		p.inFlight, p.urgency, p.last = true, 0, now
 		p.next = now.Add(k.jitter(HeartbeatInterval, heartbeatJitter))
 		out = append(out, k.exchangeFor(p, now))
 	}
@@ -89,7 +89,7 @@
 	for _, e := range entries {
 		age := now.Sub(e.heard)
 		if e.active() && e.via != "" && (e.applied != x.Applied || age >= 2*HeartbeatInterval) {
-			x.Exceptions = append(x.Exceptions, pulse{e.server.Node, e.server.Incarnation, e.server.Sequence, e.applied, uint32(age.Milliseconds())})
+			x.Exceptions = append(x.Exceptions, renewal{e.server.Node, e.server.Incarnation, e.server.Sequence, e.applied, uint32(age.Milliseconds())})
 		}
 	}
 	var noticed uint64
@@ -119,13 +119,13 @@
 	if reply.Resync || (restarted && !a.request.Full) {
 		p.acked = 0
 		if restarted {
-			p.haste.raise(atOnce)
+			p.urgency.raise(immediate)
 		}
 		return
 	}
 	p.acked, p.noticed = a.upTo, a.notices
 	if p.noticed < k.notices.rev {
-		p.haste.raise(atOnce)
+		p.urgency.raise(immediate)
 	}
 }
 
@@ -144,12 +144,12 @@
 	if p.life != x.Epoch {
 		// The peer started anew, or was taken for dead: it may lack what is heard here.
 		p.life, p.acked, p.noticed = x.Epoch, 0, 0
-		p.haste.raise(atOnce)
+		p.urgency.raise(immediate)
 	}
 	p.node, p.heard = from.Node, now
 	k.takeClaims(p, x, now)
 	p.applied = x.Applied
-	p.exceptions = make(map[fleet.NodeID]pulse, len(x.Exceptions))
+	p.exceptions = make(map[fleet.NodeID]renewal, len(x.Exceptions))
 	for _, e := range x.Exceptions {
 		p.exceptions[e.Node] = e
 	}
--- a/member/follow.go
+++ b/member/follow.go
@@ -42,7 +42,7 @@
 		f = &follow{fresh: true, used: now}
 		k.follows[service] = f
 		k.up.listKnown = false
-		k.up.haste.raise(atOnce)
+		k.up.urgency.raise(immediate)
 	}
 	return f
 }
@@ -193,7 +193,7 @@
 		f.fresh = false
 		if !f.complete {
 			f.finish()
-			k.spreadService(l.Service, atOnce)
+			k.spreadService(l.Service, immediate)
 			k.reg.dirty[l.Service] = struct{}{}
 		}
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -159,7 +159,7 @@
 }
 
 // PeerVersion takes the configuration version in a message of another node. A
-// higher one than the own hastens the next heartbeat.
+// higher one than the own brings forward the next heartbeat.
 func (m *Member) PeerVersion(v uint64) {
 	if v <= m.version.Load() {
 		return
@@ -174,7 +174,7 @@
 		}
 	}
 	m.mu.Lock()
-	m.core.up.haste.raise(atOnce)
+	m.core.up.urgency.raise(immediate)
 	m.mu.Unlock()
 	m.wakeUp()
 }
--- a/member/messages.go
+++ b/member/messages.go
@@ -28,7 +28,7 @@
 	ListSent   bool         `cbor:"8,keyasint,omitempty"` // Follows is filled in
 	Fresh      []string     `cbor:"9,keyasint,omitempty"` // followed services without a complete answer yet
 	Subtree    []report     `cbor:"10,keyasint,omitempty"`
-	Pulses     []pulse      `cbor:"11,keyasint,omitempty"`
+	Renewals   []renewal    `cbor:"11,keyasint,omitempty"`
 	Children   int          `cbor:"12,keyasint,omitempty"`
 	NoticeRev  uint64       `cbor:"13,keyasint,omitempty"` // notices of the parent seen so far
 	Notices    []notice     `cbor:"14,keyasint,omitempty"`
@@ -43,8 +43,8 @@
 	Age     time.Duration `cbor:"4,keyasint,omitempty"` // since the node was heard
 }
 
-// pulse renews the lease of a node whose announcement the receiver has.
-type pulse struct {
+// renewal renews the lease of a node whose announcement the receiver has.
+type renewal struct {
 	Node        fleet.NodeID      `cbor:"1,keyasint"`
 	Incarnation fleet.Incarnation `cbor:"2,keyasint"`
 	Sequence    uint64            `cbor:"3,keyasint"`
@@ -134,7 +134,7 @@
 	Items      []item       `cbor:"4,keyasint,omitempty"`
 	Digest     uint64       `cbor:"5,keyasint"`           // of all that the sender hears
 	Applied    uint64       `cbor:"6,keyasint,omitempty"` // by the nodes outside Exceptions
-	Exceptions []pulse      `cbor:"7,keyasint,omitempty"`
+	Exceptions []renewal    `cbor:"7,keyasint,omitempty"`
 	Notices    []notice     `cbor:"8,keyasint,omitempty"`
 }
 
--- a/member/notice.go
+++ b/member/notice.go
@@ -41,7 +41,7 @@
 	if _, ok := l.known[n.id()]; ok {
 		return false
 	}
-	born := now.Add(-n.Age)
+	born := now.Add(-max(n.Age, 0))
 	if len(l.records) >= maxNotices {
 		if born.Before(l.records[0].born) {
 			return false
@@ -94,7 +94,7 @@
 	k.notices.number++
 	n := notice{Origin: k.id, Incarnation: k.self.Incarnation, Number: k.notices.number, Topic: topic, Payload: payload}
 	if k.notices.add(n, "", now) {
-		k.passOn("")
+		k.forward("")
 	}
 }
 
@@ -104,14 +104,14 @@
 		return
 	}
 	k.events = append(k.events, noticeEvent{n.Topic, n.Origin, n.Payload})
-	k.passOn(from)
+	k.forward(from)
 }
 
-func (k *core) passOn(from fleet.NodeID) {
+func (k *core) forward(from fleet.NodeID) {
 	for _, c := range k.children {
 		if c.node != from {
-			c.haste.raise(atOnce)
+			c.urgency.raise(immediate)
 		}
 	}
-	k.changed(atOnce)
+	k.changed(immediate)
 }
--- a/member/run.go
+++ b/member/run.go
@@ -123,23 +123,23 @@
 			next = t
 		}
 	}
-	hastened := k.beats() && k.up.address != "" && k.up.haste > 0
-	if k.beats() && !k.up.inFlight {
+	urgent := k.sendsHeartbeats() && k.up.address != "" && k.up.urgency > 0
+	if k.sendsHeartbeats() && !k.up.inFlight {
 		earlier(k.up.next)
 	}
 	if k.control() || len(k.children) > 0 {
 		earlier(k.nextScan)
 	}
 	for _, p := range k.peers {
-		hastened = hastened || p.haste > 0
+		urgent = urgent || p.urgency > 0
 		if !p.inFlight {
 			earlier(p.next)
 		}
 	}
 	for _, c := range k.children {
-		hastened = hastened || c.haste > 0
+		urgent = urgent || c.urgency > 0
 	}
-	if hastened {
+	if urgent {
 		earlier(now.Add(minHeartbeatGap))
 	}
 	return max(next.Sub(now), time.Millisecond)
@@ -147,16 +147,16 @@
 
 // hurries reports whether a message waits that is not bound to an interval.
 func (k *core) hurries() bool {
-	if k.beats() && k.up.haste == atOnce {
+	if k.sendsHeartbeats() && k.up.urgency == immediate {
 		return true
 	}
 	for _, c := range k.children {
-		if c.haste == atOnce {
+		if c.urgency == immediate {
 			return true
 		}
 	}
 	for _, p := range k.peers {
-		if p.haste == atOnce {
+		if p.urgency == immediate {
 			return true
 		}
 	}
--- a/member/suspect.go
+++ b/member/suspect.go
@@ -165,7 +165,7 @@
 // lose drops a node, unless another control instance hears it. The nodes heard
 // only through it are suspects at once.
 func (k *core) lose(e *entry, now time.Time) {
-	k.askAgain(e.server.Service)
+	k.refetch(e.server.Service)
 	e.suspect = nil
 	if c := k.children[e.server.Node]; c != nil {
 		k.release(c.node)
--- a/member/upstream.go
+++ b/member/upstream.go
@@ -21,7 +21,7 @@
 	listHash   uint64
 	candidates []string // addresses to try before a seed
 	next       time.Time
-	haste      haste
+	urgency    urgency
 	last       time.Time
 	exploreAt  time.Time
 	inFlight   bool
@@ -52,8 +52,8 @@
 	}
 }
 
-// beats reports whether this member sends heartbeats.
-func (k *core) beats() bool {
+// sendsHeartbeats reports whether this member sends heartbeats.
+func (k *core) sendsHeartbeats() bool {
 	return !k.control() && !k.superseded && !k.up.left && len(k.up.seeds) > 0
 }
 
@@ -61,7 +61,7 @@
 
 func (k *core) dueHeartbeat(out []action, now time.Time) []action {
 	u := &k.up
-	if u.inFlight || !k.beats() {
+	if u.inFlight || !k.sendsHeartbeats() {
 		return out
 	}
 	if u.address == "" {
@@ -70,7 +70,7 @@
 		}
 		return k.heartbeatTo(out, k.nextCandidate(), false, now)
 	}
-	if now.Before(u.next) && !u.haste.due(u.last, now, minHeartbeatGap) {
+	if now.Before(u.next) && !u.urgency.due(u.last, now, minHeartbeatGap) {
 		return k.dueExploration(out, now)
 	}
 	return k.heartbeatTo(out, u.address, false, now)
@@ -124,7 +124,7 @@
 	if explore {
 		return append(out, sendHeartbeat{address: address, request: &heartbeat{Self: k.self, Explore: true}, sent: now})
 	}
-	u.last, u.haste = now, 0
+	u.last, u.urgency = now, 0
 	h := &heartbeat{
 		Self:      k.self,
 		Applied:   k.conf.version,
@@ -143,7 +143,7 @@
 }
 
 // addSubtree lists every node of the subtree: as a report when it changed since
-// the parent confirmed the last one, otherwise as a pulse.
+// the parent confirmed the last one, otherwise as a renewal.
 func (k *core) addSubtree(h *heartbeat, now time.Time) {
 	for _, e := range k.reg.sorted() {
 		if e.server.Node == k.id || (e.via == "" && !(e.claimed && !e.active())) {
@@ -155,7 +155,7 @@
 			continue
 		}
 		if e.active() {
-			h.Pulses = append(h.Pulses, pulse{e.server.Node, e.server.Incarnation, e.server.Sequence, e.applied, uint32(age.Milliseconds())})
+			h.Renewals = append(h.Renewals, renewal{e.server.Node, e.server.Incarnation, e.server.Sequence, e.applied, uint32(age.Milliseconds())})
 		}
 	}
 }
@@ -255,7 +255,7 @@
 	u.left = k.leaving && a.request.Self.State == fleet.Left
 	u.listKnown = u.listKnown && !reply.NeedFollows
 	if reply.NeedReports || reply.NeedFollows || reply.More {
-		u.haste.raise(atOnce)
+		u.urgency.raise(immediate)
 	}
 	k.addSeeds(reply.Controls)
 	k.takeServices(reply, now)
