Test admission and let early deadlines outlast circles of checks

Cause: chains of 17 checks in a circle of 17 services ended, but all of them failed, since every waiting check gave up at the same time. Change: an internal request waits up to twice InternalWait the more running requests have a later deadline. Without giving back the slot of a request canceled at its admission the gate test does not end.

--- a/admit/config.go
+++ b/admit/config.go
@@ -16,7 +16,7 @@
 	Reserved         int           // slots for privileged requests; default a fifth, at least 1
 	DelayTarget      time.Duration // queue delay that is acceptable for longer than DelayInterval
 	DelayInterval    time.Duration
-	InternalWait     time.Duration // longest wait of an internal request
+	InternalWait     time.Duration // longest wait of an internal request; up to twice that for early deadlines
 	EstimateTrust    time.Duration // age at which a service-time estimate counts half
 }
 
--- a/admit/controller.go
+++ b/admit/controller.go
@@ -40,6 +40,7 @@
 }
 
 type running struct {
+	deadline   time.Time
 	privileged bool
 	class      string
 }
@@ -91,7 +92,7 @@
 	c.sequence++
 	w := waiting{id: id, request: r, rank: r.rank(), arrived: now, giveUp: r.Deadline, sequence: c.sequence}
 	if r.Internal {
-		w.giveUp = earlier(w.giveUp, now.Add(c.config.InternalWait))
+		w.giveUp = earlier(w.giveUp, now.Add(c.internalWait(r)))
 	}
 	position := c.queue.position(&w)
 	wait := c.expectedWait(now, r, position)
--- /dev/null
+++ b/admit/gate_test.go
@@ -0,0 +1,160 @@
+package admit
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+func newGate(c Config) (*Gate, *clock.Manual) {
+	clk := clock.NewManual(start)
+	return NewGate(c, clk), clk
+}
+
+func ordinary(deadline time.Duration) Request {
+	return Request{Urgency: fleet.UrgencyNormal, Deadline: start.Add(deadline), Class: "a"}
+}
+
+// waitQueued returns when n requests wait.
+func waitQueued(g *Gate, n int) {
+	for g.Load().Queued != n {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// acquire runs Acquire in the background.
+func acquire(ctx context.Context, g *Gate, r Request) <-chan *errkind.Error {
+	out := make(chan *errkind.Error, 1)
+	go func() {
+		_, err := g.Acquire(ctx, r)
+		out <- err
+	}()
+	return out
+}
+
+func mustAcquire(t *testing.T, g *Gate, r Request) func(time.Duration) {
+	t.Helper()
+	release, err := g.Acquire(context.Background(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return release
+}
+
+// Guards against more executions than slots and against lost slots when many
+// requests come, go and are canceled at the same time.
+func TestGateNeverExceedsItsSlots(t *testing.T) {
+	g := NewGate(Config{Slots: 4, Reserved: 1, QueueLength: 8}, clock.System{})
+	var running, most atomic.Int64
+	var wg sync.WaitGroup
+	for w := range 16 {
+		wg.Go(func() {
+			for i := range 200 {
+				ctx, cancel := context.WithCancel(context.Background())
+				if (w+i)%3 == 0 {
+					time.AfterFunc(50*time.Microsecond, cancel)
+				}
+				release, err := g.Acquire(ctx, Request{Urgency: fleet.UrgencyNormal, Deadline: time.Now().Add(time.Minute), Class: "a"})
+				if err == nil {
+					n := running.Add(1)
+					for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+					}
+					time.Sleep(10 * time.Microsecond)
+					running.Add(-1)
+					release(0)
+					release(0) // a second call has no effect
+				}
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	if most.Load() > 3 {
+		t.Errorf("%d ordinary requests ran in 3 slots", most.Load())
+	}
+	if l := g.Load(); l.InFlight != 0 || l.Queued != 0 {
+		t.Errorf("load after all requests ended is %+v", l)
+	}
+}
+
+// Guards against a caller that has gone keeping its place in the queue.
+func TestCanceledWaiterLeavesTheQueue(t *testing.T) {
+	g, _ := newGate(Config{Slots: 2, QueueLength: 2})
+	release := mustAcquire(t, g, ordinary(time.Minute))
+	ctx, cancel := context.WithCancel(context.Background())
+	waiter := acquire(ctx, g, ordinary(time.Minute))
+	waitQueued(g, 1)
+	cancel()
+	if err := <-waiter; err == nil || err.Kind != errkind.CallerGone {
+		t.Errorf("canceled waiter got %v", err)
+	}
+	release(0)
+	if l := g.Load(); l.InFlight != 0 || l.Queued != 0 {
+		t.Errorf("load is %+v", l)
+	}
+}
+
+// Guards against a waiter that is never told when nothing else happens at the
+// server: its deadline passes on the clock of the gate.
+func TestWaiterIsRefusedAtItsDeadline(t *testing.T) {
+	g, clk := newGate(Config{Slots: 2, QueueLength: 2})
+	defer mustAcquire(t, g, ordinary(time.Minute))(0)
+	waiter := acquire(context.Background(), g, ordinary(time.Millisecond))
+	waitQueued(g, 1)
+	clk.Advance(time.Millisecond)
+	if err := <-waiter; err == nil || err.Kind != errkind.DeadlineBeforeRun {
+		t.Errorf("waiter got %v after its deadline", err)
+	}
+}
+
+// Guards against new work during a drain, against waiters that run during it,
+// and against a drain that ends before the running requests do.
+func TestDrain(t *testing.T) {
+	g, _ := newGate(Config{Slots: 2, QueueLength: 2})
+	release := mustAcquire(t, g, ordinary(time.Minute))
+	waiter := acquire(context.Background(), g, ordinary(time.Minute))
+	waitQueued(g, 1)
+	drained := g.Drain()
+	if err := <-waiter; err == nil || err.Kind != errkind.Draining {
+		t.Errorf("waiter got %v", err)
+	}
+	if _, err := g.Acquire(context.Background(), ordinary(time.Minute)); err == nil || err.Kind != errkind.Draining {
+		t.Errorf("new request got %v", err)
+	}
+	select {
+	case <-drained:
+		t.Error("drain ended while a request was running")
+	default:
+	}
+	g.Refuse(errkind.BackendDown)
+	release(time.Millisecond)
+	<-drained
+	if l := g.Load(); l.Closed != errkind.Draining {
+		t.Errorf("a drain was replaced by %s", l.Closed)
+	}
+	<-g.Drain() // nothing runs
+	g.Open()
+	mustAcquire(t, g, ordinary(time.Minute))(0)
+}
+
+func BenchmarkGate(b *testing.B) {
+	g := NewGate(Config{Slots: 1000, QueueLength: 10}, clock.System{})
+	deadline := time.Now().Add(time.Hour)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			release, err := g.Acquire(context.Background(), Request{Urgency: fleet.UrgencyNormal, Deadline: deadline, Class: "a"})
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			release(time.Millisecond)
+		}
+	})
+}
--- /dev/null
+++ b/admit/property_test.go
@@ -0,0 +1,124 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+// model follows a Controller from the outside.
+type model struct {
+	c       *Controller
+	now     time.Time
+	queued  map[uint64]Request
+	running map[uint64]Request
+	nextID  uint64
+}
+
+func (m *model) apply(t *rapid.T, actions []Action) {
+	for _, a := range actions {
+		r, ok := m.queued[a.ID]
+		if !ok {
+			t.Fatalf("action on %d, which is not queued", a.ID)
+		}
+		delete(m.queued, a.ID)
+		if a.Kind != "" {
+			if errkind.Lookup(a.Kind).Outcome == errkind.Unknown {
+				t.Fatalf("request that did not run is refused as %s", a.Kind)
+			}
+			continue
+		}
+		if !m.now.Before(r.Deadline) {
+			t.Fatalf("%d started after its deadline", a.ID)
+		}
+		for id, o := range m.queued {
+			if o.rank() > r.rank() || o.rank() == r.rank() && o.Deadline.Before(r.Deadline) && o.privileged() == r.privileged() {
+				t.Fatalf("%d (rank %d, deadline %v) started before %d (rank %d, deadline %v)", a.ID, r.rank(), r.Deadline, id, o.rank(), o.Deadline)
+			}
+		}
+		m.running[a.ID] = r
+	}
+}
+
+func (m *model) offer(t *rapid.T) {
+	r := Request{
+		Urgency:  fleet.Urgency(rapid.IntRange(1, 4).Draw(t, "urgency")),
+		Internal: rapid.Bool().Draw(t, "internal"),
+		Deadline: m.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "deadline")) * time.Millisecond),
+		Class:    rapid.SampledFrom([]string{"a", "b"}).Draw(t, "class"),
+		Movable:  rapid.Bool().Draw(t, "movable"),
+	}
+	m.nextID++
+	verdict, _, actions := m.c.Offer(m.now, m.nextID, r)
+	m.apply(t, actions)
+	switch verdict {
+	case Admitted:
+		m.running[m.nextID] = r
+	case Queued:
+		m.queued[m.nextID] = r
+	}
+}
+
+func (m *model) check(t *rapid.T, c Config) {
+	l := m.c.Load(m.now)
+	if l.InFlight != len(m.running) || l.Queued != len(m.queued) {
+		t.Fatalf("load %+v, but %d run and %d wait", l, len(m.running), len(m.queued))
+	}
+	ordinary := 0
+	for _, r := range m.running {
+		if !r.privileged() {
+			ordinary++
+		}
+	}
+	if c = c.withDefaults(); l.InFlight > c.Slots || ordinary > c.Slots-c.Reserved || l.Queued > c.QueueLength {
+		t.Fatalf("%d run, %d of them ordinary, and %d wait; the limits are %+v", l.InFlight, ordinary, l.Queued, c)
+	}
+}
+
+// Guards against more executions than slots, use of reserved slots by ordinary
+// requests, a queue out of order, requests that are lost or decided twice, and
+// requests that wait past their deadline.
+func TestSlotsAndQueueOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Config{
+			Slots:       rapid.IntRange(1, 6).Draw(t, "slots"),
+			QueueLength: rapid.IntRange(0, 6).Draw(t, "queue"),
+			Connections: rapid.IntRange(0, 8).Draw(t, "connections"),
+		}
+		m := &model{c: NewController(c), now: start, queued: map[uint64]Request{}, running: map[uint64]Request{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": m.offer,
+			"done": func(t *rapid.T) {
+				id := rapid.Uint64Range(1, m.nextID+1).Draw(t, "id")
+				if _, ok := m.running[id]; ok {
+					delete(m.running, id)
+					m.apply(t, m.c.Done(m.now, id, time.Duration(rapid.IntRange(0, 50).Draw(t, "served"))*time.Millisecond))
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				id := rapid.Uint64Range(1, m.nextID+1).Draw(t, "id")
+				_, want := m.queued[id]
+				delete(m.queued, id)
+				got, actions := m.c.Cancel(m.now, id)
+				if got != want {
+					t.Fatalf("Cancel(%d) = %t, want %t", id, got, want)
+				}
+				m.apply(t, actions)
+			},
+			"wait": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "ms")) * time.Millisecond)
+				m.apply(t, m.c.Tick(m.now))
+				for id, r := range m.queued {
+					if !m.now.Before(r.Deadline) {
+						t.Fatalf("%d still waits after its deadline", id)
+					}
+				}
+			},
+			"": func(t *rapid.T) { m.check(t, c) },
+		})
+	})
+}
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -35,7 +35,7 @@
 }
 
 func (c *Controller) run(id uint64, r Request) {
-	c.running[id] = running{r.privileged(), r.Class}
+	c.running[id] = running{r.Deadline, r.privileged(), r.Class}
 	if !r.privileged() {
 		c.ordinary++
 	}
@@ -84,6 +84,20 @@
 	}
 }
 
+// internalWait returns how long an internal request waits: InternalWait, and up
+// to twice that the more running requests have a later deadline. When calls wait
+// for each other in a circle, the call whose deadline comes first outlasts the
+// others and gets the slots that they free.
+func (c *Controller) internalWait(r Request) time.Duration {
+	later := 0
+	for _, o := range c.running {
+		if o.deadline.After(r.Deadline) {
+			later++
+		}
+	}
+	return c.config.InternalWait + c.config.InternalWait*time.Duration(later)/time.Duration(max(len(c.running), 1))
+}
+
 // giveUp returns when a queued request is refused at the latest.
 func (c *Controller) giveUp(id uint64) time.Time { return c.queue[c.queue.index(id)].giveUp }
 
