--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -9,7 +9,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -169,7 +168,6 @@
 	command *exec.Cmd
 	done    chan struct{} // closed when the process has ended
 	err     error
-	once    sync.Once
 }
 
 func (f *fleet) start(log, name string, args ...string) *process {
--- a/node/control.go
+++ b/node/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,7 @@
 
 // control is the control role of a node.
 type control struct {
+	folder   *os.File // its lock keeps other processes away
 	host     *replica.Host
 	config   *replica.Group
 	claims   *replica.Group
@@ -55,7 +57,12 @@
 }
 
 func openControl(s *settings.Settings, mux *transport.Mux, client transport.Client, seed uint64, logger *slog.Logger) (*control, error) {
+	folder, err := lockFolder(s.Control.DataFolder)
+	if err != nil {
+		return nil, err
+	}
 	c := &control{
+		folder:   folder,
 		logger:   logger,
 		claimSet: claim.New(),
 		limits: claim.Limits{
@@ -68,12 +75,11 @@
 	}
 	c.machine = configstate.New(c.onChange)
 	c.host = replica.NewHost(mux, client)
-	var err error
 	if c.config, err = c.open(s, client, groupConfiguration, c.machine, seed); err != nil {
-		return nil, err
+		return nil, errors.Join(err, folder.Close())
 	}
 	if c.claims, err = c.open(s, client, groupClaims, c.claimSet, seed+1); err != nil {
-		return nil, errors.Join(err, c.config.Close())
+		return nil, errors.Join(err, c.config.Close(), folder.Close())
 	}
 	return c, nil
 }
@@ -206,7 +212,7 @@
 	closing.Go(func() { claims = c.claims.TransferAndClose(ctx) })
 	closing.Wait()
 	c.host.Close()
-	return errors.Join(config, claims)
+	return errors.Join(config, claims, c.folder.Close())
 }
 
 var _ member.ConfigSource = (*control)(nil)
