Record decisions to a file

Cause: the setting record_file had no effect; replays need recorded input. Change: a node appends the record of each request to the file without blocking requests; records that the disk cannot take are dropped and counted. Ruled out: writing in the request path.

--- a/explain/store.go
+++ b/explain/store.go
@@ -67,8 +67,13 @@
 	node    fleet.NodeID
 	records *ring[Record]
 	events  *ring[Event]
+	observe atomic.Pointer[func(*Record)]
 }
 
+// Observe calls f with each record that is added from now on. f must not block
+// or change the record.
+func (s *Store) Observe(f func(*Record)) { s.observe.Store(&f) }
+
 // NewStore returns a Store for the node that keeps the given numbers.
 func NewStore(node fleet.NodeID, records, events int) *Store {
 	return &Store{node: node, records: newRing[Record](records), events: newRing[Event](events)}
@@ -78,6 +83,9 @@
 func (s *Store) Add(r *Record) {
 	r.Node = s.node
 	s.records.add(r)
+	if f := s.observe.Load(); f != nil {
+		(*f)(r)
+	}
 }
 
 // Find returns the records of a request id, oldest first.
--- a/node/node.go
+++ b/node/node.go
@@ -40,6 +40,7 @@
 	crashes   *crashes
 	metrics   *metrics.Metrics
 	store     *explain.Store
+	recorder  *recorder // nil without a record file
 	path      atomic.Pointer[proxy.Proxy]
 	seed      uint64
 	seenOrder atomic.Uint64 // version of the orders acted on
@@ -120,6 +121,12 @@
 	receiveCrashes(mux, m, n.path.Load, n.logger)
 	n.store = explain.NewStore(nodeID(s), explain.DefaultRecords, explain.DefaultEvents)
 	explain.Register(mux, n.store)
+	if s.RecordFile != "" {
+		if n.recorder, err = newRecorder(s.RecordFile); err != nil {
+			return err
+		}
+		n.store.Observe(n.recorder.add)
+	}
 	return nil
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -41,6 +41,9 @@
 		group.Go(l.serve)
 	}
 	group.Go(func() error { n.reportUsage(ctx); return nil })
+	if n.recorder != nil {
+		group.Go(func() error { return n.recorder.run(ctx) })
+	}
 	if n.control != nil {
 		group.Go(func() error { n.control.maintainLimits(ctx, n.claims); return nil })
 		group.Go(func() error { n.control.maintainConfirmation(ctx); return nil })
@@ -152,6 +155,9 @@
 	n.metrics.Set("control_bytes_sent", float64(t.BytesSent))
 	n.metrics.Set("control_bytes_received", float64(t.BytesReceived))
 	n.metrics.Set("control_connections", float64(t.Connections))
+	if n.recorder != nil {
+		n.metrics.Set("decision_records_dropped", float64(n.recorder.dropped.Load()))
+	}
 	n.metrics.Set("registry_nodes", float64(m.Nodes))
 	n.metrics.Set("configuration_age_seconds", n.member.Confirmed().Seconds())
 	if set := n.config.Current(); set != nil {
