Show events of all nodes with 'bramleymillctl events'

Cause: nodes record what repaired itself, but operators had no way to read it. Change: operator interface and command for events; adopted configurations are events too. Ruled out: a replicated event log, which would cost a commit for each ejection.

--- a/cmd/bramleymillctl/main.go
+++ b/cmd/bramleymillctl/main.go
@@ -55,7 +55,7 @@
 		newInitCommand(&o),
 		newApplyCommand(&o), newRollbackCommand(&o),
 		newGetCommand(&o), newDiffCommand(&o), newStatusCommand(&o),
-		newHistoryCommand(&o), newExplainCommand(&o),
+		newHistoryCommand(&o), newExplainCommand(&o), newEventsCommand(&o),
 		newDrainCommand(&o), newUndrainCommand(&o),
 		newSuspectsCommand(&o),
 	)
--- a/node/admin.go
+++ b/node/admin.go
@@ -27,6 +27,7 @@
 		Fleet:     n,
 		Explainer: n,
 		Suspects:  n,
+		Events:    n,
 	}
 	if n.control != nil {
 		c.State = n.control.machine
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -41,6 +41,7 @@
 	confirmed func() time.Duration
 	logger    *slog.Logger
 	onOrders  func(*configstate.Orders)
+	onClasses func(version uint64)
 }
 
 // Current returns the classes in force, or nil before the first ones.
@@ -75,4 +76,5 @@
 	}
 	c.set.Store(class.NewSet(b.Version, d))
 	c.logger.Info("configuration in force", "version", b.Version, "classes", len(d.Classes))
+	c.onClasses(b.Version)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -112,7 +112,7 @@
 		return err
 	}
 	n.member = m
-	n.config = &configuration{confirmed: m.Confirmed, logger: n.logger, onOrders: n.followOrders}
+	n.config = &configuration{confirmed: m.Confirmed, logger: n.logger, onOrders: n.followOrders, onClasses: n.noteClasses}
 	m.OnConfig(n.config.adopt)
 	if n.control != nil {
 		n.control.changed = m.ConfigChanged
@@ -155,6 +155,10 @@
 	return a
 }
 
+func (n *Node) noteClasses(version uint64) {
+	n.store.AddEvent(time.Now(), explain.ConfigApplied, nodeID(n.settings), "", fmt.Sprintf("version %d", version))
+}
+
 // followOrders acts on the standing orders of operators.
 func (n *Node) followOrders(o *configstate.Orders) {
 	p := n.path.Load()
--- a/operator/server.go
+++ b/operator/server.go
@@ -74,6 +74,7 @@
 	Fleet     FleetView
 	Explainer Explainer
 	Suspects  SuspectList
+	Events    EventLog
 
 	// PollInterval is the time between looks at the fleet view during a wait.
 	// Zero means DefaultPollInterval.
@@ -114,6 +115,7 @@
 		"GET /v1/explain/{request}":     s.explain,
 		"POST /v1/nodes/{node}/drain":   s.order(configstate.Drain),
 		"POST /v1/nodes/{node}/undrain": s.order(configstate.Undrain),
+		"GET /v1/events":                s.events,
 		"GET /v1/suspects":              s.suspects,
 		"POST /v1/suspects/release":     s.release,
 	} {
