Test retries and hedges

Change: scripts of the attempt rules, property tests of the budget and of the attempts of a call tree, tests of hedging and of the sliding p95, a benchmark. Each test was seen to fail with its mechanism removed: token check and its atomicity, return of the reserve, rotation, the classes that are never hedged, hedge budget, time left for a hedge, the rule for non-idempotent work, and the time left for a retry. Without lending, the test of the call tree does not end.

--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,186 @@
+package retry
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"bramleymill/errkind"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against a retry that may run work twice and against giving up where a
+// retry is safe.
+func TestAttemptRules(t *testing.T) {
+	datadriven.RunTest(t, "testdata/rules", func(t *testing.T, d *datadriven.TestData) string {
+		attempts, reserve, remaining := 3, 3, 1000
+		d.MaybeScanArgs(t, "attempts", &attempts)
+		d.MaybeScanArgs(t, "reserve", &reserve)
+		d.MaybeScanArgs(t, "remaining", &remaining)
+		p := New(start, Config{RetryReserve: reserve})
+		for range 64 {
+			p.Answered(start, 100*time.Millisecond)
+		}
+		left := NewAttempts(uint32(attempts))
+		var kind string
+		d.ScanArgs(t, "kind", &kind)
+		got := p.After(start, Failure{
+			Kind: errkind.Kind(kind), Idempotent: d.HasArg("idempotent"), BytesSent: d.HasArg("bytes-sent"),
+			Confined: d.HasArg("confined"), Remaining: time.Duration(remaining) * time.Millisecond,
+		}, left)
+		if got.Verb == RetryElsewhere {
+			return fmt.Sprintf("retry elsewhere, %d attempts left", left.Left())
+		}
+		return fmt.Sprintf("give up as %s, %d attempts left", got.Kind, left.Left())
+	})
+}
+
+// Guards against retries beyond the earned share and the reserve, under any
+// order of requests, retries and pauses.
+func TestBudgetIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		reserve := rapid.IntRange(0, 3).Draw(t, "reserve")
+		b := NewBudget(start, 0.1, reserve)
+		now, spent, earned := start, 0, 0
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				b.Earn()
+				earned++
+			} else if b.Spend(now) {
+				spent++
+			}
+		}
+		limit := float64(reserve) + float64(earned)*0.1
+		if reserve > 0 {
+			limit += now.Sub(start).Seconds() / refillPeriod.Seconds()
+		}
+		if float64(spent) > limit+1e-9 {
+			t.Fatalf("%d retries for %d requests exceed %.2f", spent, earned, limit)
+		}
+	})
+}
+
+// Guards against a class with little traffic that can never retry again.
+func TestReserveReturnsWithTime(t *testing.T) {
+	b := NewBudget(start, 0.1, 1)
+	if !b.Spend(start) || b.Spend(start.Add(refillPeriod-1)) || !b.Spend(start.Add(refillPeriod)) {
+		t.Error("the reserve of one token does not return once in each period")
+	}
+}
+
+// Guards against retries that multiply through the levels of a call tree.
+func TestAttemptsBoundTheWholeTree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.Uint32Range(0, 5).Draw(t, "attempts")
+		depth := rapid.IntRange(1, 17).Draw(t, "depth")
+		calls := 0
+		var level func(a *Attempts, depth int)
+		level = func(a *Attempts, depth int) {
+			calls++ // the attempt at this level
+			for {
+				lent := a.Lend()
+				if depth > 1 {
+					level(NewAttempts(lent), depth-1)
+				} else {
+					a.Return(lent)
+				}
+				if !a.Take() {
+					return
+				}
+				calls++
+			}
+		}
+		level(NewAttempts(n), depth)
+		// Each of the n further attempts repeats at most the levels below it.
+		if limit := depth * (1 + int(n)); calls > limit {
+			t.Fatalf("%d calls for %d further attempts at depth %d exceed %d", calls, n, depth, limit)
+		}
+	})
+}
+
+// Guards against hedging classes that must not run twice, hedging without
+// knowledge of the latency, and hedging beyond 5%.
+func TestHedge(t *testing.T) {
+	p := New(start, Config{})
+	if _, ok := p.HedgeDelay(true, false, time.Hour); ok {
+		t.Error("hedged before the latency is known")
+	}
+	for i := range 400 {
+		p.Answered(start, time.Duration(i%100+1)*time.Millisecond)
+	}
+	delay, ok := p.HedgeDelay(true, false, time.Hour)
+	if !ok || delay < 88*time.Millisecond || delay > 102*time.Millisecond {
+		t.Errorf("hedge delay is %v, %t, want about 95 ms", delay, ok)
+	}
+	for _, c := range []struct{ idempotent, internal bool }{{false, false}, {true, true}} {
+		if _, ok := p.HedgeDelay(c.idempotent, c.internal, time.Hour); ok {
+			t.Errorf("class %+v is hedged", c)
+		}
+	}
+	if _, ok := p.HedgeDelay(true, false, delay); ok {
+		t.Error("hedged without time left")
+	}
+	hedges := 0
+	for range 1000 {
+		p.Began()
+		if p.Hedge(start, NewAttempts(1)) {
+			hedges++
+		}
+	}
+	if hedges > 51 || hedges < 50 {
+		t.Errorf("%d hedges for 1000 requests, want 5%% and the reserve", hedges)
+	}
+}
+
+// Guards against a p95 that remembers an old slow period for ever.
+func TestLatencyForgets(t *testing.T) {
+	l := NewLatency(start)
+	for range 1000 {
+		l.Record(start, time.Second)
+	}
+	for i := range 3 * latencyWindows {
+		for range 100 {
+			l.Record(start.Add(time.Duration(i+1)*latencyRotation), time.Millisecond)
+		}
+	}
+	if p95, _ := l.P95(); p95 > 2*time.Millisecond {
+		t.Errorf("p95 is %v after the slow period left the window", p95)
+	}
+}
+
+// Guards against more retries than tokens when callers race.
+func TestBudgetUnderConcurrency(t *testing.T) {
+	const tokens = 100_000
+	b := NewBudget(start, 0, tokens)
+	var spent atomic.Int64
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for b.Spend(start) {
+				spent.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	if spent.Load() != tokens {
+		t.Errorf("%d retries from %d tokens", spent.Load(), tokens)
+	}
+}
+
+func BenchmarkBudget(b *testing.B) {
+	budget := NewBudget(start, 0.1, 3)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			budget.Earn()
+			budget.Spend(start)
+		}
+	})
+}
