Test the measuring budget

Cause: the budget had no tests. Change: a property test of the rate over any period, tests of a zero budget, the empty start, the spent share and the age rules; the buckets start empty, so that the separate checks for a limit of zero are removed. Ruled out: full buckets at the start, because every restart would add a probe. Measured: go test -race ./probe passes. Each test was seen to fail with its mechanism removed: probe and byte bucket, empty start, keeping equal limits, accounting before a change of limits, both age rules.

--- a/probe/budget.go
+++ b/probe/budget.go
@@ -89,7 +89,7 @@
 func (b *Budget) Probe(now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.limits.ProbesPerSecond == 0 || !b.probes.AllowN(now, 1) {
+	if !b.probes.AllowN(now, 1) {
 		b.spent.RefusedProbes++
 		return false
 	}
@@ -102,7 +102,7 @@
 func (b *Budget) Bytes(now time.Time, n int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n < 0 || b.limits.BytesPerSecond == 0 || !b.bytes.AllowN(now, n) {
+	if n < 0 || !b.bytes.AllowN(now, n) {
 		b.spent.RefusedBytes += uint64(max(n, 0))
 		return false
 	}
--- /dev/null
+++ b/probe/probe_test.go
@@ -0,0 +1,115 @@
+package probe
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against measuring beyond the budget over any period, whatever asks and
+// however often the limits change.
+func TestBudgetHoldsOverAnyPeriod(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{rapid.Float64Range(0, 5).Draw(t, "probes"), rapid.Int64Range(0, 20_000).Draw(t, "bytes")}
+		b := NewBudget(start, limits)
+		var probes, bytes []time.Time
+		now := start
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				if b.Probe(now) {
+					probes = append(probes, now)
+				}
+			case 1:
+				if b.Bytes(now, 1000) {
+					bytes = append(bytes, now)
+				}
+			default:
+				b.SetLimits(now, limits)
+			}
+		}
+		checkRate(t, probes, limits.ProbesPerSecond, probeBurst)
+		burst := max(float64(limits.BytesPerSecond), LargestProbe)
+		checkRate(t, bytes, float64(limits.BytesPerSecond)/1000, burst/1000)
+		if s := b.Spent(now); s.Probes != uint64(len(probes)) || s.Bytes != 1000*uint64(len(bytes)) {
+			t.Fatalf("spent %+v, want %d probes and %d kB", s, len(probes), len(bytes))
+		}
+	})
+}
+
+// checkRate checks every period between two events.
+func checkRate(t *rapid.T, events []time.Time, perSecond, burst float64) {
+	for i := range events {
+		for j := i; j < len(events); j++ {
+			n, period := float64(j-i+1), events[j].Sub(events[i]).Seconds()
+			if n > perSecond*period+burst+1e-6 {
+				t.Fatalf("%.0f events in %.3f s exceed %.2f/s with a burst of %.2f", n, period, perSecond, burst)
+			}
+		}
+	}
+}
+
+// Guards against a budget of zero that still allows the first probe, and against
+// a share of nothing that is not a number.
+func TestBudgetOfZero(t *testing.T) {
+	b := NewBudget(start, Limits{})
+	later := start.Add(time.Hour)
+	if b.Probe(start) || b.Probe(later) || b.Bytes(later, 1) {
+		t.Error("a budget of zero allows measuring")
+	}
+	if s := b.Spent(later); s.ProbeShare != 0 || s.ByteShare != 0 || s.RefusedProbes != 2 || s.RefusedBytes != 1 {
+		t.Errorf("spent = %+v", s)
+	}
+}
+
+// Guards against a probe at every restart, and against a budget that never fills
+// because the same limits are set again and again.
+func TestBudgetStartsEmptyAndFills(t *testing.T) {
+	limits := Limits{ProbesPerSecond: 1, BytesPerSecond: 1000}
+	b := NewBudget(start, limits)
+	if b.Probe(start) || b.Bytes(start, 1) {
+		t.Error("a new budget allows measuring at once")
+	}
+	for i := range 10 {
+		b.SetLimits(start.Add(time.Duration(i)*100*time.Millisecond), limits)
+	}
+	if at := start.Add(time.Second); !b.Probe(at) || !b.Bytes(at, 1000) {
+		t.Error("the budget of one second is not available after one second")
+	}
+}
+
+// Guards against a wrong share when the limits change on the way.
+func TestSpentShare(t *testing.T) {
+	b := NewBudget(start, Limits{ProbesPerSecond: 1, BytesPerSecond: 1000})
+	for i := 1; i <= 5; i++ {
+		b.Probe(start.Add(time.Duration(2*i) * time.Second))
+	}
+	b.SetLimits(start.Add(10*time.Second), Limits{ProbesPerSecond: 4})
+	if s := b.Spent(start.Add(20 * time.Second)); s.ProbeShare != 0.1 {
+		t.Errorf("after 5 of 50 probes: %+v", s)
+	}
+}
+
+// Guards against probes that piggybacked information makes needless, and against
+// asking about services that are not used.
+func TestProbesOnlyWhenInformationIsOld(t *testing.T) {
+	c := Config{}.WithDefaults()
+	if c.ServerWanted(start.Add(c.ServerAge-1), start) || !c.ServerWanted(start.Add(c.ServerAge), start) {
+		t.Error("the bound on the age of the last answer is not kept")
+	}
+	for _, x := range []struct {
+		age, use time.Duration
+		want     bool
+	}{
+		{c.ReportAge - 1, 0, false}, {c.ReportAge, 0, true}, {-1, 0, true},
+		{c.ReportAge, c.ReportAge + 1, false}, {c.ReportAge, -1, false},
+	} {
+		if got := c.ReportWanted(x.age, x.use); got != x.want {
+			t.Errorf("ReportWanted(%v, %v) = %t", x.age, x.use, got)
+		}
+	}
+}
