proxy: close idle connections to nodes well before the other side does

Cause: the idle timeouts of both sides were 90 s. A request that is written while the other side closes its idle connection has an unknown outcome.

Change: the sending side closes after 45 s.

--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -20,8 +20,11 @@
 
 // Limits of the connections to other nodes.
 const (
-	dialTimeout        = time.Second
-	idleConnTimeout    = 90 * time.Second
+	dialTimeout = time.Second
+	// idleConnTimeout is well below the 90 s after which a node closes an idle
+	// connection, so that a request does not meet the closing: it would have an
+	// unknown outcome.
+	idleConnTimeout    = 45 * time.Second
 	maxIdlePerPeer     = 64
 	maxUnsentRetries   = 3 // idle connections that turn out to be closed
 	maxResponseHeaders = 1 << 20
