--- a/admit/config.go
+++ b/admit/config.go
@@ -16,7 +16,7 @@
 	Reserved         int           // slots for privileged requests; default a fifth, at least 1
 	DelayTarget      time.Duration // queue delay that is acceptable for longer than DelayInterval
 	DelayInterval    time.Duration
-	InternalWait     time.Duration // longest wait of an internal request
+	InternalWait     time.Duration // longest wait of an internal request; up to twice that for early deadlines
 	EstimateTrust    time.Duration // age at which a service-time estimate counts half
 }
 
@@ -66,6 +66,11 @@
 	Internal bool // proved internal
 	Deadline time.Time
 	Class    string
+	// Movable is set when the selecting node can send the request elsewhere
+	// after a refusal, as told by retry.Policy.CanMove for idempotent classes.
+	// Such a request is refused rather than made to wait long.
+	Movable bool
+	Hedge   bool // second attempt of a request that is running elsewhere; never queued
 }
 
 // privileged reports whether r may use the reserved slots.
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -35,7 +35,7 @@
 }
 
 func (c *Controller) run(id uint64, r Request) {
-	c.running[id] = running{r.privileged(), r.Class}
+	c.running[id] = running{r.Deadline, r.privileged(), r.Class}
 	if !r.privileged() {
 		c.ordinary++
 	}
@@ -84,6 +84,23 @@
 	}
 }
 
+// internalWait returns how long an internal request waits: InternalWait, and up
+// to twice that the more running requests have a later deadline. When calls wait
+// for each other in a circle, the call whose deadline comes first outlasts the
+// others and gets the slots that they free.
+func (c *Controller) internalWait(r Request) time.Duration {
+	later := 0
+	for _, o := range c.running {
+		if o.deadline.After(r.Deadline) {
+			later++
+		}
+	}
+	return c.config.InternalWait + c.config.InternalWait*time.Duration(later)/time.Duration(max(len(c.running), 1))
+}
+
+// giveUp returns when a queued request is refused at the latest.
+func (c *Controller) giveUp(id uint64) time.Time { return c.queue[c.queue.index(id)].giveUp }
+
 // NextExpiry returns the earliest time at which Tick would refuse a request.
 func (c *Controller) NextExpiry() (time.Time, bool) {
 	var first time.Time
@@ -134,3 +151,25 @@
 	left := r.Deadline.Sub(now)
 	return left <= 0 || left < need
 }
+
+// A movable request is refused when its expected wait exceeds movableShare of the
+// mean service time: the choice was made on old information, and a second choice
+// costs less than the wait. One that has waited movableStay times as long is
+// refused too, because the server has become slow since.
+const (
+	movableShare = 0.7
+	movableStay  = 2
+)
+
+// movableWait returns the longest expected wait of a movable request, or zero
+// when the service time is not known.
+func (c *Controller) movableWait(now time.Time) time.Duration {
+	return time.Duration(movableShare * float64(c.service.value(now, c.config.EstimateTrust)))
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,258 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+	"bramleymill/member"
+)
+
+// Guards against a tree that does not grow beyond what the control instances
+// accept, that spreads a version late, or whose confirmations age with depth.
+func TestDeepTreeSpreadsVersions(t *testing.T) {
+	s := newSim(t, 3, 8)
+	s.startNodes(200, "katalog")
+	t.Logf("200 nodes settled after %v", s.settle("katalog", 200))
+	var worst time.Duration
+	s.after = func() {
+		for _, m := range s.names {
+			worst = max(worst, m.Confirmed())
+		}
+	}
+	s.run(5 * time.Second)
+	s.setVersion(2)
+	// The bound is 2 s. By the heartbeats alone it would take up to 500 ms for
+	// each level.
+	d := s.runUntil(500*time.Millisecond, "version 2 everywhere", func() bool { return s.everywhere(2) })
+	t.Logf("version spread in %v, oldest confirmation %v", d, worst)
+	if worst >= member.ConfirmationBound/2 {
+		t.Errorf("confirmation age reached %v", worst)
+	}
+	for n, m := range s.names {
+		if c := m.Stats().Children; c > 8 {
+			t.Errorf("%s has %d children, limit 8", n, c)
+		}
+	}
+	view := s.names[controlName(0)].View()
+	if len(view) != 203 {
+		t.Errorf("control instance lists %d nodes, want 203", len(view))
+	}
+	s.run(4 * time.Second)
+	for _, v := range s.names[controlName(0)].View() {
+		if v.Applied != 2 || v.LeaseAge >= member.Lease || v.Lost {
+			t.Errorf("%s: applied %d, lease age %v, lost %v", v.Server.Node, v.Applied, v.LeaseAge, v.Lost)
+		}
+	}
+}
+
+// Guards against a crashed node that goes on receiving work, whether its parent
+// is a control instance or a relay.
+func TestDeadNodeIsDropped(t *testing.T) {
+	s := newSim(t, 3, 8)
+	s.startNodes(40, "katalog")
+	s.settle("katalog", 40)
+	for _, dead := range []fleet.NodeID{nodeName(0), nodeName(39)} {
+		s.stop(dead)
+		d := s.runUntil(member.Lease, "dead node gone everywhere", func() bool { return s.gone(dead, "katalog") })
+		t.Logf("%s gone everywhere after %v", dead, d)
+	}
+}
+
+// Guards against new work for a server that drains or has left.
+func TestDrainReachesEveryone(t *testing.T) {
+	s := newSim(t, 3, 8)
+	s.startNodes(60, "katalog")
+	s.settle("katalog", 60)
+	for _, state := range []fleet.ServerState{fleet.Draining, fleet.Left} {
+		s.names[nodeName(17)].SetState(state)
+		// The bound is 2 s, also for a tree that is twice as deep.
+		d := s.runUntil(time.Second, state.String()+" everywhere", func() bool {
+			return s.all(nodeName(17), func(n fleet.NodeID, _ *member.Member) bool {
+				x := s.sees(n, nodeName(17), "katalog")
+				return (x == nil && state == fleet.Left) || (x != nil && x.State == state)
+			})
+		})
+		t.Logf("%s everywhere after %v", state, d)
+	}
+}
+
+// Guards against an announcement that is still under way, or a process that was
+// frozen, bringing back a node that has left.
+func TestOldAnnouncementDoesNotReturn(t *testing.T) {
+	s := newSim(t, 2, 8)
+	s.startNodes(6, "katalog")
+	s.settle("katalog", 6)
+	// The frozen process has an older announcement than the one that leaves.
+	old := s.names[nodeName(0)]
+	s.freeze(nodeName(0))
+	s.run(5 * time.Second)
+	s.life++
+	m := s.start(nodeName(0), "katalog", nil)
+	s.settle("katalog", 6)
+	m.SetState(fleet.Left)
+	s.runUntil(2*time.Second, "left everywhere", func() bool { return s.gone(nodeName(0), "katalog") })
+	var superseded fleet.Incarnation
+	old.OnSuperseded(func(i fleet.Incarnation) { superseded = i })
+	s.names[nodeName(0)] = old
+	delete(s.stopped, nodeName(0))
+	s.after = func() {
+		s.all(nodeName(0), func(n fleet.NodeID, _ *member.Member) bool {
+			if s.sees(n, nodeName(0), "katalog") != nil {
+				t.Fatalf("%s sees the node that has left", n)
+			}
+			return true
+		})
+	}
+	s.run(30 * time.Second)
+	if superseded != 2 {
+		t.Errorf("the frozen process heard of incarnation %d, want 2", superseded)
+	}
+}
+
+// Guards against a restarted node that stays hidden behind its earlier life, also
+// when its clock was set back.
+func TestRestartedNodeSupersedes(t *testing.T) {
+	s := newSim(t, 2, 8)
+	s.life = 5
+	s.startNodes(6, "katalog")
+	s.settle("katalog", 6)
+	for _, x := range []struct{ life, want fleet.Incarnation }{{6, 6}, {2, 7}} {
+		s.stop(nodeName(3))
+		s.life = x.life
+		var taken fleet.Incarnation
+		s.start(nodeName(3), "katalog", nil).OnIncarnation(func(i fleet.Incarnation) { taken = i })
+		s.runUntil(3*time.Second, "new incarnation everywhere", func() bool {
+			return s.all(nodeName(3), func(n fleet.NodeID, _ *member.Member) bool {
+				got := s.sees(n, nodeName(3), "katalog")
+				return got != nil && got.Incarnation == x.want
+			})
+		})
+		if x.life != x.want && taken != x.want {
+			t.Errorf("restarted with %d: told to take %d, want %d", x.life, taken, x.want)
+		}
+	}
+}
+
+// Guards against a good node that is dropped because its parent cannot reach it,
+// in one direction or both. With a single control instance nothing else hears it
+// until it finds its way through a relay.
+func TestBadLinkDoesNotDropNode(t *testing.T) {
+	suspicions := uint64(0)
+	for name, cut := range map[string]func(s *sim, a, b string){
+		"both":     func(s *sim, a, b string) { s.net.Cut(a, b); s.net.Cut(b, a) },
+		"outbound": func(s *sim, a, b string) { s.net.Cut(a, b) },
+		"inbound":  func(s *sim, a, b string) { s.net.Cut(b, a) },
+	} {
+		for _, controls := range []int{1, 3} {
+			t.Run(fmt.Sprint(name, controls), func(t *testing.T) {
+				s := newSim(t, controls, 48)
+				s.startNodes(12, "katalog")
+				s.settle("katalog", 12)
+				behind := []fleet.NodeID{nodeName(1), nodeName(3), nodeName(5), nodeName(7), nodeName(9)}
+				s.after = func() {
+					if !s.all("", func(n fleet.NodeID, m *member.Member) bool { return len(m.Servers("katalog")) == 12 }) {
+						t.Fatal("good node dropped")
+					}
+				}
+				for _, n := range behind {
+					cut(s, address(n), address(s.names[n].Parent()))
+				}
+				s.run(30 * time.Second)
+				s.each("", func(_ fleet.NodeID, m *member.Member) { suspicions += m.Stats().Suspicions })
+				for _, n := range behind {
+					if age := s.names[n].Confirmed(); age > member.ConfirmationBound/2 {
+						t.Errorf("confirmation of %s behind a bad link is %v old", n, age)
+					}
+				}
+			})
+		}
+	}
+	if suspicions == 0 {
+		t.Error("no node was suspected, so that nothing was tested")
+	}
+}
+
+// Guards against a parent that trusts its own link alone: a node that finds no
+// parent, but answers other locations, keeps its work.
+func TestReachableNodeIsKept(t *testing.T) {
+	s := newSim(t, 1, 48)
+	s.startNodes(8, "katalog")
+	s.settle("katalog", 8)
+	// It follows no service, so that it knows of no other way than its seed.
+	lone := nodeName(50)
+	s.start(lone, "katalog", nil)
+	everyone := func() bool {
+		return s.all(lone, func(n fleet.NodeID, _ *member.Member) bool { return s.sees(n, lone, "katalog") != nil })
+	}
+	s.runUntil(3*time.Second, "joined", everyone)
+	s.net.Cut(address(lone), s.seeds[0])
+	s.net.Cut(s.seeds[0], address(lone))
+	s.after = func() {
+		if !everyone() {
+			t.Fatal("node dropped that other locations reach")
+		}
+	}
+	s.run(30 * time.Second)
+	if s.names[lone].Parent() != "" {
+		t.Error("the node found a parent, so that nothing was tested")
+	}
+}
+
+// Guards against a node that stays dropped at its former parent after it has
+// found another one.
+func TestMovedNodeReturnsAtFormerParent(t *testing.T) {
+	s := newSim(t, 1, 5)
+	s.startNodes(30, "katalog")
+	s.settle("katalog", 30)
+	children := map[fleet.NodeID][]fleet.NodeID{}
+	s.each(controlName(0), func(n fleet.NodeID, m *member.Member) {
+		children[m.Parent()] = append(children[m.Parent()], n)
+	})
+	delete(children, controlName(0))
+	for relay, nodes := range children {
+		// The first child gets no replies and moves. Half a second later or more the
+		// relay suspects it, and its other children, the second locations, agree.
+		s.net.Cut(address(relay), address(nodes[0]))
+		for _, n := range nodes[1:] {
+			s.net.Cut(address(n), address(nodes[0]))
+		}
+	}
+	s.run(20 * time.Second)
+	dropped := uint64(0)
+	s.each("", func(n fleet.NodeID, m *member.Member) {
+		dropped += m.Stats().Dropped
+		if got := len(m.Servers("katalog")); got != 30 {
+			t.Errorf("%s below %q sees %d servers, want 30", n, m.Parent(), got)
+		}
+	})
+	if dropped == 0 {
+		t.Error("no relay dropped a node, so that nothing was tested")
+	}
+}
+
+// Guards against a relay or control instance whose loss takes its whole subtree
+// with it.
+func TestLostParentKeepsChildren(t *testing.T) {
+	s := newSim(t, 3, 4)
+	s.startNodes(40, "katalog")
+	s.settle("katalog", 40)
+	relay := s.names[nodeName(39)].Parent()
+	for _, dead := range []fleet.NodeID{relay, controlName(1)} {
+		want := len(s.names[controlName(0)].Servers("katalog"))
+		if s.names[dead].Self().Service == "katalog" {
+			want--
+		}
+		s.after = func() {
+			s.all(dead, func(n fleet.NodeID, m *member.Member) bool {
+				if got := len(m.Servers("katalog")); got < want {
+					t.Fatalf("%s sees %d servers after the loss of %s, want %d", n, got, dead, want)
+				}
+				return true
+			})
+		}
+		s.stop(dead)
+		s.run(20 * time.Second)
+	}
+}
--- /dev/null
+++ b/node/admin.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"bramleymill/explain"
+	"bramleymill/filter"
+	"bramleymill/fleet"
+	"bramleymill/keys"
+	"bramleymill/member"
+	"bramleymill/operator"
+	"bramleymill/replica"
+)
+
+// adminHandler serves the operator interface.
+func (n *Node) adminHandler() http.Handler {
+	c := operator.Config{
+		Node:      nodeID(n.settings),
+		Log:       n.logger,
+		Identify:  identify,
+		Fleet:     n,
+		Explainer: n,
+		Suspects:  n,
+	}
+	if n.control != nil {
+		c.State = n.control.machine
+		c.Confirmer = n.control.config
+		c.Proposer = n.control.config
+		c.Bootstrapper = n.control
+	}
+	return operator.New(c)
+}
+
+func identify(s *tls.ConnectionState) (operator.Identity, error) {
+	if s == nil {
+		return operator.Identity{}, errors.New("the request came without TLS")
+	}
+	name, role, err := keys.PeerOf(*s)
+	return operator.Identity{Name: string(name), Role: role}, err
+}
+
+// Bootstrap starts both replicated groups with this instance as the only voter.
+// A repetition after the first group was started starts the second one.
+func (c *control) Bootstrap(ctx context.Context) error {
+	err := c.config.Bootstrap(ctx)
+	if err != nil && !errors.Is(err, replica.ErrHasGroup) {
+		return err
+	}
+	if claimsErr := c.claims.Bootstrap(ctx); claimsErr != nil && !errors.Is(claimsErr, replica.ErrHasGroup) {
+		return claimsErr
+	}
+	return err
+}
+
+// Nodes lists the nodes as the membership of this node knows them.
+func (n *Node) Nodes() []operator.NodeStatus {
+	view := n.member.View()
+	out := make([]operator.NodeStatus, 0, len(view))
+	for _, v := range view {
+		out = append(out, n.statusOf(v))
+	}
+	return out
+}
+
+func (n *Node) statusOf(v member.NodeView) operator.NodeStatus {
+	s := operator.NodeStatus{
+		Node:       v.Server.Node,
+		Region:     v.Server.Region,
+		Zone:       v.Server.Zone,
+		Service:    v.Server.Service,
+		State:      v.Server.State.String(),
+		Control:    v.Server.Control,
+		Live:       !v.Lost && v.Server.State != fleet.Left,
+		LeaseAgeMs: v.LeaseAge.Milliseconds(),
+	}
+	if n.control != nil {
+		applied := n.control.versions.of(v.Applied)
+		s.ConfigVersion, s.OrdersVersion = applied.document, applied.orders
+	}
+	return s
+}
+
+// Explain collects the records of a request from the nodes that took part in it.
+func (n *Node) Explain(ctx context.Context, requestID string) (operator.Explanation, error) {
+	finder := explain.NewFinder(n.store, n.endpoint, n.addressOf, filter.EntryNode)
+	found, err := finder.Find(ctx, requestID)
+	if err != nil {
+		return nil, err
+	}
+	b, err := json.Marshal(found)
+	if err != nil {
+		return nil, fmt.Errorf("encode explanation: %w", err)
+	}
+	return b, nil
+}
+
+func (n *Node) addressOf(node fleet.NodeID) (string, bool) {
+	for _, v := range n.member.View() {
+		if v.Server.Node == node {
+			return v.Server.PeerAddress, true
+		}
+	}
+	return "", false
+}
+
+// Suspects lists the requests that are suspected of crashing backend servers.
+func (n *Node) Suspects() []operator.Suspect {
+	p := n.path.Load()
+	if p == nil {
+		return nil
+	}
+	entries := p.Suspects().List(time.Now())
+	out := make([]operator.Suspect, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, operator.Suspect{
+			Service:     e.Service,
+			Fingerprint: operator.Fingerprint(e.Fingerprint),
+			Class:       e.Class,
+			Path:        e.Path,
+			Crashes:     len(e.Crashes),
+			Refused:     e.Refused,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/replica/join.go
@@ -0,0 +1,136 @@
+package replica
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	mathrand "math/rand/v2"
+	"time"
+
+	"bramleymill/fleet"
+	"bramleymill/raft"
+)
+
+const (
+	joinTimeout = 500 * time.Millisecond
+	joinPause   = 250 * time.Millisecond // at most doubled at random
+	// joinedPause is the pause between looks at a membership that is in order.
+	joinedPause = time.Second
+	// silenceBeforeJoin is how long a member waits for a leader before it asks
+	// the seeds whether it is still a member. Elections end well before.
+	silenceBeforeJoin = 3 * time.Second
+)
+
+func newClusterID() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return binary.LittleEndian.Uint64(b[:]) | 1
+}
+
+// keepJoined asks the group to admit this replica while it is no member, has
+// moved, or hears from no leader.
+func (g *Group) keepJoined() {
+	random := mathrand.New(mathrand.NewPCG(g.config.Seed, uint64(g.config.Group)))
+	led := g.config.Clock.Now()
+	pause := joinPause
+	for sleep(g.ctx, pause+time.Duration(random.Int64N(int64(joinPause)))) {
+		v := g.view.Load()
+		now := g.config.Clock.Now()
+		if v.status.Leader != (raft.ID{}) {
+			led = now
+		}
+		self, member := v.status.Configuration.Find(v.status.ID)
+		joined := member && self.Address == g.config.Address
+		if joined && now.Sub(led) < silenceBeforeJoin {
+			g.joining.Store(nil)
+			pause = joinedPause
+			continue
+		}
+		pause = joinPause
+		if err := g.join(v.status, random); err != nil {
+			g.joining.Store(&err)
+		} else {
+			g.joining.Store(nil)
+		}
+	}
+}
+
+// join asks the seeds, and the leader that they name, to admit this replica.
+func (g *Group) join(s raft.Status, random *mathrand.Rand) error {
+	if s.Leader == s.ID { // a leader that has moved
+		if reply := g.admit(g.ctx, g.joinRequest(s)); !reply.Accepted {
+			return fmt.Errorf("replica: change of address: %s", reply.Reason)
+		}
+		return nil
+	}
+	targets := make([]string, 0, len(g.config.Seeds)+1)
+	for _, i := range random.Perm(len(g.config.Seeds)) {
+		if a := g.config.Seeds[i]; a != g.config.Address {
+			targets = append(targets, a)
+		}
+	}
+	if m, ok := s.Configuration.Find(s.Leader); ok && m.ID != s.ID {
+		targets = append(targets, m.Address)
+	}
+	last := fmt.Errorf("replica: no seed answers for group %d", g.config.Group)
+	followed := false
+	for i := 0; i < len(targets); i++ {
+		reply, err := g.askToJoin(s, targets[i])
+		switch {
+		case err != nil:
+			last = fmt.Errorf("replica: join through %s: %w", targets[i], err)
+		case reply.Accepted:
+			return nil
+		default:
+			last = fmt.Errorf("replica: join through %s: %s", targets[i], reply.Reason)
+			if reply.Leader != "" && reply.Leader != targets[i] && !followed {
+				followed = true
+				targets = append(targets, reply.Leader)
+			}
+		}
+	}
+	return last
+}
+
+func (g *Group) askToJoin(s raft.Status, address string) (*joinReply, error) {
+	ctx, cancel := context.WithTimeout(g.ctx, joinTimeout)
+	defer cancel()
+	var reply joinReply
+	if err := g.config.Client.Call(ctx, address, kindJoin, g.joinRequest(s), &reply); err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
+
+func (g *Group) joinRequest(s raft.Status) *joinRequest {
+	return &joinRequest{
+		Group: g.config.Group, ClusterID: s.Configuration.ClusterID,
+		Member: raft.Member{ID: s.ID, Address: g.config.Address},
+	}
+}
+
+// admit handles a request to join.
+func (g *Group) admit(ctx context.Context, r *joinRequest) *joinReply {
+	refusal, err := ask(ctx, g, func(now raft.Reading) error { return g.admitHere(now, r) })
+	if err = cmp.Or(err, refusal); err != nil {
+		return &joinReply{Reason: err.Error(), Leader: g.Status().LeaderAddress}
+	}
+	return &joinReply{Accepted: true}
+}
+
+func (g *Group) admitHere(now raft.Reading, r *joinRequest) error {
+	own := g.node.Status().Configuration.ClusterID
+	if r.ClusterID != 0 && own != 0 && r.ClusterID != own {
+		return fmt.Errorf("%s belongs to another group that was started separately", r.Member.ID.Node)
+	}
+	return g.node.Join(now, r.Member)
+}
+
+// Remove removes the learner or, without one, the voter of a node from the
+// group. Only the leader does it. A removed replica that still runs joins again.
+func (g *Group) Remove(ctx context.Context, node fleet.NodeID) error {
+	refusal, err := ask(ctx, g, func(now raft.Reading) error { return g.node.Remove(now, node) })
+	return cmp.Or(err, refusal)
+}
--- /dev/null
+++ b/replica/remote.go
@@ -0,0 +1,145 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"bramleymill/errkind"
+	"bramleymill/transport"
+)
+
+const (
+	// locateTimeout bounds the question to the seeds for the leader.
+	locateTimeout = 300 * time.Millisecond
+	// locateGrace is how long the other seeds may take after the first one that
+	// names a leader. A seed that is down must not delay every proposal.
+	locateGrace = 30 * time.Millisecond
+)
+
+// Remote proposes to a group from a process that holds no replica of it. It
+// finds the leader through the seeds and remembers it.
+type Remote struct {
+	client transport.Client
+	seeds  []string
+	group  uint32
+
+	searches singleflight.Group
+
+	mu     sync.Mutex
+	leader string
+}
+
+// NewRemote returns a Remote for a group. Seeds are peer addresses of control
+// instances.
+func NewRemote(client transport.Client, seeds []string, group uint32) *Remote {
+	return &Remote{client: client, seeds: seeds, group: group}
+}
+
+// Propose replicates command as Group.Propose does.
+func (r *Remote) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	var a attempts
+	for {
+		address := r.known()
+		if address == "" {
+			address = r.locate(ctx)
+		}
+		err := error(errkind.New(errkind.ControlUnavailable, "no seed knows the leader of group %d", r.group))
+		if address != "" {
+			var result []byte
+			var hint string
+			result, hint, err = proposeAt(ctx, r.client, address, r.group, command)
+			if err == nil || a.final(err) {
+				return result, err
+			}
+			if hint == address {
+				hint = ""
+			}
+			r.remember(address, hint)
+			if hint != "" && ctx.Err() == nil {
+				continue
+			}
+		}
+		if !sleep(ctx, retryPause) {
+			return nil, a.failure(err)
+		}
+	}
+}
+
+// Leader returns the address of the leader as far as it is known.
+func (r *Remote) Leader(ctx context.Context) string {
+	if a := r.known(); a != "" {
+		return a
+	}
+	return r.locate(ctx)
+}
+
+func (r *Remote) known() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leader
+}
+
+// remember replaces the leader unless another caller has replaced it already.
+func (r *Remote) remember(old, leader string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leader == old {
+		r.leader = leader
+	}
+}
+
+// locate asks all seeds and takes the answer with the highest term: a replica
+// that was cut off may still name an old leader. Callers at the same time share
+// one search.
+func (r *Remote) locate(ctx context.Context) string {
+	found, _, _ := r.searches.Do("", func() (any, error) {
+		return r.search(context.WithoutCancel(ctx)), nil
+	})
+	return found.(string)
+}
+
+func (r *Remote) search(ctx context.Context) string {
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	defer cancel()
+	replies := make(chan locateReply, len(r.seeds))
+	for _, seed := range r.seeds {
+		go func() {
+			var reply locateReply
+			_ = r.client.Call(ctx, seed, kindLocate, &locateRequest{Group: r.group}, &reply) // zero reply: no answer
+			replies <- reply
+		}()
+	}
+	best := newest(replies, len(r.seeds))
+	r.remember("", best.Leader)
+	return best.Leader
+}
+
+// newest returns the answer with the highest term out of n, without waiting long
+// for the others once a leader is known.
+func newest(replies <-chan locateReply, n int) (best locateReply) {
+	var late <-chan time.Time
+	for range n {
+		select {
+		case reply := <-replies:
+			if reply.Leader != "" && reply.Term >= best.Term {
+				best = reply
+			}
+		case <-late:
+			return best
+		}
+		if best.Leader != "" && late == nil {
+			late = time.After(locateGrace)
+		}
+	}
+	return best
+}
+
+var (
+	_ Proposer = (*Group)(nil)
+	_ Proposer = (*Remote)(nil)
+)
--- /dev/null
+++ b/transport/rotation_test.go
@@ -0,0 +1,180 @@
+package transport_test
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"bramleymill/clock"
+	"bramleymill/fleet"
+	"bramleymill/keys"
+	"bramleymill/transport"
+)
+
+// Guards against a rotation that needs a restart, and against an authority that
+// stays trusted on connections made before it was removed.
+func TestRotationWithoutRestart(t *testing.T) {
+	f := newFolder(t, "katalog-1", "control-1")
+	old := t.TempDir()
+	for _, name := range []string{keys.AuthorityFile, "katalog-1.pem", "katalog-1.key"} {
+		b, err := os.ReadFile(filepath.Join(f, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(old, name), b, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// The clock of the stores moves past the interval between two looks at the files.
+	clk := clock.NewManual(time.Now())
+	c := open(t, loadStore(t, f, "control-1", clk))
+	n := open(t, loadStore(t, f, "katalog-1", clk))
+	behind := open(t, loadStore(t, old, "katalog-1", clk))
+	works := func(step string, from *transport.Endpoint, want bool) {
+		t.Helper()
+		clk.Advance(2 * time.Second)
+		if _, err := call(t, from, c, echo{Text: "x"}); (err == nil) != want {
+			t.Errorf("%s: error %v, want success %v", step, err, want)
+		}
+	}
+	works("before", n, true)
+	works("before", behind, true)
+	if err := keys.TrustNext(f, keys.Options{}); err != nil {
+		t.Fatal(err)
+	}
+	works("two authorities", n, true)
+	works("two authorities", behind, true)
+	if _, err := keys.Reissue(f, keys.Options{}); err != nil {
+		t.Fatal(err)
+	}
+	works("reissued", n, true)
+	if err := keys.DropPrevious(f); err != nil {
+		t.Fatal(err)
+	}
+	works("previous dropped, on its connection", behind, false)
+	works("previous dropped", n, true)
+	works("previous dropped, on a new connection", behind, false)
+	fresh := open(t, loadStore(t, f, "katalog-1", clk))
+	works("new process", fresh, true)
+}
+
+// Guards against a peer that ignores the size limit on sending.
+func TestOversizeFromWireIsRefused(t *testing.T) {
+	f := newFolder(t, "katalog-1", "control-1")
+	c := open(t, loadStore(t, f, "control-1", nil))
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	conn, err := quic.DialAddr(ctx, c.Address(), rawTLS(t, f), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.CloseWithError(0, "") }()
+	s, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = s.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := s.Write(make([]byte, transport.MaxMessageBytes+100)); err == nil {
+		err = s.Close()
+		if err == nil {
+			_, err = s.Read(make([]byte, 1))
+		}
+		if err == nil {
+			t.Error("oversize message was answered")
+		}
+	}
+	if n := c.Stats().Served; n != 0 {
+		t.Errorf("oversize message reached a handler")
+	}
+}
+
+func rawTLS(t *testing.T, folder string) *tls.Config {
+	t.Helper()
+	s, err := keys.Load(keys.Config{Files: keys.FilesOf(folder, fleet.NodeID("katalog-1"))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.QUICClient()
+}
+
+// Guards against a node that dials an unreachable peer for every message.
+func TestDialBacksOff(t *testing.T) {
+	f := newFolder(t, "katalog-1", "control-1")
+	clk := clock.NewManual(time.Now())
+	e, err := transport.NewEndpoint(echoMux(), transport.Config{Address: "127.0.0.1:0", Keys: loadStore(t, f, "katalog-1", nil), Clock: clk})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = e.Close(context.Background()) }()
+	// A socket that never answers.
+	silent, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	try := func() {
+		t.Helper()
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		if err := e.Call(ctx, silent.LocalAddr().String(), kindEcho, &echo{}, &echo{}); !errors.Is(err, transport.ErrNotSent) {
+			t.Fatalf("error %v, want %v", err, transport.ErrNotSent)
+		}
+	}
+	for range 3 {
+		try()
+	}
+	if n := e.Stats().Dials; n != 1 {
+		t.Errorf("%d dials without time passing, want 1", n)
+	}
+	clk.Advance(2 * time.Second)
+	if try(); e.Stats().Dials != 2 {
+		t.Errorf("%d dials after the back-off, want 2", e.Stats().Dials)
+	}
+}
+
+// Guards against a shutdown that cuts off a handler, and against messages that
+// are taken afterwards.
+func TestCloseWaitsForHandlers(t *testing.T) {
+	f := newFolder(t, "katalog-1", "control-1")
+	started, finish := make(chan struct{}), make(chan struct{})
+	m := transport.NewMux()
+	transport.Handle(m, kindEcho, func(context.Context, transport.Peer, *echo) (*echo, error) {
+		close(started)
+		<-finish
+		return &echo{Text: "done"}, nil
+	})
+	const kindNothing transport.Kind = 2
+	transport.Handle(m, kindNothing, func(context.Context, transport.Peer, *echo) (*echo, error) { return &echo{}, nil })
+	c, err := transport.NewEndpoint(m, transport.Config{Address: "127.0.0.1:0", Keys: loadStore(t, f, "control-1", nil)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = c.Serve(context.Background()) }()
+	n := open(t, loadStore(t, f, "katalog-1", nil))
+	replies := make(chan string, 1)
+	go func() {
+		got, _ := call(t, n, c, echo{})
+		replies <- got
+	}()
+	<-started
+	closed := make(chan error, 1)
+	go func() { closed <- c.Close(context.Background()) }()
+	for c.Call(context.Background(), c.Address(), kindNothing, &echo{}, &echo{}) == nil {
+		runtime.Gosched()
+	}
+	close(finish)
+	if err := <-closed; err != nil {
+		t.Error(err)
+	}
+	if got := <-replies; got != "done" {
+		t.Errorf("reply %q of a handler that ran during the shutdown", got)
+	}
+}
