proxy: use the fleet's keys in tests

Cause: the tests made certificates of their own, so that they did not show that the request path works with the TLS configuration of package keys.

Change: test nodes get their keys from an authority in a temporary folder.

--- a/proxy/backend_test.go
+++ b/proxy/backend_test.go
@@ -82,8 +82,13 @@
 // forward sends a request to the peer handler of n as the node called entry would.
 func (n *node) forward(t testing.TB, entry, method string, m fleet.CallMeta) *http.Response {
 	t.Helper()
-	client := &http.Client{Transport: &http.Transport{TLSClientConfig: testAuthority().config(t, entry), DisableKeepAlives: true}}
-	req := httptest.NewRequest(method, "https://"+n.peer.Listener.Addr().String()+"/x", nil)
+	return n.forwardTo(t, "/x", entry, method, m)
+}
+
+func (n *node) forwardTo(t testing.TB, path, entry, method string, m fleet.CallMeta) *http.Response {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: n.cluster.issue(entry).PeerClient(), DisableKeepAlives: true}}
+	req := httptest.NewRequest(method, "https://"+n.peer.Listener.Addr().String()+path, nil)
 	req.RequestURI = ""
 	v, err := fleet.EncodeHeader(&m)
 	if err != nil {
--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -2,17 +2,9 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"fmt"
 	"io"
 	"log"
-	"math/big"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -25,6 +17,7 @@
 	"bramleymill/class"
 	"bramleymill/clock"
 	"bramleymill/fleet"
+	"bramleymill/keys"
 	"bramleymill/settings"
 	"bramleymill/strictjson"
 	"bramleymill/suspect"
@@ -35,44 +28,6 @@
  {"name":"order","service":"shop","match":{"methods":["POST"],"path_prefix":"/"},"idempotent":false,"latency_target":"1s","deadline":"5m","urgency":"high","key":"optional"},
  {"name":"check","service":"shop","match":{"methods":["GET","POST"],"path_prefix":"/check"},"idempotent":false,"internal_only":true,"latency_target":"1s","deadline":"5m","urgency":"critical"}]}`
 
-// authority signs the certificates of test nodes.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-var testAuthority = sync.OnceValue(func() *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		panic(err)
-	}
-	t := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test"}, NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
-	der, err := x509.CreateCertificate(rand.Reader, t, t, &key.PublicKey, key)
-	if err != nil {
-		panic(err)
-	}
-	cert, err := x509.ParseCertificate(der)
-	if err != nil {
-		panic(err)
-	}
-	return &authority{cert, key}
-})
-
-func (a *authority) config(t testing.TB, name string) *tls.Config {
-	t.Helper()
-	template := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name}, NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &a.key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	roots := x509.NewCertPool()
-	roots.AddCert(a.cert)
-	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: a.key}},
-		RootCAs: roots, ClientCAs: roots, ClientAuth: tls.RequireAndVerifyClientCert, ServerName: "127.0.0.1", NextProtos: []string{"http/1.1"}}
-}
-
 // cluster is a set of nodes that share a directory, a configuration, claims and
 // a clock.
 type cluster struct {
@@ -80,6 +35,7 @@
 	clock   *clock.Manual
 	classes atomic.Pointer[class.Set]
 	claims  *fakeClaims
+	keys    string // folder
 	mu      sync.Mutex
 	nodes   []*node
 }
@@ -96,11 +52,25 @@
 }
 
 func newCluster(t testing.TB) *cluster {
-	c := &cluster{t: t, clock: clock.NewManual(time.Now()), claims: newFakeClaims()}
+	c := &cluster{t: t, clock: clock.NewManual(time.Now()), claims: newFakeClaims(), keys: t.TempDir()}
 	c.configure(testClasses)
+	if err := keys.InitAuthority(c.keys, keys.Options{}); err != nil {
+		t.Fatal(err)
+	}
 	return c
 }
 
+// issue returns the keys of a node, new ones unless it has some.
+func (c *cluster) issue(name string) *keys.Store {
+	c.t.Helper()
+	_ = keys.Issue(c.keys, fleet.NodeID(name), fleet.RoleNode, keys.Options{}) // fails if they exist
+	s, err := keys.Load(keys.Config{Files: keys.FilesOf(c.keys, fleet.NodeID(name))})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return s
+}
+
 func (c *cluster) configure(document string) {
 	c.t.Helper()
 	d, err := class.Parse([]byte(document))
@@ -114,14 +84,14 @@
 func (c *cluster) node(name string, h http.Handler, change ...func(*Config)) *node {
 	c.t.Helper()
 	n := &node{name: fleet.NodeID(name), cluster: c}
-	tlsConfig := testAuthority().config(c.t, name)
+	store := c.issue(name)
 	config := Config{Node: n.name, Incarnation: 7, Zone: "a", Directory: c, Configuration: c, Claims: c.claims, Locks: c.claims,
 		StateChanged: func(s fleet.ServerState) {
 			if s == fleet.Ready {
 				n.ready.Add(1)
 			}
 		},
-		Crashes: (*crashNet)(n), ClientTLS: tlsConfig, Clock: c.clock, Seed: 1, ServiceToken: "service-secret"}
+		Crashes: (*crashNet)(n), ClientTLS: store.PeerClient(), Clock: c.clock, Seed: 1, ServiceToken: "service-secret"}
 	if h != nil {
 		n.backend = quiet(httptest.NewUnstartedServer(h))
 		n.backend.Start()
@@ -141,7 +111,7 @@
 	n.service = quiet(httptest.NewUnstartedServer(p.Service()))
 	n.service.Start()
 	n.peer = quiet(httptest.NewUnstartedServer(p.Peer()))
-	n.peer.TLS = tlsConfig.Clone()
+	n.peer.TLS = store.PeerServer()
 	n.peer.StartTLS()
 	c.mu.Lock()
 	c.nodes = append(c.nodes, n)
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -137,7 +137,9 @@
 		m := n.meta("entry")
 		m.RequestID, m.Fingerprint, m.Confined = "entry.1."+string(n.name), 99, false
 		if n.Admission().InFlight == 1 {
-			poison(t, n, m)
+			if resp := n.forwardTo(t, "/poison", "entry", "POST", m); resp.StatusCode != 502 {
+				t.Errorf("status %d", resp.StatusCode)
+			}
 		}
 	}
 	if <-result != "true" {
@@ -148,18 +150,3 @@
 	}
 	expect(t, 200, "", "ok", "POST", c.nodes[1].caller.URL+"/innocent", "X", "1")
 }
-
-// poison runs the poisonous path at the server of n.
-func poison(t *testing.T, n *node, m fleet.CallMeta) {
-	t.Helper()
-	client := &http.Client{Transport: &http.Transport{TLSClientConfig: testAuthority().config(t, "entry"), DisableKeepAlives: true}}
-	req, _ := http.NewRequest("POST", "https://"+n.peer.Listener.Addr().String()+"/poison", nil)
-	v, _ := fleet.EncodeHeader(&m)
-	req.Header.Set(fleet.HeaderCallMeta, v)
-	resp, err := client.Do(req)
-	if err != nil || resp.StatusCode != 502 {
-		t.Errorf("%v %v", resp, err)
-		return
-	}
-	_ = resp.Body.Close()
-}
