Lock the ports of test processes; test unconfirmed nodes and bad links

Cause: two test processes could get the same port before either listened on it (one of three parallel fleets failed to start). A cut-off node, the loss of the control majority and bad links had no test between processes. Change: freeport holds a lock for each port; e2e tests for the three faults; the crash test checks the list of suspects and the events. Ruled out: a separate range for each test package, which new packages forget.

--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -221,6 +221,7 @@
 		in, out bool
 	}{{"both ways", true, true}, {"cannot send", false, true}, {"cannot receive", true, false}} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			f := newFleet(t, fleetOptions{controls: 3, plain: 1, links: true})
 			f.begin()
 			victim := f.instances[0]
--- a/e2e/orders_test.go
+++ b/e2e/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -88,6 +89,12 @@
 	if a := f.send(f.instances[0], http.MethodGet, "/page", "innocent", "", nil); a.status != http.StatusOK {
 		t.Errorf("another request: %+v", a)
 	}
+	if out := f.ctl("suspects"); !strings.Contains(out, "/poison") {
+		t.Errorf("the request is not listed: %s", out)
+	}
+	if out := f.ctl("events"); !strings.Contains(out, "crash_detected") {
+		t.Errorf("the crash is no event: %s", out)
+	}
 }
 
 // Guards against a drained backend server that still gets work.
--- /dev/null
+++ b/e2e/unconfirmed_test.go
@@ -0,0 +1,90 @@
+package e2e
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+
+	"bramleymill/errkind"
+	"bramleymill/faultlink"
+)
+
+// documentServing writes classes whose browsing goes on under an unconfirmed
+// configuration.
+func (f *fleet) documentServing() string {
+	f.t.Helper()
+	b, err := os.ReadFile(f.document(0))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	text := strings.Replace(string(b), `"urgency":"normal"`, `"urgency":"normal","when_unconfirmed":"serve"`, 1)
+	name := f.path("serving.json")
+	if err := os.WriteFile(name, []byte(text), 0o644); err != nil {
+		f.t.Fatal(err)
+	}
+	return name
+}
+
+// Guards against a node that is cut off from the others and goes on under a
+// configuration that may no longer be in force.
+func TestCutOffNodeRefusesUntilItIsConfirmed(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{controls: 3, plain: 1, links: true})
+	f.begin()
+	victim := f.instances[3]
+	f.cut(victim, true, true)
+	f.await("refusal by the cut-off node", func() bool {
+		a := f.send(victim, http.MethodGet, "/page", "w", "", nil)
+		return a.kind == errkind.ConfigUnconfirmed
+	})
+	if a := f.send(f.instances[1], http.MethodGet, "/page", "w", "", nil); a.status != http.StatusOK {
+		t.Errorf("through another node: %+v", a)
+	}
+	f.heal()
+	f.awaitServing(victim)
+}
+
+// Guards against the loss of a majority of control instances that stops classes
+// that operators want served, or that lets the others go on.
+func TestLossOfTheControlMajority(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{controls: 3, plain: 2})
+	f.begin()
+	f.ctl("apply", f.documentServing(), "--wait")
+	f.instances[0].node.kill()
+	f.instances[1].node.kill()
+	plain := f.instances[3]
+	f.await("orders refused", func() bool {
+		a := f.send(plain, http.MethodPost, "/orders", "order", "key", nil)
+		return a.kind == errkind.ConfigUnconfirmed
+	})
+	if a := f.send(plain, http.MethodGet, "/page", "w", "", nil); a.status != http.StatusOK {
+		t.Errorf("browsing, which is to be served: %+v", a)
+	}
+	if n := f.executions()["order"]; n > 1 {
+		t.Errorf("the order ran %d times", n)
+	}
+	f.startNode(f.instances[0])
+	f.await("orders after the return of a majority", func() bool {
+		a := f.send(plain, http.MethodPost, "/orders", "order-2", "key-2", nil)
+		return a.status == http.StatusOK
+	})
+}
+
+// Guards against links that lose, delay and duplicate datagrams and thereby
+// break promises or stop the fleet.
+func TestBadLinks(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{controls: 3, plain: 1, links: true})
+	f.begin()
+	for _, in := range f.instances {
+		bad := faultlink.Faults{Drop: 0.05, Duplicate: 0.1, Delay: 1e6, Jitter: 5e6}
+		in.link.Set("", faultlink.Forward, bad)
+		in.link.Set("", faultlink.Backward, bad)
+	}
+	f.load(5e9, func() {})
+	if v := f.apply(1); v != 2 {
+		t.Errorf("version %d after the second change", v)
+	}
+}
--- a/freeport/freeport.go
+++ b/freeport/freeport.go
@@ -4,7 +4,8 @@
 // Ports that the system hands out for port 0 and for outgoing connections lie in
 // its ephemeral range. A port from that range that is free now may be taken by
 // any outgoing connection before a process listens on it, so that only ports
-// below the range are returned.
+// below the range are returned. A process keeps a lock on each port that it was
+// given, so that test processes that run side by side do not get the same one.
 package freeport
 
 import (
@@ -12,7 +13,11 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
+	"path/filepath"
+	"strconv"
 	"sync"
+	"syscall"
 )
 
 const (
@@ -26,7 +31,7 @@
 
 var (
 	mu    sync.Mutex
-	given = map[int]bool{}
+	given = map[int]*os.File{} // locks, held until the process ends
 )
 
 // Address returns a loopback address whose port is free for TCP and UDP and was
@@ -37,15 +42,43 @@
 	for range tries {
 		port := lowest + rand.IntN(highest-lowest)
 		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if given[port] || !free(address) {
+		if given[port] != nil {
 			continue
 		}
-		given[port] = true
+		f, err := lock(port)
+		if err != nil {
+			return "", err
+		}
+		if f == nil {
+			continue
+		}
+		if !free(address) {
+			f.Close()
+			continue
+		}
+		given[port] = f
 		return address, nil
 	}
 	return "", ErrNone
 }
 
+// lock takes a port for this process. It returns nil when another process has it.
+func lock(port int) (*os.File, error) {
+	folder := filepath.Join(os.TempDir(), "bramleymill-ports")
+	if err := os.MkdirAll(folder, 0o777); err != nil {
+		return nil, fmt.Errorf("lock port: %w", err)
+	}
+	f, err := os.OpenFile(filepath.Join(folder, strconv.Itoa(port)), os.O_CREATE|os.O_RDWR, 0o666)
+	if err != nil {
+		return nil, fmt.Errorf("lock port: %w", err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, nil
+	}
+	return f, nil
+}
+
 func free(address string) bool {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
