--- a/suspect/clear.go
+++ b/suspect/clear.go
@@ -82,17 +82,17 @@
 // bring the suspicion back.
 func (t *Table) remember(now time.Time, k Key, crash Crash) {
 	if len(t.cleared) >= t.config.MaxEntries {
-		evictOldest(t.cleared)
+		evictOldest(t.cleared, func(at time.Time) time.Time { return at })
 	}
 	t.cleared[clearedCrash{k, crash}] = now
 }
 
-func evictOldest(m map[clearedCrash]time.Time) {
-	var oldest clearedCrash
-	var at time.Time
+func evictOldest[K comparable, V any](m map[K]V, at func(V) time.Time) {
+	var oldest K
+	var first time.Time
 	for k, v := range m {
-		if at.IsZero() || v.Before(at) {
-			oldest, at = k, v
+		if t := at(v); first.IsZero() || t.Before(first) {
+			oldest, first = k, t
 		}
 	}
 	delete(m, oldest)
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -150,10 +150,13 @@
 	defer t.mu.Unlock()
 	t.prune(now)
 	key, crash := keyOf(r), crashOf(r)
-	if _, done := t.cleared[clearedCrash{key, crash}]; done {
+	if c, ok := t.confined[crash]; ok && c.key != key {
 		return false
 	}
-	if c, ok := t.confined[crash]; ok && c.key != key {
+	if r.Confined {
+		t.blameAlone(now, key, crash) // holds even when key was cleared of the crash
+	}
+	if _, done := t.cleared[clearedCrash{key, crash}]; done {
 		return false
 	}
 	e := t.entries[key]
@@ -162,9 +165,6 @@
 			return false
 		}
 	}
-	if r.Confined {
-		t.blameAlone(now, key, crash)
-	}
 	if e == nil {
 		if e = t.add(now, key); e == nil {
 			return false
@@ -178,6 +178,12 @@
 // blameAlone removes the crash from every other key. The report of the confined
 // request may arrive after those of innocent requests.
 func (t *Table) blameAlone(now time.Time, key Key, crash Crash) {
+	if _, known := t.confined[crash]; known {
+		return
+	}
+	if len(t.confined) >= t.config.MaxEntries {
+		evictOldest(t.confined, func(c remembered) time.Time { return c.at })
+	}
 	t.confined[crash] = remembered{key, now}
 	for k, e := range t.entries {
 		if k == key {
