--- a/cmd/millload/main.go
+++ b/cmd/millload/main.go
@@ -128,7 +128,7 @@
 func freePorts(n int) ([]string, error) {
 	ports := make([]string, 0, n)
 	for range n {
-		address, err := freeport.Address()
+		address, err := freeport.ScriptAddress()
 		if err != nil {
 			return nil, err
 		}
--- a/e2e/control_test.go
+++ b/e2e/control_test.go
@@ -25,6 +25,7 @@
 		Node          string `json:"node"`
 		Live          bool   `json:"live"`
 		ConfigVersion uint64 `json:"config_version"`
+		OrdersVersion uint64 `json:"orders_version"`
 	} `json:"nodes"`
 }
 
@@ -82,6 +83,22 @@
 	})
 }
 
+// awaitOrders waits until every node has the version of the drain orders. Before
+// that, a node that has not heard of a drain may still send or admit work.
+func (f *fleet) awaitOrders(version uint64) {
+	f.t.Helper()
+	f.await("orders in force", func() bool {
+		s, ok := f.statusAt(f.instances[0])
+		current := 0
+		for _, n := range s.Nodes {
+			if n.Live && n.OrdersVersion >= version {
+				current++
+			}
+		}
+		return ok && current == len(f.instances)
+	})
+}
+
 // Guards against accepted changes that are lost or reverted while one control
 // instance after the other is killed and restarted.
 func TestChangesWhileControlInstancesAreKilled(t *testing.T) {
--- a/e2e/traffic_test.go
+++ b/e2e/traffic_test.go
@@ -153,6 +153,11 @@
 	}
 	check := loadgen.Verify(result.Outcomes(), f.executions())
 	f.t.Log(check.Line())
+	for _, o := range result.Outcomes() {
+		if o.Verdict != loadgen.Answered {
+			f.t.Logf("%+v", o)
+		}
+	}
 	if !check.Passed() {
 		f.t.Errorf("broken promise: %+v", check)
 	}
--- a/freeport/freeport.go
+++ b/freeport/freeport.go
@@ -21,7 +21,8 @@
 )
 
 const (
-	lowest  = 15000
+	lowest  = 15000 // of tests
+	middle  = 25000 // of scripts, which cannot keep locks
 	highest = 32000 // the ephemeral range of Linux begins at 32768
 	tries   = 2000
 )
@@ -36,7 +37,13 @@
 
 // Address returns a loopback address whose port is free for TCP and UDP and was
 // not returned to this process before.
-func Address() (string, error) {
+func Address() (string, error) { return between(lowest, middle) }
+
+// ScriptAddress is like Address for a process that ends before the port is used.
+// Its ports come from a range of their own.
+func ScriptAddress() (string, error) { return between(middle, highest) }
+
+func between(lowest, highest int) (string, error) {
 	mu.Lock()
 	defer mu.Unlock()
 	for range tries {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -127,6 +127,26 @@
 	go func() { done <- n.Run(ctx) }()
 }
 
+// addPlain starts a node called shop-plain without control role and backend server.
+func (f *testFleet) addPlain() {
+	f.t.Helper()
+	const name = "shop-plain"
+	if err := keys.Issue(f.keys, name, fleet.RoleNode, keys.Options{Overwrite: true}); err != nil {
+		f.t.Fatal(err)
+	}
+	files := keys.FilesOf(f.keys, name)
+	s := &settings.Settings{
+		Node: name, Region: "r", Zone: "z", CallerAddress: freePort(f.t), PeerAddress: freePort(f.t), AdminAddress: freePort(f.t),
+		Seeds:        f.settings[0].Seeds,
+		Keys:         settings.Keys{Authority: files.Authority, Certificate: files.Certificate, PrivateKey: files.PrivateKey},
+		DrainTimeout: strictjson.Duration(10 * time.Second),
+	}
+	s.AdvertisedAddress = s.PeerAddress
+	f.settings = append(f.settings, s)
+	f.nodes, f.cancels, f.done = append(f.nodes, nil), append(f.cancels, nil), append(f.done, nil)
+	f.start(len(f.settings) - 1)
+}
+
 // stop ends a node gracefully and returns its error.
 func (f *testFleet) stop(i int) error {
 	if f.cancels[i] == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -44,11 +44,14 @@
 	path      atomic.Pointer[proxy.Proxy]
 	seed      uint64
 	seenOrder atomic.Uint64 // version of the orders acted on
+
+	superseded chan fleet.Incarnation
 }
 
 // New opens the keys, the data folder and the control endpoint of a node.
 func New(s *settings.Settings, logger *slog.Logger) (*Node, error) {
-	n := &Node{settings: s, logger: logger.With("node", s.Node), seed: rand.Uint64(), metrics: metrics.New(s.Node)}
+	n := &Node{settings: s, logger: logger.With("node", s.Node), seed: rand.Uint64(), metrics: metrics.New(s.Node),
+		superseded: make(chan fleet.Incarnation, 1)}
 	var err error
 	n.keys, err = keys.Load(keys.Config{
 		Files:  keys.Files{Authority: s.Keys.Authority, Certificate: s.Keys.Certificate, PrivateKey: s.Keys.PrivateKey},
@@ -114,6 +117,12 @@
 	n.member = m
 	n.config = &configuration{confirmed: m.Confirmed, logger: n.logger, onOrders: n.followOrders, onClasses: n.noteClasses}
 	m.OnConfig(n.config.adopt)
+	m.OnSuperseded(func(i fleet.Incarnation) {
+		select {
+		case n.superseded <- i:
+		default:
+		}
+	})
 	if n.control != nil {
 		n.control.changed = m.ConfigChanged
 	}
@@ -197,11 +206,17 @@
 	select {
 	case <-ctx.Done():
 	case <-r.failed:
+	case incarnation := <-n.superseded:
+		err = fmt.Errorf("%w: incarnation %d", ErrSuperseded, incarnation)
 	}
-	stopErr := n.stop(r)
-	return errors.Join(stopErr, r.group.Wait())
+	return errors.Join(err, n.stop(r), r.group.Wait())
 }
 
+// ErrSuperseded is returned by Run when another process has the name of the node
+// and a higher incarnation. Two processes with one name would confuse the fleet
+// about what runs where, and the later one is the one that was meant.
+var ErrSuperseded = errors.New("another process runs under the name of this node")
+
 // running is what start began and stop ends.
 type running struct {
 	group     *errgroup.Group
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"errors"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
+	"bramleymill/errkind"
 	"bramleymill/fleet"
 )
 
@@ -57,3 +60,58 @@
 		}
 	}
 }
+
+// Guards against two processes that serve under one name: the earlier one stops
+// when a later one has joined.
+func TestLaterProcessOfTheSameNameWins(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.bootstrap()
+	f.addPlain()
+	f.await("first process serving", func() bool { return f.nodes[3].config.Current() != nil })
+	f.addPlain()
+	select {
+	case err := <-f.done[3]:
+		f.cancels[3] = nil
+		if !errors.Is(err, ErrSuperseded) {
+			t.Errorf("the earlier process ended with %v", err)
+		}
+	case <-time.After(patience):
+		t.Fatal("the earlier process goes on")
+	}
+}
+
+// Guards against a stop that closes connections on which callers are just
+// sending: a request that meets a leaving node is answered as not run.
+func TestLeavingNodeAnswersBeforeItCloses(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.bootstrap()
+	client := &http.Client{Transport: &http.Transport{}}
+	post := func() (*http.Response, error) {
+		req, err := http.NewRequest(http.MethodPost, "http://"+f.settings[2].CallerAddress+"/orders", strings.NewReader("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return client.Do(req)
+	}
+	stopped := make(chan error, 1)
+	cancel := f.cancels[2]
+	f.cancels[2] = nil
+	go func() { cancel(); stopped <- <-f.done[2] }()
+	for {
+		resp, err := post()
+		if err != nil {
+			t.Fatalf("no refusal before the connection was closed: %v", err)
+		}
+		resp.Body.Close()
+		if resp.Header.Get(fleet.HeaderKind) == string(errkind.Draining) {
+			if !resp.Close {
+				t.Error("the refusal does not say that the connection is closed")
+			}
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
--- a/node/run.go
+++ b/node/run.go
@@ -22,6 +22,12 @@
 
 	usageInterval = 5 * time.Second
 
+	// linger is how long a drained node goes on to answer before it closes its
+	// listeners. Until the others have heard that it leaves, they and callers write
+	// requests to connections that are idle here; closing one at that moment would
+	// leave it open whether the request ran.
+	linger = 1500 * time.Millisecond
+
 	// closeTimeout bounds each step of a stop that follows the drain.
 	closeTimeout = time.Second
 )
@@ -175,6 +181,7 @@
 	for _, c := range report.CutOff {
 		n.logger.Warn("request cut off", "method", c.Method, "path", c.Path)
 	}
+	time.Sleep(linger)
 	n.closeListeners(r)
 	r.proxy.Close()
 	n.step("announce departure", n.member.Leave)
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -112,6 +112,9 @@
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	h.Set(fleet.HeaderKind, string(e.Kind))
 	h.Set(fleet.HeaderOutcome, string(a.Outcome))
+	if e.Kind == errkind.Draining {
+		h.Set("Connection", "close") // the listener may be closed next
+	}
 	if a.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int((a.RetryAfter+time.Second-1)/time.Second)))
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -198,16 +198,24 @@
 # Nodes without the control role stop first, then the control instances.
 stop_status=0
 stop() {
-  kill -TERM "${pid[$1]}"
-  if ! wait "${pid[$1]}"; then
-    echo "$1 did not stop cleanly"
-    stop_status=1
-  fi
-  unset "pid[$1]"
+  local p
+  for p in "$@"; do kill -TERM "${pid[$p]}"; done
+  for p in "$@"; do
+    if ! wait "${pid[$p]}"; then
+      echo "$p did not stop cleanly"
+      stop_status=1
+    fi
+    unset "pid[$p]"
+  done
 }
-for id in "${names[@]}"; do if ! is_control "$id"; then stop "node-$id"; fi; done
+plain=() backends=()
+for id in "${names[@]}"; do
+  backends+=("backend-$id")
+  if ! is_control "$id"; then plain+=("node-$id"); fi
+done
+stop "${plain[@]}"
 for id in "${controls[@]}"; do stop "node-$id"; done
-for id in "${names[@]}"; do stop "backend-$id"; done
+stop "${backends[@]}"
 
 if [[ $load_status -ne 0 ]]; then tail -n 20 "$run/logs/load.log" >&2; fi
 cat "$run/table.txt"
