filter, explain: order informational answers and the answer itself

Cause: the Transport reports a 1xx answer from its own goroutine, also just after an attempt was cancelled, when the error answer is being written: two goroutines changed one header map.

The new test of late informational answers fails without the lock.

--- a/explain/record.go
+++ b/explain/record.go
@@ -22,15 +22,15 @@
 	MaxAttempts   = 6
 )
 
-// Candidate is a backend server that was considered, with the load known at
+// Candidate is a backend server that was considered, with what was known of it at
 // the time of the choice.
 type Candidate struct {
-	Node     fleet.NodeID  `cbor:"1,keyasint" json:"node"`
-	InFlight int           `cbor:"2,keyasint" json:"in_flight"`
-	Age      time.Duration `cbor:"3,keyasint" json:"load_age_ns"` // negative: no load known
-	Cost     time.Duration `cbor:"4,keyasint" json:"cost_ns"`
-	Chosen   bool          `cbor:"5,keyasint,omitempty" json:"chosen"`
-	Ejected  bool          `cbor:"6,keyasint,omitempty" json:"ejected,omitempty"`
+	Node        fleet.NodeID  `cbor:"1,keyasint" json:"node"`
+	Outstanding int           `cbor:"2,keyasint" json:"outstanding"` // requests of the recording node without an answer
+	Age         time.Duration `cbor:"3,keyasint" json:"load_age_ns"` // negative: no load known
+	Cost        time.Duration `cbor:"4,keyasint" json:"cost_ns"`
+	Chosen      bool          `cbor:"5,keyasint,omitempty" json:"chosen"`
+	Ejected     bool          `cbor:"6,keyasint,omitempty" json:"ejected,omitempty"`
 }
 
 // Attempt is one attempt as seen by the entry node.
--- a/filter/answer.go
+++ b/filter/answer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -34,6 +35,7 @@
 // first byte was passed on.
 type Writer struct {
 	rw      http.ResponseWriter
+	mu      sync.Mutex // orders Informational, which another goroutine calls, and Begin
 	started atomic.Bool
 	ended   atomic.Bool
 	status  int
@@ -58,6 +60,8 @@
 // Informational passes on a 1xx answer. Status 100 is not passed on, because
 // the server sends it by itself when the body is read.
 func (w *Writer) Informational(status int, h http.Header) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.started.Load() || status == http.StatusContinue || status == http.StatusSwitchingProtocols {
 		return
 	}
@@ -71,9 +75,21 @@
 
 // Begin passes on the head of the answer.
 func (w *Writer) Begin(head Head) error {
-	if !w.started.CompareAndSwap(false, true) {
+	if !w.begin(head) {
 		return ErrLost
 	}
+	if w.stream {
+		return w.Flush()
+	}
+	return nil
+}
+
+func (w *Writer) begin(head Head) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.started.CompareAndSwap(false, true) {
+		return false
+	}
 	h := w.rw.Header()
 	copyHeader(h, head.Header)
 	for name := range head.Trailer {
@@ -84,10 +100,7 @@
 	}
 	w.status, w.stream = head.Status, head.Stream
 	w.rw.WriteHeader(head.Status)
-	if w.stream {
-		return w.Flush()
-	}
-	return nil
+	return true
 }
 
 // Write passes on a part of the body.
--- a/filter/chain_test.go
+++ b/filter/chain_test.go
@@ -220,3 +220,30 @@
 		t.Error("an attempt that starts after the end of the race is not cancelled")
 	}
 }
+
+// Guards against a late informational answer of a cancelled attempt that changes
+// the headers of the answer.
+func TestLateInformationalAnswer(t *testing.T) {
+	for range 20 {
+		w := NewWriter(httptest.NewRecorder(), nil)
+		first, done := make(chan struct{}, 1), make(chan struct{})
+		go func() {
+			defer close(done)
+			for range 200 {
+				w.Informational(http.StatusEarlyHints, http.Header{"Link": {"x"}})
+				select {
+				case first <- struct{}{}:
+				default:
+				}
+			}
+		}()
+		<-first
+		if err := w.Begin(Head{Status: 200, Header: http.Header{"A": {"1"}}}); err != nil {
+			t.Error(err)
+		}
+		<-done
+		if link := w.rw.Header().Get("Link"); link != "" {
+			t.Errorf("the answer has the header of an informational one: %q", link)
+		}
+	}
+}
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -159,7 +159,7 @@
 	views := b.Views(now)
 	c.Candidates = make([]explain.Candidate, 0, len(views))
 	for _, v := range views {
-		c.Candidates = append(c.Candidates, explain.Candidate{Node: v.Server.Node, InFlight: v.Outstanding,
+		c.Candidates = append(c.Candidates, explain.Candidate{Node: v.Server.Node, Outstanding: v.Outstanding,
 			Age: v.ReportAge, Cost: v.Cost, Ejected: v.Ejected, Chosen: v.Server.Node == e.Server.Node})
 	}
 }
