--- /dev/null
+++ b/member/size_test.go
@@ -0,0 +1,109 @@
+package member_test
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+	"bramleymill/member"
+)
+
+// serversPerService is about the mean of the design size: 3,200 in 240 services.
+const serversPerService = 13
+
+// sizeOfFleet is the number of nodes of TestDesignSize. The design size takes
+// minutes: BRAMLEYMILL_NODES=3200 go test -run TestDesignSize -v ./member
+func sizeOfFleet(t *testing.T) int {
+	text := os.Getenv("BRAMLEYMILL_NODES")
+	if text == "" {
+		return 260
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil || n < 2*serversPerService {
+		t.Fatalf("BRAMLEYMILL_NODES=%s: use a number from %d", text, 2*serversPerService)
+	}
+	return n
+}
+
+func serviceOf(i int) string { return fmt.Sprintf("service-%d", i/serversPerService) }
+
+// Guards against a mechanism that holds for few nodes only: with 11 control
+// instances and the nodes in many services, of which each node follows two, a
+// version, a drain and a loss reach everyone within their bounds, and no
+// process serves more heartbeats than its children send.
+func TestDesignSize(t *testing.T) {
+	nodes := sizeOfFleet(t)
+	s := newSim(t, 11, 48)
+	for i := range nodes {
+		s.start(nodeName(i), serviceOf(i), nil)
+	}
+	follow := func() bool {
+		ok := true
+		for i := range nodes {
+			m := s.names[nodeName(i)]
+			for _, service := range []string{serviceOf(i), serviceOf((i + serversPerService) % nodes)} {
+				ok = len(m.Servers(service)) >= min(serversPerService, nodes%serversPerService+1) && ok
+			}
+			ok = m.Confirmed() < member.ConfirmationBound && ok
+		}
+		return ok
+	}
+	t.Logf("%d nodes follow two services each after %v", nodes, s.runUntil(20*time.Second, "servers known", follow))
+	s.run(3 * time.Second)
+	s.setVersion(2)
+	t.Logf("version everywhere after %v", s.runUntil(14*time.Second, "version 2 everywhere", func() bool { return s.everywhere(2) }))
+	leaving := s.names[nodeName(0)]
+	leaving.SetState(fleet.Draining)
+	t.Logf("drain at all followers after %v", s.runUntil(2*time.Second, "drain everywhere", func() bool {
+		return s.followers(nodes, func(m *member.Member, x *fleet.Server) bool { return x != nil && x.State == fleet.Draining })
+	}))
+	s.stop(nodeName(0))
+	t.Logf("dead node gone at all followers after %v", s.runUntil(member.Lease, "dead node gone", func() bool {
+		return s.followers(nodes, func(_ *member.Member, x *fleet.Server) bool { return x == nil })
+	}))
+	s.logLoad(t)
+}
+
+// followers reports whether f holds for the first node as seen by the other
+// nodes that follow its service.
+func (s *sim) followers(nodes int, f func(*member.Member, *fleet.Server) bool) bool {
+	for i := 1; i < nodes; i++ {
+		if i < serversPerService || i >= nodes-serversPerService {
+			m := s.names[nodeName(i)]
+			if !f(m, s.sees(nodeName(i), nodeName(0), serviceOf(0))) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// logLoad measures the heartbeats that control instances, relays and leaves
+// serve in ten seconds at rest.
+func (s *sim) logLoad(t *testing.T) {
+	const period = 10 * time.Second
+	before := map[fleet.NodeID]uint64{}
+	s.each("", func(n fleet.NodeID, m *member.Member) { before[n] = m.Stats().HeartbeatsServed })
+	s.run(period)
+	var most [2]float64
+	relays := 0
+	s.each("", func(n fleet.NodeID, m *member.Member) {
+		st := m.Stats()
+		rate := float64(st.HeartbeatsServed-before[n]) / period.Seconds()
+		role := 0
+		if !m.Self().Control {
+			role = 1
+			if st.Children > 0 {
+				relays++
+			}
+		}
+		most[role] = max(most[role], rate)
+		if limit := 3 * float64(st.Children+11); rate > limit {
+			t.Errorf("%s with %d children serves %.1f heartbeats a second", n, st.Children, rate)
+		}
+	})
+	t.Logf("heartbeats served a second: control instance at most %.1f, other node at most %.1f; %d relays", most[0], most[1], relays)
+}
