Count the servers of each service in the size test

Cause: with 3,200 nodes the last service has 2 servers; the test waited for 3. Change: the exact number for each service, which is stricter. Ruled out: a number of nodes that divides evenly.

--- a/member/size_test.go
+++ b/member/size_test.go
@@ -37,15 +37,17 @@
 func TestDesignSize(t *testing.T) {
 	nodes := sizeOfFleet(t)
 	s := newSim(t, 11, 48)
+	servers := map[string]int{}
 	for i := range nodes {
 		s.start(nodeName(i), serviceOf(i), nil)
+		servers[serviceOf(i)]++
 	}
 	follow := func() bool {
 		ok := true
 		for i := range nodes {
 			m := s.names[nodeName(i)]
 			for _, service := range []string{serviceOf(i), serviceOf((i + serversPerService) % nodes)} {
-				ok = len(m.Servers(service)) >= min(serversPerService, nodes%serversPerService+1) && ok
+				ok = len(m.Servers(service)) == servers[service] && ok
 			}
 			ok = m.Confirmed() < member.ConfirmationBound && ok
 		}
