Hold the fork lock while a port is checked

Cause: two of three parallel fleets could not bind a port that was just found free. A process that another goroutine was starting held a copy of the listening sockets of the check until it executed its program. Change: the check holds syscall.ForkLock. Ruled out: other processes (ports are locked across processes) and outgoing connections (the ports are below the ephemeral range).

--- a/freeport/freeport.go
+++ b/freeport/freeport.go
@@ -86,7 +86,11 @@
 	return f, nil
 }
 
+// free holds the fork lock, because a process that is started meanwhile keeps a
+// copy of the listening sockets until it executes its program.
 func free(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return false
--- a/freeport/freeport_test.go
+++ b/freeport/freeport_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"os/exec"
 	"strconv"
+	"sync"
 	"testing"
 )
 
@@ -42,3 +44,36 @@
 		t.Fatalf("port %d could be locked a second time", port)
 	}
 }
+
+// Guards against a port that cannot be bound because a process that was started
+// during the check still holds the sockets of the check.
+func TestPortsCanBeBoundWhileProcessesStart(t *testing.T) {
+	done := make(chan struct{})
+	var starting sync.WaitGroup
+	for range 4 {
+		starting.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+					exec.Command("true").Run()
+				}
+			}
+		})
+	}
+	for range 400 {
+		a, err := Address()
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			t.Error(err)
+			break
+		}
+		l.Close()
+	}
+	close(done)
+	starting.Wait()
+}
