Add make bench

Cause: policies, the request hop and the added latency were compared only in trials within one process, and no command repeated them. Change: 'make bench' runs scripts/bench.sh, which replays the recorded traces with every policy and several measuring budgets, compares HTTP/1.1, HTTP/2 and QUIC between two processes in short alternating rounds, compares calls through an entry node and another node with direct calls, collects Go benchmarks, and writes JSON, a page and plots to bench/results. The results are replaced only if every part ran. Benchmarks of admission and the retry budget are in the package benchmark, because admit and retry have none. Ruled out: golang.org/x/tools/benchmark/parse, which drops the units that benchmarks report themselves (commits/s, p99-µs); reading processor time from the process table, whose ticks of 10 ms are too coarse for rounds of 120 ms; a difference of p99 alone for the added latency, which bursts of other load double, so that the median over pairs of rounds is reported too.

--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,6 @@
 
 demo: build
 	bash scripts/demo.sh $(DEPLOYMENT)
+
+bench: build
+	bash scripts/bench.sh
--- /dev/null
+++ b/benchmark/benchmark_test.go
@@ -0,0 +1,290 @@
+package benchmark
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/freeport"
+	"bramleymill/keys"
+	"bramleymill/probe"
+	"bramleymill/replay"
+	"bramleymill/strictjson"
+)
+
+func result(seconds int, records []replay.Record, spent ...probe.Spent) *replay.Result {
+	r := &replay.Result{Trace: &replay.Trace{Classes: []replay.Line{{Name: "order"}}}, Records: records}
+	r.Trace.Deployment.Name = "nitra"
+	r.Trace.Deployment.For = strictjson.Duration(time.Duration(seconds) * time.Second)
+	for _, s := range spent {
+		r.Servers = append(r.Servers, replay.ServerResult{Spent: s})
+	}
+	return r
+}
+
+// Guards against wrong sums over seeds and traces, and against overload traces
+// in the pooled figures.
+func TestPoolSumsUp(t *testing.T) {
+	var records []replay.Record
+	for i := range 99 {
+		records = append(records, replay.Record{Latency: time.Duration(i+1) * time.Millisecond})
+	}
+	records = append(records, replay.Record{Kind: errkind.QueueFull})
+	spent := probe.Spent{Probes: 2, Bytes: 400, ProbeShare: 0.25, ByteShare: 0.1}
+	p := newPool(asRunVariant(1))
+	p.add("nitra-fail", result(4, records, spent, probe.Spent{ByteShare: 0.2}))
+	p.add("nitra-fail", result(4, records, spent, probe.Spent{}))
+	p.add("nitra-overload-2x", result(4, records, spent))
+	got := p.figures()
+	want := Figures{
+		Deployment: "nitra", Trace: PooledTrace, Policy: AsRun, Budget: 1, Class: "order",
+		Requests: 200, Answered: 198, Unanswered: map[errkind.Kind]int{errkind.QueueFull: 2},
+		Goodput: 24.75, P50: 50, P99: 99, P999: 99,
+		Cost: Cost{ProbesPerServer: 0.25, BytesPerServer: 50, ProbeShare: 0.25, ByteShare: 0.2},
+	}
+	if len(got) != 3 {
+		t.Fatalf("%d rows, want one for each trace and one for the pooled ones", len(got))
+	}
+	if d := cmp.Diff(want, got[1]); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against a ratio between rows of different traces or classes and against
+// a division by zero.
+func TestRatios(t *testing.T) {
+	row := func(policy, trace, class string, p99 float64) Figures {
+		return Figures{Deployment: "nitra", Policy: policy, Trace: trace, Class: class, P99: p99}
+	}
+	got := ratios([]Figures{
+		row("round-robin", "a", "order", 40), row("round-robin", "b", "order", 80),
+		row("all-knowing", "b", "order", 10), row("all-knowing", "a", "order", 0),
+		row(AsRun, "a", "order", 20), row(AsRun, "b", "order", 20), row(AsRun, "b", "check", 20),
+	})
+	want := []Ratio{
+		{Deployment: "nitra", Trace: "a", Class: "order", ToRoundRobin: 0.5},
+		{Deployment: "nitra", Trace: "b", Class: "order", ToRoundRobin: 0.25, ToAllKnowing: 2},
+		{Deployment: "nitra", Trace: "b", Class: "check"},
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+const goOutput = `goos: linux
+pkg: bramleymill/replica
+BenchmarkPropose/callers=16-10   	   10000	    102335 ns/op	      9772 commits/s	   13022 B/op	      41 allocs/op
+PASS
+pkg: bramleymill/wal
+BenchmarkAppend	    4774	    285375.5 ns/op
+`
+
+// Guards against lost units, packages and results of "go test -bench", and
+// against failed packages that pass as measured.
+func TestParseGoBenchmarks(t *testing.T) {
+	got, err := ParseGoBenchmarks(strings.NewReader(goOutput))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []GoBenchmark{
+		{Package: "bramleymill/replica", Name: "Propose/callers=16", N: 10000,
+			Metrics: map[string]float64{"ns/op": 102335, "commits/s": 9772, "B/op": 13022, "allocs/op": 41}},
+		{Package: "bramleymill/wal", Name: "Append", N: 4774, Metrics: map[string]float64{"ns/op": 285375.5}},
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+	for _, bad := range []string{"", "PASS\n", goOutput + "FAIL\tbramleymill/pick\t1s\n", "BenchmarkX 1 fast ns/op\n", "BenchmarkX x 1 ns/op\n"} {
+		if _, err := ParseGoBenchmarks(strings.NewReader(bad)); err == nil {
+			t.Errorf("accepted %q", bad)
+		}
+	}
+}
+
+// Guards against wrong differences between the paths and against refusals that
+// count as latency or disappear.
+func TestPathSums(t *testing.T) {
+	direct, through := newPathSum(), newPathSum()
+	for _, added := range []int{1, 9, 2} {
+		for range 100 {
+			direct.record(2*time.Millisecond, nil)
+			through.record(time.Duration(2+added)*time.Millisecond, nil)
+		}
+		direct.endRound()
+		through.endRound()
+	}
+	through.record(time.Millisecond, &refusal{"503 Service Unavailable", "queue_full"})
+	through.record(time.Millisecond, errors.New("reset"))
+	r := compare(PathRate{Name: "light"}, direct, through)
+	if d := cmp.Diff(map[string]int{"503 Service Unavailable queue_full": 1, "connection error": 1}, r.Through.Failures); d != "" {
+		t.Error(d)
+	}
+	if r.Direct.Requests != 300 || r.Through.Requests != 302 || r.Through.Failed != 2 {
+		t.Errorf("counted %+v and %+v", r.Direct, r.Through)
+	}
+	// The histograms are exact to a thousandth.
+	near := func(got, want float64) bool { return got > want*0.998 && got < want*1.002 }
+	if !near(r.AddedP50, 2) || !near(r.AddedP99, 9) || !near(r.AddedP50Rounds, 2) || !near(r.AddedP99Rounds, 2) {
+		t.Errorf("added %+v", r)
+	}
+}
+
+// Guards against a load that differs between runs with the same seed, leaves its
+// round or has another rate than asked for.
+func TestArrivals(t *testing.T) {
+	at := func(seed uint64) []time.Duration {
+		return arrivals(rand.New(rand.NewPCG(seed, 0)), 1000, 10*time.Second)
+	}
+	a := at(1)
+	if !reflect.DeepEqual(a, at(1)) || reflect.DeepEqual(a, at(2)) {
+		t.Error("arrivals do not follow the seed")
+	}
+	if n := len(a); n < 9500 || n > 10500 || a[n-1] >= 10*time.Second {
+		t.Errorf("%d arrivals until %s", n, a[n-1])
+	}
+}
+
+// Guards against plans that flood the machine.
+func TestPathConfigBounds(t *testing.T) {
+	good := PathConfig{Round: time.Second, Rates: []PathRate{{Name: "a", PerSecond: 100, Rounds: 2}}}
+	if err := good.Validate(); err != nil {
+		t.Error(err)
+	}
+	for _, bad := range []PathConfig{
+		{Rates: good.Rates},
+		{Round: time.Minute, Rates: good.Rates},
+		{Round: time.Second, Rates: []PathRate{{PerSecond: 1e6, Rounds: 1}}},
+	} {
+		if bad.Validate() == nil {
+			t.Errorf("accepted %+v", bad)
+		}
+	}
+}
+
+// Guards against a hop whose protocols do not all work with mutual TLS.
+func TestHopMeasuresEveryProtocol(t *testing.T) {
+	folder := t.TempDir()
+	if err := keys.InitAuthority(folder, keys.Options{}); err != nil {
+		t.Fatal(err)
+	}
+	stores := map[fleet.NodeID]*keys.Store{}
+	for _, name := range []fleet.NodeID{"client", "server"} {
+		if err := keys.Issue(folder, name, fleet.RoleNode, keys.Options{}); err != nil {
+			t.Fatal(err)
+		}
+		s, err := keys.Load(keys.Config{Files: keys.FilesOf(folder, name)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		stores[name] = s
+	}
+	var a HopAddresses
+	for _, address := range []*string{&a.HTTP1, &a.HTTP2, &a.QUIC} {
+		var err error
+		if *address, err = freeport.Address(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	server, err := ListenHop(stores["server"], a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(ctx) }()
+	h, err := MeasureHop(ctx, stores["client"], a, HopConfig{Callers: []int{1, 4}, Rounds: 2, Round: time.Millisecond}, Run{})
+	stop()
+	if err := errors.Join(err, <-served); err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, f := range h.Figures {
+		got = append(got, f.Protocol)
+		if f.Calls < 1 || f.P50 <= 0 {
+			t.Errorf("no figures: %+v", f)
+		}
+	}
+	if d := cmp.Diff([]string{"HTTP/1.1", "HTTP/2", "QUIC", "HTTP/1.1", "HTTP/2", "QUIC"}, got); d != "" {
+		t.Error(d)
+	}
+}
+
+const tinyTrace = `{"kind":"deployment","name":"nitra","seed":1,"entries":2,"for":"1s","probes_per_second":1,"bytes_per_second":4000}
+{"kind":"server","node":"a-1","service":"a","zone":"z","slots":4,"connections":50}
+{"kind":"server","node":"a-2","service":"a","zone":"z","slots":4,"connections":50}
+{"kind":"class","name":"browse","service":"a","urgency":1,"idempotent":true,"deadline":"1s","service_time":"5ms","spread":0.5}
+{"kind":"load","name":"browse","per_second":100}
+`
+
+// Guards against results that lack a policy, a budget or the description of the
+// run, that differ with the same seed, or that the page cannot read back.
+func TestResultFormat(t *testing.T) {
+	traces, results := t.TempDir(), t.TempDir()
+	if err := os.WriteFile(filepath.Join(traces, "nitra-tiny.jsonl"), []byte(tinyTrace), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run := NewRun([]string{"bin/millbench", "policies"}, 7, "trial")
+	p, err := RunPolicies(traces, run)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, err := RunPolicies(traces, run)
+	if err != nil || !reflect.DeepEqual(p, again) {
+		t.Errorf("two runs with one seed differ: %v", err)
+	}
+	if want := 2 * len(PolicyVariants()); len(p.Figures) != want || len(p.Budgets) != len(BudgetVariants()) {
+		t.Errorf("%d rows of policies and %d of budgets", len(p.Figures), len(p.Budgets))
+	}
+	if p.Budgets[0].Budget != 0 || p.Budgets[0].Cost != (Cost{}) {
+		t.Errorf("a budget of zero has the cost %+v", p.Budgets[0].Cost)
+	}
+	for name, v := range map[string]any{
+		PoliciesFile: p, HopFile: &Hop{Run: run}, PathFile: &Path{Run: run}, GoFile: &GoBenchmarks{Run: run},
+	} {
+		if err := WriteJSON(results, name, v); err != nil {
+			t.Fatal(err)
+		}
+	}
+	checkRunKeys(t, filepath.Join(results, HopFile))
+	if err := WritePage(results); err != nil {
+		t.Fatal(err)
+	}
+	page, err := os.ReadFile(filepath.Join(results, PageFile))
+	if err != nil || !strings.Contains(string(page), "**trial**") || !strings.Contains(string(page), "(policies-nitra.png)") {
+		t.Errorf("page lacks the note or the plot: %v", err)
+	}
+	if _, err := os.Stat(filepath.Join(results, "policies-nitra.png")); err != nil {
+		t.Error(err)
+	}
+}
+
+func checkRunKeys(t *testing.T, path string) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var v struct{ Run map[string]any }
+	if err := json.Unmarshal(data, &v); err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"date", "command", "go_version", "platform", "cpus", "seed", "note"} {
+		if _, ok := v.Run[key]; !ok {
+			t.Errorf("%s lacks %q", filepath.Base(path), key)
+		}
+	}
+	if v.Run["command"] != "millbench policies" {
+		t.Errorf("command %q", v.Run["command"])
+	}
+}
--- /dev/null
+++ b/benchmark/hopclient.go
@@ -0,0 +1,129 @@
+package benchmark
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"bramleymill/keys"
+)
+
+// hopTimeout bounds one call.
+const hopTimeout = 10 * time.Second
+
+var errShortAnswer = errors.New("answer has a wrong length")
+
+// hopClient calls a hop server over one protocol.
+type hopClient struct {
+	name  string
+	call  func(ctx context.Context) error
+	close func()
+	usage func(ctx context.Context) ([]byte, error) // HTTP/1.1 only
+}
+
+// newHopClients returns a client for each protocol, HTTP/1.1 first.
+func newHopClients(ctx context.Context, s *keys.Store, a HopAddresses, callers int) ([]*hopClient, error) {
+	q, err := newQUICClient(ctx, s, a.QUIC)
+	if err != nil {
+		return nil, fmt.Errorf("quic: %w", err)
+	}
+	return []*hopClient{
+		newHTTPClient("HTTP/1.1", a.HTTP1, withProtocol(s.PeerClient(), protocolHTTP1), callers),
+		newHTTPClient("HTTP/2", a.HTTP2, withProtocol(s.PeerClient(), protocolHTTP2), callers),
+		q,
+	}, nil
+}
+
+func withProtocol(c *tls.Config, protocol string) *tls.Config {
+	c = c.Clone()
+	c.NextProtos = []string{protocol}
+	return c
+}
+
+func newHTTPClient(name, address string, c *tls.Config, callers int) *hopClient {
+	version2 := c.NextProtos[0] == protocolHTTP2
+	transport := &http.Transport{
+		TLSClientConfig: c, ForceAttemptHTTP2: version2,
+		MaxIdleConnsPerHost: callers + 1, DisableCompression: true,
+	}
+	client := &http.Client{Transport: transport, Timeout: hopTimeout}
+	get := func(ctx context.Context, path string) ([]byte, error) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+address+path, nil)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			return nil, err
+		}
+		defer resp.Body.Close()
+		if resp.StatusCode != http.StatusOK || (resp.ProtoMajor == 2) != version2 {
+			return nil, fmt.Errorf("answer %s over %s", resp.Status, resp.Proto)
+		}
+		return io.ReadAll(resp.Body)
+	}
+	return &hopClient{
+		name: name,
+		call: func(ctx context.Context) error {
+			body, err := get(ctx, "/answer")
+			return checkAnswer(body, err)
+		},
+		close: transport.CloseIdleConnections,
+		usage: func(ctx context.Context) ([]byte, error) { return get(ctx, usagePath) },
+	}
+}
+
+func checkAnswer(body []byte, err error) error {
+	if err == nil && len(body) != hopAnswerBytes {
+		err = fmt.Errorf("%w: %d", errShortAnswer, len(body))
+	}
+	return err
+}
+
+func (h *hopClient) serverProcessorTime(ctx context.Context) (time.Duration, error) {
+	body, err := h.usage(ctx)
+	if err != nil {
+		return 0, err
+	}
+	n, err := strconv.ParseInt(string(body), 10, 64)
+	return time.Duration(n) * time.Microsecond, err
+}
+
+func newQUICClient(ctx context.Context, s *keys.Store, address string) (*hopClient, error) {
+	conn, err := quic.DialAddr(ctx, address, withProtocol(s.QUICClient(), protocolQUIC), hopQUICConfig())
+	if err != nil {
+		return nil, err
+	}
+	request := make([]byte, hopRequestBytes)
+	return &hopClient{
+		name:  "QUIC",
+		call:  func(ctx context.Context) error { return callStream(ctx, conn, request) },
+		close: func() { _ = conn.CloseWithError(0, "") },
+	}, nil
+}
+
+// callStream makes one call on a stream of its own.
+func callStream(ctx context.Context, conn *quic.Conn, request []byte) error {
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return err
+	}
+	if err := stream.SetDeadline(time.Now().Add(hopTimeout)); err != nil {
+		return err
+	}
+	if _, err := stream.Write(request); err != nil {
+		return err
+	}
+	if err := stream.Close(); err != nil {
+		return err
+	}
+	body, err := io.ReadAll(stream)
+	return checkAnswer(body, err)
+}
--- /dev/null
+++ b/cmd/millbench/main.go
@@ -0,0 +1,164 @@
+// Command millbench measures the load balancer and writes the figures as JSON,
+// as a page and as plots. scripts/bench.sh runs its parts in order.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"bramleymill/benchmark"
+	"bramleymill/clock"
+	"bramleymill/keys"
+)
+
+// options are common to all parts.
+type options struct {
+	results string
+	seed    uint64
+	note    string
+}
+
+func (o *options) run() benchmark.Run { return benchmark.NewRun(os.Args, o.seed, o.note) }
+
+func newRootCommand() *cobra.Command {
+	o := &options{}
+	root := &cobra.Command{
+		Use:           "millbench",
+		Short:         "Measure policies, protocols and added latency",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	f := root.PersistentFlags()
+	f.StringVar(&o.results, "results", "bench/results", "folder of the results")
+	f.Uint64Var(&o.seed, "seed", 0, "seed of the measurement")
+	f.StringVar(&o.note, "note", "", "note to keep with the figures, for example that the machine was busy")
+	root.AddCommand(newPoliciesCommand(o), newHopServerCommand(), newHopCommand(o), newPathCommand(o), newGoCommand(o), newPageCommand(o))
+	return root
+}
+
+func newPoliciesCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "policies TRACES",
+		Short: "Replay the traces of a folder with every policy",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			p, err := benchmark.RunPolicies(args[0], o.run())
+			if err != nil {
+				return err
+			}
+			return benchmark.WriteJSON(o.results, benchmark.PoliciesFile, p)
+		},
+	}
+}
+
+// hopFlags are the addresses and keys of both sides of the hop.
+type hopFlags struct {
+	addresses benchmark.HopAddresses
+	files     keys.Files
+}
+
+func (h *hopFlags) add(cmd *cobra.Command) {
+	f := cmd.Flags()
+	f.StringVar(&h.addresses.HTTP1, "http1", "", "address for HTTP/1.1")
+	f.StringVar(&h.addresses.HTTP2, "http2", "", "address for HTTP/2")
+	f.StringVar(&h.addresses.QUIC, "quic", "", "address for QUIC")
+	f.StringVar(&h.files.Authority, "authority", "", "file of the trusted authority")
+	f.StringVar(&h.files.Certificate, "certificate", "", "own certificate file")
+	f.StringVar(&h.files.PrivateKey, "private-key", "", "own private key file")
+}
+
+func (h *hopFlags) store() (*keys.Store, error) {
+	return keys.Load(keys.Config{Files: h.files, Clock: clock.System{}})
+}
+
+func newHopServerCommand() *cobra.Command {
+	var h hopFlags
+	cmd := &cobra.Command{
+		Use:   "hop-server",
+		Short: "Answer calls over HTTP/1.1, HTTP/2 and QUIC with mutual TLS",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := h.store()
+			if err != nil {
+				return err
+			}
+			server, err := benchmark.ListenHop(s, h.addresses)
+			if err != nil {
+				return err
+			}
+			return server.Serve(cmd.Context())
+		},
+	}
+	h.add(cmd)
+	return cmd
+}
+
+func newHopCommand(o *options) *cobra.Command {
+	var h hopFlags
+	c := benchmark.HopConfig{}
+	cmd := &cobra.Command{
+		Use:   "hop",
+		Short: "Measure calls to a hop server over every protocol in turns",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := h.store()
+			if err != nil {
+				return err
+			}
+			c.Seed = o.seed
+			r, err := benchmark.MeasureHop(cmd.Context(), s, h.addresses, c, o.run())
+			if err != nil {
+				return err
+			}
+			return benchmark.WriteJSON(o.results, benchmark.HopFile, r)
+		},
+	}
+	h.add(cmd)
+	cmd.Flags().IntSliceVar(&c.Callers, "callers", []int{1, 16}, "numbers of concurrent callers")
+	cmd.Flags().IntVar(&c.Rounds, "rounds", 60, "rounds of each protocol")
+	cmd.Flags().DurationVar(&c.Round, "round", defaultHopRound, "duration of a round")
+	return cmd
+}
+
+func newGoCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "go FILE",
+		Short: "Collect the output of go test -bench",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			f, err := os.Open(args[0])
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			results, err := benchmark.ParseGoBenchmarks(f)
+			if err != nil {
+				return err
+			}
+			return benchmark.WriteJSON(o.results, benchmark.GoFile, &benchmark.GoBenchmarks{Run: o.run(), Results: results})
+		},
+	}
+}
+
+func newPageCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "page",
+		Short: "Write the page and the plots from the figures",
+		Args:  cobra.NoArgs,
+		RunE:  func(*cobra.Command, []string) error { return benchmark.WritePage(o.results) },
+	}
+}
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	if err := newRootCommand().ExecuteContext(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "error: %v\n", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/scripts/bench.sh
@@ -0,0 +1,117 @@
+#!/usr/bin/env bash
+# Measures policies, the request hop, the latency that nodes add and the Go
+# benchmarks in one run on this machine, all on loopback. The results replace
+# bench/results only if every part ran. Variables: BENCH_SEED, and BENCH_NOTE for
+# a note to keep with the figures, for example that the machine was busy.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+bin=bin
+run=run/bench
+host=127.0.0.1
+seed=${BENCH_SEED:-0}
+note=${BENCH_NOTE:-}
+rm -rf "$run"
+mkdir -p "$run"/{keys,settings,logs,data,results}
+
+declare -A pid
+# Ends every process that this script started and that still runs.
+cleanup() {
+  local p
+  for p in "${pid[@]}"; do kill -9 "$p" 2>/dev/null || true; done
+}
+trap cleanup EXIT
+
+stop() {
+  kill -TERM "${pid[$1]}"
+  wait "${pid[$1]}" || { echo "$1 did not stop cleanly" >&2; exit 1; }
+  unset "pid[$1]"
+}
+
+# Tries a command again while processes start.
+eventually() {
+  local n
+  for ((n = 0; n < 100; n++)); do
+    if "$@" >"$run/logs/last-try.log" 2>&1; then return 0; fi
+    sleep 0.1
+  done
+  cat "$run/logs/last-try.log" >&2
+  return 1
+}
+
+bench() { "$bin/millbench" "$@" --results "$run/results" --seed "$seed" --note "$note"; }
+key_flags() { printf -- '--authority %s --certificate %s --private-key %s' "$run/keys/authority.pem" "$run/keys/$1.pem" "$run/keys/$1.key"; }
+
+controls=(control-1 control-2 control-3)
+nodes=("${controls[@]}" entry server)
+mapfile -t ports < <("$bin/millload" free-ports 24)
+address() { printf '%s:%s' "$host" "${ports[$1]}"; }
+"$bin/bramleymillctl" keys fleet --folder "$run/keys" operator-1:operator hop-client hop-server \
+  control-1:control control-2:control control-3:control entry server >/dev/null
+
+echo "policies on recorded traces"
+bench policies replay/testdata
+
+echo "request hop"
+# Options of both sides; word splitting is intended.
+hop=(--http1 "$(address 20)" --http2 "$(address 21)" --quic "$(address 22)")
+"$bin/millbench" hop-server "${hop[@]}" $(key_flags hop-server) >"$run/logs/hop-server.log" 2>&1 &
+pid[hop-server]=$!
+# The one short round only waits for the listeners.
+eventually "$bin/millbench" hop "${hop[@]}" $(key_flags hop-client) --results "$run/warm-up" --rounds 1 --round 10ms
+bench hop "${hop[@]}" $(key_flags hop-client)
+stop hop-server
+
+echo "latency added by the nodes"
+# A fixed service time of 2 ms. Two of the ten slots are reserved for urgent
+# internal checks, so that the class can use 8 slots: 4,000 requests a second.
+slots=10 service_time=2ms capacity=4000
+backend=$(address 23)
+seeds="\"$(address 1)\", \"$(address 5)\", \"$(address 9)\""
+"$bin/millstandin" --address "$backend" --service katalog --slots "$slots" --connections 2000 --service-time "$service_time" \
+  --spread 0 --swing-factor 1 --swing-period 0s --cold-start 0s --open-delay 0s --answer-bytes 512 --seed "$seed" >"$run/logs/backend.log" 2>&1 &
+pid[backend]=$!
+i=0
+for id in "${nodes[@]}"; do
+  extra=""
+  if [[ $id == control-* ]]; then extra="\"control\": {\"data_folder\": \"$run/data/$id\"},"; fi
+  if [[ $id == server ]]; then
+    extra="\"backend\": {\"service\": \"katalog\", \"address\": \"$backend\", \"slots\": $slots, \"connections\": 250},"
+  fi
+  cat >"$run/settings/$id.json" <<JSON
+{"node": "$id", "region": "sk-zapad", "zone": "nitra-a", "caller_address": "$(address $((i * 4)))", "peer_address": "$(address $((i * 4 + 1)))",
+ "admin_address": "$(address $((i * 4 + 2)))", "metrics_address": "$(address $((i * 4 + 3)))", $extra "seeds": [$seeds],
+ "keys": {"authority": "$run/keys/authority.pem", "certificate": "$run/keys/$id.pem", "private_key": "$run/keys/$id.key"}}
+JSON
+  "$bin/bramleymill" node --settings "$run/settings/$id.json" >"$run/logs/$id.log" 2>&1 &
+  pid[$id]=$!
+  i=$((i + 1))
+done
+
+# The logs are started on one instance only; the others join.
+ctl() { "$bin/bramleymillctl" --address "$(address 2)" $(key_flags operator-1) "$@"; }
+eventually ctl init
+eventually ctl apply bench/classes.json --wait --reason "benchmark"
+eventually bench path --results "$run/warm-up" --nodes-url "http://$(address 12)/katalog/x" --direct-url "http://$backend/katalog/x" \
+  --capacity 200 --light 100 --light-rounds 1 --half-rounds 1
+bench path --nodes-url "http://$(address 12)/katalog/x" --direct-url "http://$backend/katalog/x" --capacity "$capacity"
+for id in entry server "${controls[@]}" backend; do stop "$id"; done
+
+echo "Go benchmarks"
+# One package at a time, so that they do not disturb each other. The commits and
+# the log sync to the disk of the machine.
+go_bench() { "${GO:-go}" test -run '^$' -p 1 -benchmem -timeout 90s "$@" | tee -a "$run/go.txt"; }
+go_bench -bench '^(BenchmarkPick|BenchmarkPickParallel|BenchmarkStartedFinished)$' -benchtime 0.5s ./pick
+go_bench -bench '^(BenchmarkAdmission|BenchmarkRetryBudget)$' -benchtime 0.5s ./benchmark
+go_bench -bench '^BenchmarkBeginFinish$' -benchtime 0.5s ./claim
+go_bench -bench '^BenchmarkPropose$' -benchtime 1s ./replica
+go_bench -bench '^BenchmarkAppend$' -benchtime 1s ./wal
+go_bench -bench '^BenchmarkCall$' -benchtime 1s ./proxy ./transport
+go_bench -bench '^(BenchmarkServers|BenchmarkHeartbeatAtParent)$' -benchtime 0.5s ./member
+bench go "$run/go.txt"
+
+bench page
+rm -rf bench/results
+mkdir -p bench
+cp -r "$run/results" bench/results
+echo "results are in bench/results"
