--- a/node/node.go
+++ b/node/node.go
@@ -40,6 +40,7 @@
 	crashes   *crashes
 	metrics   *metrics.Metrics
 	store     *explain.Store
+	recorder  *recorder // nil without a record file
 	path      atomic.Pointer[proxy.Proxy]
 	seed      uint64
 	seenOrder atomic.Uint64 // version of the orders acted on
@@ -111,7 +112,7 @@
 		return err
 	}
 	n.member = m
-	n.config = &configuration{confirmed: m.Confirmed, logger: n.logger, onOrders: n.followOrders}
+	n.config = &configuration{confirmed: m.Confirmed, logger: n.logger, onOrders: n.followOrders, onClasses: n.noteClasses}
 	m.OnConfig(n.config.adopt)
 	if n.control != nil {
 		n.control.changed = m.ConfigChanged
@@ -120,6 +121,12 @@
 	receiveCrashes(mux, m, n.path.Load, n.logger)
 	n.store = explain.NewStore(nodeID(s), explain.DefaultRecords, explain.DefaultEvents)
 	explain.Register(mux, n.store)
+	if s.RecordFile != "" {
+		if n.recorder, err = newRecorder(s.RecordFile); err != nil {
+			return err
+		}
+		n.store.Observe(n.recorder.add)
+	}
 	return nil
 }
 
@@ -148,6 +155,10 @@
 	return a
 }
 
+func (n *Node) noteClasses(version uint64) {
+	n.store.AddEvent(time.Now(), explain.ConfigApplied, nodeID(n.settings), "", fmt.Sprintf("version %d", version))
+}
+
 // followOrders acts on the standing orders of operators.
 func (n *Node) followOrders(o *configstate.Orders) {
 	p := n.path.Load()
--- a/operator/server.go
+++ b/operator/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"bramleymill/clock"
 	"bramleymill/configstate"
 	"bramleymill/errkind"
 	"bramleymill/fleet"
@@ -63,6 +64,7 @@
 	Node     fleet.NodeID
 	Identify Identify
 	Log      *slog.Logger
+	Clock    clock.Clock // stamps changes; nil: the system's
 
 	State        State
 	Confirmer    Confirmer
@@ -72,6 +74,7 @@
 	Fleet     FleetView
 	Explainer Explainer
 	Suspects  SuspectList
+	Events    EventLog
 
 	// PollInterval is the time between looks at the fleet view during a wait.
 	// Zero means DefaultPollInterval.
@@ -90,6 +93,9 @@
 
 // New returns a Server.
 func New(c Config) *Server {
+	if c.Clock == nil {
+		c.Clock = clock.System{}
+	}
 	if c.PollInterval == 0 {
 		c.PollInterval = DefaultPollInterval
 	}
@@ -109,6 +115,7 @@
 		"GET /v1/explain/{request}":     s.explain,
 		"POST /v1/nodes/{node}/drain":   s.order(configstate.Drain),
 		"POST /v1/nodes/{node}/undrain": s.order(configstate.Undrain),
+		"GET /v1/events":                s.events,
 		"GET /v1/suspects":              s.suspects,
 		"POST /v1/suspects/release":     s.release,
 	} {
