Use the benchmarks of admit and retry in make bench

Cause: admit and retry now have benchmarks of their own, so that those in the package benchmark measured the same twice. Ruled out: keeping both.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -102,7 +102,7 @@
 # the log sync to the disk of the machine.
 go_bench() { "${GO:-go}" test -run '^$' -p 1 -benchmem -timeout 90s "$@" | tee -a "$run/go.txt"; }
 go_bench -bench '^(BenchmarkPick|BenchmarkPickParallel|BenchmarkStartedFinished)$' -benchtime 0.5s ./pick
-go_bench -bench '^(BenchmarkAdmission|BenchmarkRetryBudget)$' -benchtime 0.5s ./benchmark
+go_bench -bench '^(BenchmarkGate|BenchmarkBudget)$' -benchtime 0.5s ./admit ./retry
 go_bench -bench '^BenchmarkBeginFinish$' -benchtime 0.5s ./claim
 go_bench -bench '^BenchmarkPropose$' -benchtime 1s ./replica
 go_bench -bench '^BenchmarkAppend$' -benchtime 1s ./wal
