Show the kinds of failed requests on the page of results

Cause: a trial at half of capacity had 170 failed requests through the nodes, and the page gave only their number. Change: the page lists failures by status and error kind. Ruled out: failures of the connections; none were seen.

--- a/benchmark/page.go
+++ b/benchmark/page.go
@@ -70,7 +70,7 @@
 	})
 	for _, f := range sorted {
 		row(b, "%s | %s | %s | %d | %.1f | %.1f | %.1f | %s | %.0f | %.3f | %.0f | %.3f | %.3f",
-			traceName(f.Deployment, f.Trace), f.Class, f.Policy, f.Requests, f.P50, f.P99, f.P999, unanswered(&f), f.Goodput,
+			traceName(f.Deployment, f.Trace), f.Class, f.Policy, f.Requests, f.P50, f.P99, f.P999, counted(f.Unanswered), f.Goodput,
 			f.Cost.ProbesPerServer, f.Cost.BytesPerServer, f.Cost.ProbeShare, f.Cost.ByteShare)
 	}
 	fmt.Fprintf(b, "\n### p99 of `%s` in proportion to other policies\n", AsRun)
@@ -93,11 +93,11 @@
 	return trace
 }
 
-// unanswered lists the kinds of requests without an answer in a fixed order.
-func unanswered(f *Figures) string {
-	parts := make([]string, 0, len(f.Unanswered))
-	for kind, n := range f.Unanswered {
-		parts = append(parts, fmt.Sprintf("%s %d", kind, n))
+// counted lists counts in a fixed order.
+func counted[K ~string](counts map[K]int) string {
+	parts := make([]string, 0, len(counts))
+	for name, n := range counts {
+		parts = append(parts, fmt.Sprintf("%s %d", name, n))
 	}
 	if len(parts) == 0 {
 		return "0"
@@ -119,8 +119,8 @@
 	fmt.Fprintf(b, "\n## Latency added by the nodes\n\nCapacity %.0f requests/s; rounds of %s.\n", p.Capacity, p.Round)
 	table(b, "load", "requests/s", "path", "requests", "failed", "p50 ms", "p99 ms", "added p50 ms", "added p99 ms", "added p50, median of rounds", "added p99, median of rounds")
 	for _, r := range p.Results {
-		row(b, "%s | %.0f | %s | %d | %d | %.3f | %.3f | | | |", r.Rate.Name, r.Rate.PerSecond, r.Direct.Path, r.Direct.Requests, r.Direct.Failed, r.Direct.P50, r.Direct.P99)
-		row(b, "%s | %.0f | %s | %d | %d | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f", r.Rate.Name, r.Rate.PerSecond, r.Through.Path, r.Through.Requests, r.Through.Failed,
+		row(b, "%s | %.0f | %s | %d | %s | %.3f | %.3f | | | |", r.Rate.Name, r.Rate.PerSecond, r.Direct.Path, r.Direct.Requests, counted(r.Direct.Failures), r.Direct.P50, r.Direct.P99)
+		row(b, "%s | %.0f | %s | %d | %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f", r.Rate.Name, r.Rate.PerSecond, r.Through.Path, r.Through.Requests, counted(r.Through.Failures),
 			r.Through.P50, r.Through.P99, r.AddedP50, r.AddedP99, r.AddedP50Rounds, r.AddedP99Rounds)
 	}
 }
