Learn of a later configuration from calls; follow a raised incarnation

Cause: calls and answers carry the configuration version, but a lagging node did nothing with it; a node whose clock was set back took a higher incarnation in the membership only and refused every attempt as stale. Change: a later version in a message makes the node ask its parent at once; the request path follows a raised incarnation. Ruled out: rebuilding the request path, which would cut requests off.

--- a/filter/peercheck.go
+++ b/filter/peercheck.go
@@ -9,23 +9,24 @@
 type peerCheck struct {
 	next  Handler
 	self  fleet.NodeID
-	inc   fleet.Incarnation
+	inc   func() fleet.Incarnation
 	clock clock.Clock
 }
 
 // NewPeerCheck returns the filter that refuses attempts that are addressed to
 // another node or to an earlier incarnation of this node, or that arrive without
 // time left. An attempt of an earlier incarnation may be a
-// duplicate of one that this node has forgotten.
-func NewPeerCheck(next Handler, self fleet.NodeID, inc fleet.Incarnation, k clock.Clock) Handler {
+// duplicate of one that this node has forgotten. The incarnation may rise once
+// after the start, when the fleet remembers a later life of the node.
+func NewPeerCheck(next Handler, self fleet.NodeID, inc func() fleet.Incarnation, k clock.Clock) Handler {
 	return &peerCheck{next, self, inc, k}
 }
 
 func (f *peerCheck) Serve(c *Call) error {
 	m := &c.Meta
-	if m.Target != f.self || m.Incarnation != f.inc {
+	if inc := f.inc(); m.Target != f.self || m.Incarnation != inc {
 		return errkind.New(errkind.StaleTarget, "attempt is for %s incarnation %d, this is %s incarnation %d",
-			m.Target, m.Incarnation, f.self, f.inc)
+			m.Target, m.Incarnation, f.self, inc)
 	}
 	if m.Depth == 0 || m.Depth > fleet.MaxDepth {
 		return errkind.New(errkind.DepthExceeded, "call depth %d is not from 1 to %d", m.Depth, fleet.MaxDepth)
--- a/node/node.go
+++ b/node/node.go
@@ -117,6 +117,11 @@
 	n.member = m
 	n.config = &configuration{confirmed: m.Confirmed, logger: n.logger, onOrders: n.followOrders, onClasses: n.noteClasses}
 	m.OnConfig(n.config.adopt)
+	m.OnIncarnation(func(i fleet.Incarnation) {
+		if p := n.path.Load(); p != nil {
+			p.SetIncarnation(i)
+		}
+	})
 	m.OnSuperseded(func(i fleet.Incarnation) {
 		select {
 		case n.superseded <- i:
--- a/node/run.go
+++ b/node/run.go
@@ -92,6 +92,7 @@
 		Metrics:       n.metrics,
 		Store:         n.store,
 		StateChanged:  n.member.SetState,
+		ConfigSeen:    n.fetchConfiguration,
 		ClientTLS:     n.keys.PeerClient(),
 		Seed:          n.seed,
 		Log:           n.logger,
@@ -110,6 +111,13 @@
 	return n.openListeners(r, p)
 }
 
+// fetchConfiguration asks the parent at once, because another node has a later
+// class document. Its revision is not known here; it is above the own one.
+func (n *Node) fetchConfiguration(uint64) {
+	revision, _ := n.member.Config()
+	n.member.PeerVersion(revision + 1)
+}
+
 // reapplyOrders acts on orders that arrived before the request path was there.
 func (n *Node) reapplyOrders() {
 	if revision, document := n.member.Config(); document != nil {
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -53,6 +53,11 @@
 	// the node announces. It must not block. It may be nil.
 	StateChanged func(fleet.ServerState)
 
+	// ConfigSeen is called with the version of a class document that is later than
+	// the own and came with a message of another node. It must not block. It may
+	// be nil.
+	ConfigSeen func(version uint64)
+
 	ClientTLS *tls.Config // for connections to other nodes
 	Clock     clock.Clock // nil: the system's
 	Seed      uint64
@@ -75,6 +80,9 @@
 	if c.StateChanged == nil {
 		c.StateChanged = func(fleet.ServerState) {}
 	}
+	if c.ConfigSeen == nil {
+		c.ConfigSeen = func(uint64) {}
+	}
 	if c.Clock == nil {
 		c.Clock = clock.System{}
 	}
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -179,6 +179,7 @@
 	if meta.Entry != name {
 		return errkind.New(errkind.Unauthorized, "call of entry node %q came from %q", meta.Entry, name)
 	}
+	p.configSeen(meta.ConfigVersion)
 	c.Meta = *meta
 	c.Deadline = c.Started.Add(meta.Remaining)
 	c.Attempts = retry.NewAttempts(meta.AttemptsLeft)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -29,6 +29,8 @@
 	work    work
 	reports atomic.Uint64 // sequence of load reports
 
+	incarnation atomic.Uint64
+
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -42,6 +44,7 @@
 	if p.store == nil {
 		p.store = explain.NewStore(c.Node, c.Records, c.Events)
 	}
+	p.incarnation.Store(uint64(c.Incarnation))
 	p.work.init()
 	p.remote = newRemote(c.ClientTLS, c.Clock)
 	if c.Backend != nil {
@@ -79,7 +82,7 @@
 		Service: c.Backend.Service, Suspects: c.Suspects, Publisher: c.Crashes, Liveness: l.monitor, Events: p.store, Clock: k})
 	h = filter.NewAdmission(l.guard, l.gate, k)
 	h = filter.NewDuplicates(h, k)
-	return filter.NewPeerCheck(h, c.Node, c.Incarnation, k)
+	return filter.NewPeerCheck(h, c.Node, p.Incarnation, k)
 }
 
 // serveLocal runs the server chain for an attempt whose target is this node.
@@ -95,6 +98,9 @@
 
 // Attempted passes the end of an attempt on to the metrics.
 func (p *Proxy) Attempted(c *filter.Call, kind errkind.Kind) {
+	if c.Load != nil {
+		p.configSeen(c.Load.ConfigVersion)
+	}
 	var d time.Duration
 	if !c.SentAt.IsZero() {
 		d = p.config.Clock.Now().Sub(c.SentAt)
@@ -102,9 +108,23 @@
 	p.config.Metrics.Attempted(c.Meta.Class, c.Target.Node, kind, c.Meta.Hedge, d)
 }
 
+// Incarnation returns the incarnation that attempts must be addressed to.
+func (p *Proxy) Incarnation() fleet.Incarnation { return fleet.Incarnation(p.incarnation.Load()) }
+
+// SetIncarnation replaces the incarnation, when the fleet remembers a later life
+// of the node than its clock gave it.
+func (p *Proxy) SetIncarnation(i fleet.Incarnation) { p.incarnation.Store(uint64(i)) }
+
+// configSeen passes on that another node has a later configuration.
+func (p *Proxy) configSeen(version uint64) {
+	if set := p.config.Configuration.Current(); set == nil || version > set.Version {
+		p.config.ConfigSeen(version)
+	}
+}
+
 // LoadReport returns the load of the backend server as this node counts it.
 func (p *Proxy) LoadReport() fleet.LoadReport {
-	r := fleet.LoadReport{Incarnation: p.config.Incarnation, Sequence: p.reports.Add(1)}
+	r := fleet.LoadReport{Incarnation: p.Incarnation(), Sequence: p.reports.Add(1)}
 	if set := p.config.Configuration.Current(); set != nil {
 		r.ConfigVersion = set.Version
 	}
