proxy: send an awaited body when 100 Continue has come

Cause: the mark that 100 Continue was received was set in Got1xxResponse, which http.Transport calls after it has let the body be sent. When the body was read first, it was held back until the deadline of the call. Seen as a hang of TestContinueComesFromTheBackendServer in repeated runs under the race detector.

Change: the mark is set in Got100Continue, which comes before. The wait is measured on the monotonic clock.

Before, 150 runs of the test ran into a time-out of 30 s; after, 150 runs passed.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -40,7 +40,7 @@
 	other  bool   // a connection was used that does not count its writes
 
 	asked   atomic.Bool  // 100 Continue was received
-	waiting atomic.Int64 // when the wait for it began, in Unix nanoseconds
+	waiting atomic.Int64 // when the wait for it began, in nanoseconds since epoch
 	done    chan struct{}
 }
 
@@ -92,11 +92,10 @@
 	in, body := x.call.Request, x.call.Body
 	ctx := httptrace.WithClientTrace(x.call.Ctx, &httptrace.ClientTrace{
 		GotConn:         x.gotConn,
-		Wait100Continue: func() { x.waiting.Store(time.Now().UnixNano()) },
+		Wait100Continue: func() { x.waiting.Store(int64(time.Since(epoch))) },
+		// Got100Continue comes before the body is read, Got1xxResponse may come after.
+		Got100Continue: func() { x.asked.Store(true) },
 		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
-			if code == http.StatusContinue {
-				x.asked.Store(true)
-			}
 			x.call.Answer.Informational(code, endToEnd(http.Header(h)))
 			return nil
 		},
@@ -173,11 +172,14 @@
 	exchange *exchange
 }
 
+// epoch is the zero of monotonic times.
+var epoch = time.Now()
+
 var errNotAsked = errors.New("the body was not asked for")
 
 func (b *awaitedBody) Read(p []byte) (int, error) {
 	x := b.exchange
-	if !x.asked.Load() && time.Since(time.Unix(0, x.waiting.Load())) < x.expectTimeout {
+	if !x.asked.Load() && time.Since(epoch)-time.Duration(x.waiting.Load()) < x.expectTimeout {
 		<-x.done
 		return 0, errNotAsked
 	}
