Bind a reserved port in the test of a returning backend server

Cause: the test skipped its second half when another process took the port. Change: a port from freeport, and a failure instead of the skip. Ruled out: nothing.

--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -12,6 +12,7 @@
 	"bramleymill/clock"
 	"bramleymill/explain"
 	"bramleymill/fleet"
+	"bramleymill/freeport"
 )
 
 // Guards against a drain that accepts new work or cuts off work in flight.
@@ -159,7 +160,11 @@
 // against one that stays refused after its return.
 func TestBackendServerDiesAndReturns(t *testing.T) {
 	c := newCluster(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := freeport.Address() // is bound a second time below
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -172,7 +177,7 @@
 	expect(t, 503, "backend_down", "", "POST", n.caller.URL+"/x")
 	again, err := net.Listen("tcp", l.Addr().String())
 	if err != nil {
-		t.Skipf("the port was taken by another process: %v", err)
+		t.Fatal(err)
 	}
 	server = &http.Server{Handler: answer("ok")}
 	go func() { _ = server.Serve(again) }()
