--- a/node/control.go
+++ b/node/control.go
@@ -31,7 +31,7 @@
 
 const (
 	// confirmInterval is how often a follower asks for proof that it is current.
-	confirmInterval = 250 * time.Millisecond
+	confirmInterval = 500 * time.Millisecond
 	confirmTimeout  = 2 * time.Second
 )
 
--- a/scripts/scale.sh
+++ b/scripts/scale.sh
@@ -9,7 +9,7 @@
 count=${1:?usage: scale.sh NODES [CHANGES] [REST] [MAX_CHILDREN]}
 changes=${2:-20}
 rest=${3:-20s}
-children=${4:-48}
+children=${4:-8}
 if ((count < 4 || count > 200)); then
   echo "NODES: use 4 to 200" >&2
   exit 1
--- a/settings/defaults.go
+++ b/settings/defaults.go
@@ -11,7 +11,7 @@
 	DefaultDrainTimeout     = 10 * time.Second
 	DefaultCheckEvery       = time.Second
 	DefaultQueuePerSlot     = 2
-	DefaultMaxChildren      = 48
+	DefaultMaxChildren      = 8
 	DefaultMaxClaims        = 200_000
 	DefaultMaxClaimBytes    = 16 << 20
 	DefaultClaimRetention   = 24 * time.Hour
