--- /dev/null
+++ b/class/examples_test.go
@@ -0,0 +1,24 @@
+package class
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// Guards against example class documents that the fleet would refuse.
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../examples/*/classes.json")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no examples found: %v", err)
+	}
+	for _, name := range files {
+		b, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse(b); err != nil {
+			t.Errorf("%s:\n%v", name, err)
+		}
+	}
+}
