Keep a node running when its record file cannot be written

Cause: the node stopped when the recorder ended with an error, such as a full disk. Ruled out: retrying, which would block on the same disk.

--- a/node/run.go
+++ b/node/run.go
@@ -48,7 +48,13 @@
 	}
 	group.Go(func() error { n.reportUsage(ctx); return nil })
 	if n.recorder != nil {
-		group.Go(func() error { return n.recorder.run(ctx) })
+		group.Go(func() error {
+			// A full disk ends the recording, not the node.
+			if err := n.recorder.run(ctx); err != nil {
+				n.logger.Error("decision recording stopped", "error", err)
+			}
+			return nil
+		})
 	}
 	if n.control != nil {
 		group.Go(func() error { n.control.maintainLimits(ctx, n.claims); return nil })
