Record the load known of the chosen server; use the operator's identity check

Cause: records that list only the chosen server showed no load and no cost, which reads as an idle server. The operator interface had its own check of identities, which did not look whether the handshake was complete, and listed nodes on instances without the control role. Change: one view of the chosen server in every record, with the load of its newest report; operator.IdentifyPeer; the fleet view on control instances only. Ruled out: all candidates in every record (1 to 2.6 us for each request).

--- a/explain/record.go
+++ b/explain/record.go
@@ -31,6 +31,7 @@
 	Cost        time.Duration `cbor:"4,keyasint" json:"cost_ns"`
 	Chosen      bool          `cbor:"5,keyasint,omitempty" json:"chosen"`
 	Ejected     bool          `cbor:"6,keyasint,omitempty" json:"ejected,omitempty"`
+	Reported    int           `cbor:"7,keyasint" json:"reported_load"` // in flight and queued by the newest load report
 }
 
 // Attempt is one attempt as seen by the entry node.
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -153,17 +153,21 @@
 // attempt is recorded with the chosen server only.
 func (f *Choose) explain(c *Call, b *pick.Balancer, e *pick.Endpoint, now time.Time) {
 	if b.Len() > maxExplained || c.Meta.Attempt == 1 && f.chosen.Add(1)%explainEvery != 0 {
-		c.Candidates = []explain.Candidate{{Node: e.Server.Node, Age: e.ReportAge(now), Chosen: true}}
+		c.Candidates = []explain.Candidate{candidate(b.View(e, now), e)}
 		return
 	}
 	views := b.Views(now)
 	c.Candidates = make([]explain.Candidate, 0, len(views))
 	for _, v := range views {
-		c.Candidates = append(c.Candidates, explain.Candidate{Node: v.Server.Node, Outstanding: v.Outstanding,
-			Age: v.ReportAge, Cost: v.Cost, Ejected: v.Ejected, Chosen: v.Server.Node == e.Server.Node})
+		c.Candidates = append(c.Candidates, candidate(v, e))
 	}
 }
 
+func candidate(v pick.View, chosen *pick.Endpoint) explain.Candidate {
+	return explain.Candidate{Node: v.Server.Node, Outstanding: v.Outstanding, Reported: v.Reported, Age: v.ReportAge,
+		Cost: v.Cost, Ejected: v.Ejected, Chosen: v.Server.Node == chosen.Server.Node}
+}
+
 // result tells the balancer how an attempt ended. The time of the claim and the
 // time that the receiver takes for the body are no part of the duration.
 func result(c *Call, err error) pick.Result {
--- a/node/admin.go
+++ b/node/admin.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -23,8 +22,7 @@
 	c := operator.Config{
 		Node:      nodeID(n.settings),
 		Log:       n.logger,
-		Identify:  identify,
-		Fleet:     n,
+		Identify:  operator.IdentifyPeer(keys.PeerOf),
 		Explainer: n,
 		Suspects:  n,
 		Events:    n,
@@ -34,18 +32,11 @@
 		c.Confirmer = n.control.config
 		c.Proposer = n.control.config
 		c.Bootstrapper = n.control
+		c.Fleet = n
 	}
 	return operator.New(c)
 }
 
-func identify(s *tls.ConnectionState) (operator.Identity, error) {
-	if s == nil {
-		return operator.Identity{}, errors.New("the request came without TLS")
-	}
-	name, role, err := keys.PeerOf(*s)
-	return operator.Identity{Name: string(name), Role: role}, err
-}
-
 // Bootstrap starts both replicated groups with this instance as the only voter.
 // A repetition after the first group was started starts the second one.
 func (c *control) Bootstrap(ctx context.Context) error {
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -115,6 +115,7 @@
 	Server      fleet.Server
 	Cost        time.Duration // expected completion time
 	Outstanding int           // requests of the selecting node without an answer
+	Reported    int           // in flight and queued by the newest load report
 	ReportAge   time.Duration // age of the newest load report; negative without one
 	FailureRate float64
 	Ejected     bool
@@ -126,18 +127,28 @@
 	t := p.at(now)
 	out := make([]View, 0, len(p.endpoints))
 	for _, e := range p.endpoints {
-		out = append(out, View{
-			Server:      e.Server,
-			Cost:        time.Duration(b.cost(e, t)),
-			Outstanding: int(e.load.outstanding.Load()),
-			ReportAge:   e.ReportAge(now),
-			FailureRate: e.load.failureRate(t, int64(b.config.FailureTrust)),
-			Ejected:     e.load.ejectedUntil.Load() != 0,
-		})
+		out = append(out, b.view(e, t, now))
 	}
 	return out
 }
 
+// View returns the state of one server, for explanations.
+func (b *Balancer) View(e *Endpoint, now time.Time) View {
+	return b.view(e, b.pool.Load().at(now), now)
+}
+
+func (b *Balancer) view(e *Endpoint, t int64, now time.Time) View {
+	return View{
+		Server:      e.Server,
+		Cost:        time.Duration(b.cost(e, t)),
+		Outstanding: int(e.load.outstanding.Load()),
+		Reported:    int(e.load.queue.Load()),
+		ReportAge:   e.ReportAge(now),
+		FailureRate: e.load.failureRate(t, int64(b.config.FailureTrust)),
+		Ejected:     e.load.ejectedUntil.Load() != 0,
+	}
+}
+
 // ReportAge returns the age of the newest load report of e, or a negative
 // duration when there is none.
 func (e *Endpoint) ReportAge(now time.Time) time.Duration {
