Start one process before the test of ports

Package os starts its first process without the fork lock to find out what the system supports, so that this one could inherit the sockets of a check. Change: the test starts one process first, as every user of the package that starts processes does. Ruled out: ports of other processes, which are locked.

--- a/freeport/freeport_test.go
+++ b/freeport/freeport_test.go
@@ -48,6 +48,11 @@
 // Guards against a port that cannot be bound because a process that was started
 // during the check still holds the sockets of the check.
 func TestPortsCanBeBoundWhileProcessesStart(t *testing.T) {
+	// Before the first process, package os starts one without the fork lock to
+	// find out what the system supports.
+	if err := exec.Command("true").Run(); err != nil {
+		t.Fatal(err)
+	}
 	done := make(chan struct{})
 	var starting sync.WaitGroup
 	for range 4 {
