--- a/replica/interface.go
+++ b/replica/interface.go
@@ -20,9 +20,8 @@
 // Proposer replicates commands. Group and the remote client of a group implement it.
 type Proposer interface {
 	// Propose returns the result of applying command. An error whose kind has the
-	// outcome not run, overloaded or rejected, such as
-	// ControlUnavailable, proves that the command was not proposed; any other
-	// error leaves open whether it will be applied, so that commands carry ids
-	// that make repeating them harmless.
+	// outcome not run, overloaded or rejected, such as ControlUnavailable, proves
+	// that the command was not proposed. Any other error leaves open whether it
+	// will be applied, so that commands carry ids that make repeating them harmless.
 	Propose(ctx context.Context, command []byte) (result []byte, err error)
 }
