Share the main function of the commands

Cause: four commands repeated the handling of signals, errors and the exit status. Change: package cli. Ruled out: bramleymillctl, which has exit codes of its own.

--- a/cmd/bramleymill/main.go
+++ b/cmd/bramleymill/main.go
@@ -6,11 +6,10 @@
 	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"bramleymill/cli"
 	"bramleymill/node"
 	"bramleymill/settings"
 )
@@ -72,11 +71,4 @@
 	return n.Run(ctx)
 }
 
-func main() {
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
-	if err := newRootCommand().ExecuteContext(ctx); err != nil {
-		fmt.Fprintf(os.Stderr, "error: %v\n", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(cli.Run(newRootCommand())) }
--- a/cmd/millbench/main.go
+++ b/cmd/millbench/main.go
@@ -3,15 +3,12 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
 	"bramleymill/benchmark"
+	"bramleymill/cli"
 	"bramleymill/clock"
 	"bramleymill/keys"
 )
@@ -154,11 +151,4 @@
 	}
 }
 
-func main() {
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
-	if err := newRootCommand().ExecuteContext(ctx); err != nil {
-		fmt.Fprintf(os.Stderr, "error: %v\n", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(cli.Run(newRootCommand())) }
--- a/cmd/millload/main.go
+++ b/cmd/millload/main.go
@@ -3,18 +3,16 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"bramleymill/cli"
 	"bramleymill/freeport"
 	"bramleymill/loadgen"
 )
@@ -141,11 +139,4 @@
 	return ports, nil
 }
 
-func main() {
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
-	if err := newRootCommand().ExecuteContext(ctx); err != nil {
-		fmt.Fprintf(os.Stderr, "error: %v\n", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(cli.Run(newRootCommand())) }
--- a/cmd/millstandin/main.go
+++ b/cmd/millstandin/main.go
@@ -3,14 +3,12 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
+	"bramleymill/cli"
 	"bramleymill/standin"
 )
 
@@ -71,11 +69,4 @@
 	return s.Shutdown(stop)
 }
 
-func main() {
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
-	if err := newRootCommand().ExecuteContext(ctx); err != nil {
-		fmt.Fprintf(os.Stderr, "error: %v\n", err)
-		os.Exit(1)
-	}
-}
+func main() { os.Exit(cli.Run(newRootCommand())) }
