Report the first state of a backend server before later ones

Cause: node read the first state of its proxy and announced it itself. When the monitor found the backend server ready between the read and the announcement, "starting" was announced last and the server stayed out of the choice for as long as its state did not change. Change: proxy.New reports the first state through StateChanged before it starts the monitor; node announces nothing of its own. The report of a failed wait in the tests of node says what each server's state is. Ruled out: slow machines and ports taken by others: the report of a failure shows shop-1=starting, everything else in place.

--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -180,13 +180,29 @@
 		return len(c.config.Status().Voters) == len(f.nodes) && len(c.claims.Status().Voters) == len(f.nodes)
 	})
 	for i, n := range f.nodes {
-		f.await("classes and servers", func() bool {
+		f.awaitState("classes and servers", func() bool {
 			return n.config.Current() != nil && n.path.Load() != nil && n.config.Confirmed() < time.Second &&
 				len(n.member.Servers("shop")) == len(f.nodes) && f.allReady(i)
-		})
+		}, func() string { return f.state(i) })
 	}
 }
 
+// state describes what bootstrap waits for, for the report of a failure.
+func (f *testFleet) state(i int) string {
+	n := f.nodes[i]
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: configuration %v, path %v, confirmed %v ago, servers", n.settings.Node, n.config.Current() != nil, n.path.Load() != nil, n.config.Confirmed())
+	for _, s := range n.member.Servers("shop") {
+		fmt.Fprintf(&b, " %s=%v", s.Node, s.State)
+	}
+	for j, done := range f.done {
+		if len(done) > 0 {
+			fmt.Fprintf(&b, "; %s ended: %v", f.settings[j].Node, <-done)
+		}
+	}
+	return b.String()
+}
+
 func (f *testFleet) allReady(i int) bool {
 	for _, s := range f.nodes[i].member.Servers("shop") {
 		if s.State != fleet.Ready {
@@ -216,10 +232,15 @@
 }
 
 func (f *testFleet) await(what string, ok func() bool) {
+	f.t.Helper()
+	f.awaitState(what, ok, func() string { return "" })
+}
+
+func (f *testFleet) awaitState(what string, ok func() bool, state func() string) {
 	f.t.Helper()
 	for end := time.Now().Add(patience); !ok(); {
 		if time.Now().After(end) {
-			f.t.Fatalf("not reached: %s", what)
+			f.t.Fatalf("not reached: %s %s", what, state())
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -108,7 +108,6 @@
 	}
 	r.proxy = p
 	n.path.Store(p)
-	n.member.SetState(p.State())
 	if s.Backend != nil {
 		// The node follows its own service, because crash reports go to its servers.
 		n.member.Servers(s.Backend.Service)
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -49,8 +49,9 @@
 	Crashes       Crashes
 	Suspects      *suspect.Table // nil: a new one
 	Metrics       Metrics        // nil: none
-	// StateChanged is called with each new state of the backend server, which
-	// the node announces. It must not block. It may be nil.
+	// StateChanged is called with each state of the backend server, which the node
+	// announces, in order: with the first one before New returns, then with each
+	// new one. It must not block. It may be nil.
 	StateChanged func(fleet.ServerState)
 
 	// ConfigSeen is called with the version of a class document that is later than
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -54,6 +54,7 @@
 	p.entry = p.entryChain()
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
+	p.config.StateChanged(p.State())
 	if p.local != nil {
 		p.local.start(ctx, &p.done)
 	}
--- a/proxy/state_test.go
+++ b/proxy/state_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -109,3 +110,23 @@
 		t.Errorf("server record %+v", server)
 	}
 }
+
+// Guards against a server that stays announced as starting: an owner of the proxy
+// that reads the first state itself may announce it after a later one.
+func TestFirstStateIsReportedBeforeLaterOnes(t *testing.T) {
+	c := newCluster(t)
+	var mu sync.Mutex
+	var states []fleet.ServerState
+	n := c.node("a", answer("a"), func(c *Config) {
+		c.StateChanged = func(s fleet.ServerState) {
+			mu.Lock()
+			defer mu.Unlock()
+			states = append(states, s)
+		}
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	if len(states) < 2 || states[0] != fleet.Starting || states[len(states)-1] != n.State() {
+		t.Errorf("reported %v, the state is %v", states, n.State())
+	}
+}
