Leave the callbacks of the membership to its loop

Cause: SetState and the first use of a service delivered pending events in the goroutine of the caller. The proxy announces a state with the lock of its server held, and the callback for a new configuration takes that lock to act on a drain order: a configuration that arrived at that moment stopped the node for good. Change: both methods publish the lists for readers and wake the loop of Run, which runs the callbacks. Ruled out: releasing the lock of the server before the announcement, which would let two announcements change places. Measured: TestAnnouncementDoesNotRunCallbacks failed before (1 callback ran within SetState). go test -race ./member ./node passes.

--- /dev/null
+++ b/member/callbacks_test.go
@@ -0,0 +1,35 @@
+package member
+
+import (
+	"context"
+	"testing"
+
+	"bramleymill/fleet"
+	"bramleymill/transport"
+	"bramleymill/transport/memory"
+)
+
+// Guards against a deadlock: the request path announces the state of its server
+// with a lock held that a callback for a new configuration takes too.
+func TestAnnouncementDoesNotRunCallbacks(t *testing.T) {
+	mux := transport.NewMux()
+	client := memory.New(memory.Config{}).Join(transport.Peer{Node: "a", Role: fleet.RoleNode, Address: "a"}, mux)
+	m, err := New(Config{Self: fleet.Server{Node: "a", Incarnation: 1, PeerAddress: "a"}, Seeds: []string{"a"}, Client: client, Mux: mux})
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls := 0
+	m.OnConfig(func(uint64, []byte) { calls++ })
+	m.mu.Lock()
+	m.core.events = append(m.core.events, configEvent{version: 1})
+	m.mu.Unlock()
+	m.SetState(fleet.Ready)
+	m.Servers("katalog")
+	if calls != 0 {
+		t.Errorf("%d callbacks ran within SetState or Servers", calls)
+	}
+	m.Step(context.Background())
+	if calls != 1 {
+		t.Errorf("%d callbacks after a step, want 1", calls)
+	}
+}
--- a/member/member.go
+++ b/member/member.go
@@ -107,12 +107,19 @@
 }
 
 func (m *Member) startFollowing(service string) <-chan struct{} {
+	var done <-chan struct{}
+	m.change(func() { done = m.core.followService(service, m.clock.Now()) })
+	return done
+}
+
+// change applies f to the core. Callbacks are left to the loop of Run, because
+// the caller may hold a lock that a callback takes too.
+func (m *Member) change(f func()) {
 	m.mu.Lock()
-	done := m.core.followService(service, m.clock.Now())
+	f()
+	m.publishView()
 	m.mu.Unlock()
-	m.publish()
 	m.wakeUp()
-	return done
 }
 
 // Follow makes sure that the servers of a service are known. It waits up to one
@@ -185,11 +192,7 @@
 
 // SetState announces a state of the own backend server at once.
 func (m *Member) SetState(s fleet.ServerState) {
-	m.mu.Lock()
-	m.core.setState(s, m.clock.Now())
-	m.mu.Unlock()
-	m.publish()
-	m.wakeUp()
+	m.change(func() { m.core.setState(s, m.clock.Now()) })
 }
 
 // Self returns the own announcement.
