Keep orders, suspicions and resources right while a node starts

(1) The start of the request path acted on the orders known so far while the membership could deliver later ones, and the older could win: an accepted drain was undone until the next change. (2) Crash reports and clearances that arrived before the request path was there were dropped; a joining node gets them just then, so that every restarted node had forgotten which requests crash servers. (3) A start that failed kept the lock of the data folder, the proxy and open listeners, which hurts programs that embed a node. (4) The replicated groups could report a change while the callback that wakes the membership was being set. Change: configuration adopts bundles one at a time and acts only on later orders; the table of suspects belongs to the node and exists before the path; New and Run release what they opened when they fail; the callback is an atomic pointer. Ruled out: creating the request path before the membership joins: it needs the incarnation that the join confirms.

--- a/filter/crashguard.go
+++ b/filter/crashguard.go
@@ -173,6 +173,14 @@
 	return true
 }
 
+// ReceiveCrash merges a crash report of another node into the table and records
+// the crash as an event if the report is new.
+func ReceiveCrash(now time.Time, t *suspect.Table, events *explain.Store, r fleet.CrashReport) {
+	if RecordCrash(now, t, events, r) {
+		events.AddEvent(now, explain.CrashDetected, r.Node, r.Service, "reported by the server's node for class "+r.Class)
+	}
+}
+
 // keptLives is the number of ended lives whose report is remembered.
 const keptLives = 16
 
--- a/node/admin.go
+++ b/node/admin.go
@@ -103,11 +103,7 @@
 
 // Suspects lists the requests that are suspected of crashing backend servers.
 func (n *Node) Suspects() []operator.Suspect {
-	p := n.path.Load()
-	if p == nil {
-		return nil
-	}
-	entries := p.Suspects().List(time.Now())
+	entries := n.suspects.List(time.Now())
 	out := make([]operator.Suspect, 0, len(entries))
 	for _, e := range entries {
 		out = append(out, operator.Suspect{
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,9 @@
 	logger    *slog.Logger
 	onOrders  func(*configstate.Orders)
 	onClasses func(version uint64)
+
+	mu     sync.Mutex          // held while a bundle is adopted
+	orders *configstate.Orders // the latest ones, nil before the first
 }
 
 // Current returns the classes in force, or nil before the first ones.
@@ -50,21 +54,34 @@
 // Confirmed returns the age of the newest proof that Current is up to date.
 func (c *configuration) Confirmed() time.Duration { return c.confirmed() }
 
-// adopt puts a distributed bundle in force.
+// adopt puts a distributed bundle in force, unless a later one is.
 func (c *configuration) adopt(revision uint64, document []byte) {
 	var b bundle
 	if err := cbor.Unmarshal(document, &b); err != nil {
 		c.logger.Error("configuration not decoded", "revision", revision, "error", err)
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if b.Document != nil {
 		c.adoptClasses(b)
 	}
-	if b.Orders != nil {
+	if b.Orders != nil && (c.orders == nil || b.Orders.Version > c.orders.Version) {
+		c.orders = b.Orders
 		c.onOrders(b.Orders)
 	}
 }
 
+// reapplyOrders acts on orders that arrived before the request path was there.
+func (c *configuration) reapplyOrders() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.orders != nil {
+		c.onOrders(c.orders)
+	}
+}
+
+// adoptClasses is called with mu held.
 func (c *configuration) adoptClasses(b bundle) {
 	if old := c.set.Load(); old != nil && old.Version >= b.Version {
 		return
--- a/node/control.go
+++ b/node/control.go
@@ -46,7 +46,7 @@
 	bundle   atomic.Pointer[encodedBundle]
 	proved   atomic.Pointer[time.Time] // start of the newest successful confirmation as a follower
 	versions *versionLog
-	changed  func() // wakes the membership
+	changed  atomic.Pointer[func()] // wakes the membership; nil until there is one
 	limits   claim.Limits
 	logger   *slog.Logger
 }
@@ -71,7 +71,6 @@
 			Retention: s.Control.ClaimRetention.Std(),
 		},
 		versions: newVersionLog(),
-		changed:  func() {},
 	}
 	c.machine = configstate.New(c.onChange)
 	c.host = replica.NewHost(mux, client)
@@ -113,7 +112,9 @@
 	}
 	c.versions.add(revision(v), v.Version, v.Orders.Version)
 	c.bundle.Store(&encodedBundle{revision(v), document})
-	c.changed()
+	if wake := c.changed.Load(); wake != nil {
+		(*wake)()
+	}
 }
 
 // Accepted returns the newest configuration and the age of the proof that it is
--- a/node/crashes.go
+++ b/node/crashes.go
@@ -8,9 +8,10 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"bramleymill/explain"
+	"bramleymill/filter"
 	"bramleymill/fleet"
 	"bramleymill/member"
-	"bramleymill/proxy"
 	"bramleymill/suspect"
 	"bramleymill/transport"
 )
@@ -77,11 +78,13 @@
 	c.member.Publish(topicClearance, b)
 }
 
-// receiveCrashes connects the messages of other nodes with the request path.
-func receiveCrashes(mux *transport.Mux, m *member.Member, path func() *proxy.Proxy, logger *slog.Logger) {
+// receiveCrashes merges the messages of other nodes into the table of suspects.
+// The table exists before the request path, because a node that joins is told at
+// once what the others know.
+func receiveCrashes(mux *transport.Mux, m *member.Member, table *suspect.Table, store *explain.Store, logger *slog.Logger) {
 	receive := func(reports []fleet.CrashReport) {
-		if p := path(); p != nil {
-			p.ReceiveCrash(reports)
+		for _, r := range reports {
+			filter.ReceiveCrash(time.Now(), table, store, r)
 		}
 	}
 	transport.Handle(mux, kindCrashReports, func(_ context.Context, _ transport.Peer, r *crashReports) (*acknowledgement, error) {
@@ -95,8 +98,6 @@
 			logger.Warn("clearance not decoded", "origin", origin, "error", err)
 			return
 		}
-		if p := path(); p != nil {
-			p.ReceiveClear(cl)
-		}
+		table.Clear(time.Now(), cl)
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -38,6 +38,7 @@
 	config    *configuration
 	claims    *claim.Client
 	crashes   *crashes
+	suspects  *suspect.Table
 	metrics   *metrics.Metrics
 	store     *explain.Store
 	recorder  *recorder // nil without a record file
@@ -69,11 +70,25 @@
 		return nil, err
 	}
 	if err := n.openState(mux); err != nil {
-		return nil, errors.Join(err, n.endpoint.Close(context.Background()))
+		return nil, errors.Join(err, n.release())
 	}
 	return n, nil
 }
 
+// release closes what New has opened, when the node does not start.
+func (n *Node) release() error {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	var err error
+	if n.control != nil {
+		err = n.control.close(ctx)
+	}
+	if n.recorder != nil {
+		err = errors.Join(err, n.recorder.file.Close())
+	}
+	return errors.Join(err, n.endpoint.Close(ctx))
+}
+
 func nodeID(s *settings.Settings) fleet.NodeID { return fleet.NodeID(s.Node) }
 
 // checkIdentity refuses a certificate that belongs to another node or lacks the
@@ -129,11 +144,14 @@
 		}
 	})
 	if n.control != nil {
-		n.control.changed = m.ConfigChanged
+		wake := m.ConfigChanged
+		n.control.changed.Store(&wake)
+		wake() // for a change that came before
 	}
 	n.crashes = &crashes{client: n.endpoint, member: m, self: nodeID(s), logger: n.logger}
-	receiveCrashes(mux, m, n.path.Load, n.logger)
+	n.suspects = suspect.New(suspect.Config{})
 	n.store = explain.NewStore(nodeID(s), explain.DefaultRecords, explain.DefaultEvents)
+	receiveCrashes(mux, m, n.suspects, n.store, n.logger)
 	explain.Register(mux, n.store)
 	if s.RecordFile != "" {
 		if n.recorder, err = newRecorder(s.RecordFile); err != nil {
@@ -183,7 +201,7 @@
 	seen := n.seenOrder.Swap(o.Version)
 	for _, r := range o.Releases {
 		if r.Version > seen {
-			p.Suspects().Release(time.Now(), suspect.Key{Service: r.Service, Fingerprint: r.Fingerprint})
+			n.suspects.Release(time.Now(), suspect.Key{Service: r.Service, Fingerprint: r.Fingerprint})
 		}
 	}
 }
@@ -204,7 +222,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	r, err := n.start()
 	if err != nil {
-		return errors.Join(err, n.endpoint.Close(context.Background()))
+		return errors.Join(err, n.release())
 	}
 	n.logger.Info("node started", "caller_address", n.settings.CallerAddress, "peer_address", n.settings.PeerAddress,
 		"control", n.control != nil)
--- a/node/run.go
+++ b/node/run.go
@@ -41,6 +41,12 @@
 	n.awaitJoin()
 	if err := n.startPath(r); err != nil {
 		cancel()
+		for _, l := range r.listeners {
+			_ = l.net.Close()
+		}
+		if r.proxy != nil {
+			r.proxy.Close()
+		}
 		return nil, errors.Join(err, group.Wait())
 	}
 	for _, l := range r.listeners {
@@ -95,6 +101,7 @@
 		Claims:        n.claims,
 		Locks:         n.claims,
 		Crashes:       n.crashes,
+		Suspects:      n.suspects,
 		Metrics:       n.metrics,
 		Store:         n.store,
 		StateChanged:  n.member.SetState,
@@ -112,7 +119,7 @@
 		// The node follows its own service, because crash reports go to its servers.
 		n.member.Servers(s.Backend.Service)
 	}
-	n.reapplyOrders()
+	n.config.reapplyOrders()
 	return n.openListeners(r, p)
 }
 
@@ -123,13 +130,6 @@
 	n.member.PeerVersion(revision + 1)
 }
 
-// reapplyOrders acts on orders that arrived before the request path was there.
-func (n *Node) reapplyOrders() {
-	if revision, document := n.member.Config(); document != nil {
-		n.config.adopt(revision, document)
-	}
-}
-
 func (n *Node) openListeners(r *running, p *proxy.Proxy) error {
 	s := n.settings
 	add := func(name, address string, h http.Handler, secure *tls.Config) error {
--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -16,6 +16,7 @@
 	"bramleymill/claim"
 	"bramleymill/class"
 	"bramleymill/clock"
+	"bramleymill/filter"
 	"bramleymill/fleet"
 	"bramleymill/keys"
 	"bramleymill/settings"
@@ -183,7 +184,9 @@
 	defer n.cluster.mu.Unlock()
 	for _, other := range n.cluster.nodes {
 		if other.config.Backend != nil {
-			other.ReceiveCrash(reports)
+			for _, r := range reports {
+				filter.ReceiveCrash(other.cluster.clock.Now(), other.Suspects(), other.Explain(), r)
+			}
 		}
 	}
 }
@@ -192,7 +195,7 @@
 	n.cluster.mu.Lock()
 	defer n.cluster.mu.Unlock()
 	for _, other := range n.cluster.nodes {
-		other.ReceiveClear(cl)
+		other.Suspects().Clear(other.cluster.clock.Now(), cl)
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -169,23 +169,6 @@
 // Suspects returns the table of requests that crash backend servers.
 func (p *Proxy) Suspects() *suspect.Table { return p.config.Suspects }
 
-// ReceiveCrash merges crash reports of another node and returns those that were new.
-func (p *Proxy) ReceiveCrash(reports []fleet.CrashReport) (fresh []fleet.CrashReport) {
-	now := p.config.Clock.Now()
-	for _, r := range reports {
-		if filter.RecordCrash(now, p.config.Suspects, p.store, r) {
-			fresh = append(fresh, r)
-			p.store.AddEvent(now, explain.CrashDetected, r.Node, r.Service, "reported by the server's node for class "+r.Class)
-		}
-	}
-	return fresh
-}
-
-// ReceiveClear merges a clearance of another node and tells whether it was new.
-func (p *Proxy) ReceiveClear(c suspect.Clearance) bool {
-	return p.config.Suspects.Clear(p.config.Clock.Now(), c)
-}
-
 // Close ends the watching of the backend server and closes idle connections. It
 // does not wait for requests; see Drain.
 func (p *Proxy) Close() {
