Let a request wait at the only server that accepts work

Cause: admission refuses a request when the queue of 2 entries per slot is full, so that the entry node tries another server. With one server in the service, or one that accepts work, there is none: the request ended as slots_reserved or retry_budget_exhausted although it would have met its deadline. A busy machine lets a process find more arrivals at once than the queue holds, also at half load. Change: the entry node states in CallMeta whether another server accepts work. A request without one (Sole) waits beyond the length of the queue, up to 16 times, while the expected wait is at most half of the time left. Movable and Hedge now reach the admission; Movable needs a server that was not tried.

--- a/admit/config.go
+++ b/admit/config.go
@@ -12,7 +12,7 @@
 	Slots            int           // requests that run at the same time
 	Connections      int           // connections to the backend server; zero: no limit of its own
 	SpareConnections int           // connections that carry no requests, for liveness and probes; negative: none
-	QueueLength      int           // requests that wait; zero: none
+	QueueLength      int           // requests that wait; zero: none; for Sole requests times soleQueueFactor
 	Reserved         int           // slots for privileged requests; default a fifth, at least 1
 	DelayTarget      time.Duration // queue delay that is acceptable for longer than DelayInterval
 	DelayInterval    time.Duration
@@ -70,7 +70,10 @@
 	// after a refusal, as told by retry.Policy.CanMove for idempotent classes.
 	// Such a request is refused rather than made to wait long.
 	Movable bool
-	Hedge   bool // second attempt of a request that is running elsewhere; never queued
+	// Sole is set when no other backend server accepts work of the service. Such
+	// a request waits while it can meet its deadline: a refusal would end it.
+	Sole  bool
+	Hedge bool // second attempt of a request that is running elsewhere; never queued
 }
 
 // privileged reports whether r may use the reserved slots.
--- a/admit/controller.go
+++ b/admit/controller.go
@@ -99,6 +99,9 @@
 	if now.Add(wait + c.classTime(now, r.Class)).After(r.Deadline) {
 		return Refused, errkind.DeadlineBeforeRun
 	}
+	if r.Sole {
+		return c.enqueueSole(now, wait, w)
+	}
 	if limit := c.movableWait(now); r.Movable && limit > 0 {
 		if wait > limit {
 			return Refused, c.fullKind(r)
@@ -108,22 +111,49 @@
 	if c.delay.overloaded && position > 0 && wait > c.allowedWait(w.rank) {
 		return Refused, errkind.QueueFull
 	}
-	if len(c.queue) >= c.config.QueueLength && !c.evict(w.rank) {
+	if len(c.queue) >= c.config.QueueLength && !c.evict(w.rank, false) {
 		return Refused, c.fullKind(r)
 	}
 	c.queue.insert(position, w)
 	return Queued, ""
 }
 
-// evict refuses the last request of the queue when its urgency is below rank.
-func (c *Controller) evict(rank fleet.Urgency) bool {
-	last := len(c.queue) - 1
-	if last < 0 || c.queue[last].rank >= rank {
-		return false
+// soleQueueFactor is the number of times that Sole requests may exceed
+// QueueLength. It bounds memory; the deadline bounds the wait. A process that
+// gets no processor for some 10 ms finds more arrivals than QueueLength at once,
+// also when the server is half idle.
+const soleQueueFactor = 16
+
+// soleWaitShare is the share of the remaining time that the expected wait beyond
+// QueueLength may take. The wait is an estimate, and a request that misses its
+// deadline while it runs has wasted its slot.
+const soleWaitShare = 0.5
+
+// enqueueSole lets a request wait that only this server can run. The rule
+// against long queues does not hold for it, because it cannot be moved.
+func (c *Controller) enqueueSole(now time.Time, wait time.Duration, w waiting) (Verdict, errkind.Kind) {
+	if len(c.queue) >= c.config.QueueLength && float64(wait) > soleWaitShare*float64(w.request.Deadline.Sub(now)) {
+		return Refused, c.fullKind(w.request)
+	}
+	if len(c.queue) >= soleQueueFactor*c.config.QueueLength && !c.evict(w.rank, true) {
+		return Refused, c.fullKind(w.request)
+	}
+	c.queue.insert(c.queue.position(&w), w)
+	return Queued, ""
+}
+
+// evict refuses the last request of the queue whose urgency is below rank. A
+// request that only this server can run gives way to others of its kind only.
+func (c *Controller) evict(rank fleet.Urgency, sole bool) bool {
+	for i := len(c.queue) - 1; i >= 0 && c.queue[i].rank < rank; i-- {
+		if c.queue[i].request.Sole && !sole {
+			continue
+		}
+		w := c.queue.remove(i)
+		c.actions = append(c.actions, Action{w.id, errkind.QueueFull})
+		return true
 	}
-	w := c.queue.remove(last)
-	c.actions = append(c.actions, Action{w.id, errkind.QueueFull})
-	return true
+	return false
 }
 
 // fullKind tells a full queue from slots that are free but reserved.
--- a/filter/admission.go
+++ b/filter/admission.go
@@ -21,6 +21,7 @@
 	arrived := f.clock.Now()
 	release, refused := f.gate.Acquire(c.Ctx, admit.Request{
 		Urgency: c.Meta.Urgency, Internal: c.Meta.Internal, Deadline: c.Deadline, Class: c.Meta.Class,
+		Movable: c.Meta.Movable, Sole: c.Meta.Sole, Hedge: c.Meta.Hedge,
 	})
 	if refused != nil {
 		if refused.Kind == errkind.CallerGone {
--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -142,6 +142,7 @@
 	lane := &lane{race: r}
 	a := c.attempt(ctx, lane)
 	a.Meta.Hedge = hedge
+	a.Meta.Movable = c.Class.Idempotent && !c.Meta.Confined && c.Body.Replayable() && f.policy(c.Class.Name).CanMove(c.Attempts)
 	lane.number = a.Meta.Attempt
 	r.enter(lane.number, cancel)
 	start := f.clock.Now()
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -116,6 +116,9 @@
 	c.tried.add(e.Server.Node)
 	c.Target = e.Server
 	c.Meta.Target, c.Meta.Incarnation = e.Server.Node, e.Server.Incarnation
+	exclude.Add(e.Server.Node)
+	c.Meta.Movable = c.Meta.Movable && b.HasOther(e, &exclude)
+	c.Meta.Sole = !b.HasOther(e, nil)
 	f.explain(c, b, e, now)
 	a := b.Started(e, now)
 	err := f.next.Serve(c)
--- a/filter/choose_test.go
+++ b/filter/choose_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"bramleymill/admit"
 	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/explain"
@@ -83,3 +84,57 @@
 		t.Errorf("attempt %d after the restart", a.Meta.Attempt)
 	}
 }
+
+// poolOf is a Directory with the given number of servers.
+type poolOf int
+
+func (poolOf) Follow(context.Context, string) error { return nil }
+
+func (p poolOf) Servers(service string) []fleet.Server { return pool3{}.Servers(service)[:p] }
+
+// Guards against a server that refuses work because it could be moved although
+// no other server is left, and against one that keeps work that could be moved.
+func TestChooseTellsWhetherAnotherServerIsLeft(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	for _, tt := range []struct {
+		servers       int
+		movable, sole []bool // by attempt
+	}{
+		{1, []bool{false}, []bool{true}},
+		{3, []bool{true, true, false}, []bool{false, false, false}},
+	} {
+		next := &passed{}
+		f := NewChoose(next, poolOf(tt.servers), "", k, 1, explain.NewStore("e", 1, 1))
+		c := newCall(t, "GET", "", k).begin()
+		for i := range tt.movable {
+			a := c.attempt(t.Context(), c.Answer)
+			a.Meta.Movable = true
+			if err := f.Serve(a); err != nil {
+				t.Fatal(err)
+			}
+			if m := next.last.Meta; m.Movable != tt.movable[i] || m.Sole != tt.sole[i] {
+				t.Errorf("%d servers, attempt %d: movable %v, sole %v", tt.servers, i+1, m.Movable, m.Sole)
+			}
+		}
+	}
+}
+
+// Guards against a hedge that waits in the queue, which adds load and rarely ends
+// first.
+func TestAdmissionRefusesAHedgeThatWouldWait(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	g := admit.NewGate(admit.Config{Slots: 2, QueueLength: 4}, k)
+	f := NewAdmission(HandlerFunc(func(c *Call) error {
+		hedge := newCall(t, "GET", "", k)
+		hedge.Deadline, hedge.Meta.Hedge = k.Now().Add(time.Second), true
+		if kind := kindOf(NewAdmission(&passed{}, g, k).Serve(hedge)); kind != errkind.SlotsReserved {
+			t.Errorf("hedge without a free slot: %q", kind)
+		}
+		return nil
+	}), g, k)
+	c := newCall(t, "GET", "", k)
+	c.Deadline = k.Now().Add(time.Second)
+	if err := f.Serve(c); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -105,6 +105,8 @@
 	Idempotent    bool          `cbor:"15,keyasint,omitempty"`
 	Urgency       Urgency       `cbor:"16,keyasint"`
 	Confined      bool          `cbor:"17,keyasint,omitempty"` // single attempt of a crash suspect
+	Movable       bool          `cbor:"18,keyasint,omitempty"` // a refusal would be followed by a retry at another server
+	Sole          bool          `cbor:"19,keyasint,omitempty"` // no other server accepts work of the service
 }
 
 // MaxDepth is the deepest call chain that is served.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -97,6 +97,17 @@
 	return !e.load.draining.Load() && (exclude == nil || !exclude.Has(e.Server.Node))
 }
 
+// HasOther reports whether another server than e accepts work, and is neither
+// ejected nor in exclude.
+func (b *Balancer) HasOther(e *Endpoint, exclude *Exclude) bool {
+	for _, o := range b.pool.Load().endpoints {
+		if o.Server.Node != e.Server.Node && o.load.ejectedUntil.Load() == 0 && o.eligible(exclude) {
+			return true
+		}
+	}
+	return false
+}
+
 func contains(list []int, v int) bool {
 	for _, x := range list {
 		if x == v {
