Bound the servers on which copies of a new request run

Cause: suspicion begins with the first crash. Copies of a request that crashes servers, sent at the same time through several nodes, ran on every server of the service by then and took all of them down. A queued copy was refused as backend_down before the crash report was sent, and could reach a third server ahead of it. Change: a request of which no copy has finished lately goes to the better of two servers, chosen by rendezvous hashing of its fingerprint over all announced servers; so do confined attempts and hedges. A copy that its node knows to be alone leaves them when they cost more than twice another server. A server node answers backend_down after its crash report, or crash_suspect if the report makes the request one. Ruled out: two running copies for each entry node (the bound grows with the nodes and readers of a new page wait); a permit from a counting node (a round trip for each distinct request); two servers for ever (hot pages); cancelling running copies on suspicion (innocent requests are suspect after each crash). TestRefusalAsDownFollowsTheCrashReport guards the order of report and refusal.

--- a/filter/choose.go
+++ b/filter/choose.go
@@ -30,6 +30,8 @@
 	seeds    atomic.Uint64
 	chosen   atomic.Uint64
 	random   sync.Pool
+	finished finished
+	running  running
 }
 
 // pool is a balancer with the list of servers it was updated with.
@@ -107,30 +109,75 @@
 	b := p.balancer
 	now := f.clock.Now()
 	exclude := c.tried.excluded()
-	rng := f.random.Get().(*rand.Rand)
-	e, kind := b.Pick(now, rng, &exclude)
-	f.random.Put(rng)
+	var copies int32
+	if f.bounded(c, now) {
+		copies = f.running.enter(c.Meta.Fingerprint)
+		defer f.running.leave(c.Meta.Fingerprint)
+	}
+	e := f.pick(c, b, now, &exclude, copies)
 	if e == nil {
-		return errkind.New(kind, "service %s has no backend server to try", c.Class.Service)
+		return errkind.New(errkind.NoBackendServer, "service %s has no backend server to try", c.Class.Service)
 	}
 	c.tried.add(e.Server.Node)
 	c.Target = e.Server
 	c.Meta.Target, c.Meta.Incarnation = e.Server.Node, e.Server.Incarnation
-	exclude.Add(e.Server.Node)
-	c.Meta.Movable = c.Meta.Movable && b.HasOther(e, &exclude)
-	c.Meta.Sole = !b.HasOther(e, nil)
+	c.Meta.Sole = b.Sole(e)
 	f.explain(c, b, e, now)
 	a := b.Started(e, now)
 	err := f.next.Serve(c)
 	r := result(c, err)
 	end := f.clock.Now()
 	b.Finished(a, end, r)
+	f.learn(c, end, err)
 	if r.Outcome == pick.Failed || p.anyOut.Load() {
 		f.recordEjections(p, end)
 	}
 	return err
 }
 
+// pick chooses a server and sets whether the attempt may be moved to another one.
+// copies is the number of attempts of a bounded request that run through this
+// node, or zero.
+func (f *Choose) pick(c *Call, b *pick.Balancer, now time.Time, exclude *pick.Exclude, copies int32) *pick.Endpoint {
+	rng := f.random.Get().(*rand.Rand)
+	defer f.random.Put(rng)
+	var e *pick.Endpoint
+	var other bool
+	switch {
+	case copies == 0:
+		e, other = b.PickMovable(now, rng, exclude)
+	case copies == 1 && !c.Meta.Confined:
+		e, other = b.PickSpilling(now, rng, exclude, c.Meta.Fingerprint)
+	default:
+		e, other = b.PickKeyed(now, exclude, c.Meta.Fingerprint)
+		if e == nil && !c.Meta.Hedge {
+			e, other = b.PickMovable(now, rng, exclude)
+		}
+	}
+	c.Meta.Movable = c.Meta.Movable && other
+	return e
+}
+
+// bounded reports whether the copies of a request have to meet on few servers,
+// because it may crash each server that runs it: no copy of it has finished
+// lately, or it is suspect. A request with a key needs no such bound, because its
+// claim allows one running attempt.
+func (f *Choose) bounded(c *Call, now time.Time) bool {
+	return c.Meta.Confined || c.Key == "" && !f.finished.has(now, c.Meta.Fingerprint)
+}
+
+// learn records whether a backend server survived the request.
+func (f *Choose) learn(c *Call, now time.Time, err error) {
+	if err == nil {
+		f.finished.add(now, c.Meta.Fingerprint)
+		return
+	}
+	switch errkind.Of(err).Kind {
+	case errkind.ConnectionLost, errkind.CrashSuspect:
+		f.finished.remove(c.Meta.Fingerprint)
+	}
+}
+
 // recordEjections records as events which servers were ejected or readmitted. It
 // runs after failures, and after each attempt while a server is ejected.
 func (f *Choose) recordEjections(p *pool, now time.Time) {
--- /dev/null
+++ b/filter/crash_test.go
@@ -0,0 +1,121 @@
+package filter
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/explain"
+	"bramleymill/fleet"
+	"bramleymill/pick"
+	"bramleymill/suspect"
+)
+
+// backendLife is the Liveness of a backend server that a test kills.
+type backendLife struct{ life uint64 }
+
+func (l *backendLife) Life() uint64                             { return l.life }
+func (l *backendLife) Died(_ context.Context, life uint64) bool { return life < l.life }
+
+// published counts the crash reports.
+type published struct{ reports []fleet.CrashReport }
+
+func (p *published) ReportCrash(_ context.Context, r []fleet.CrashReport) {
+	p.reports = append(p.reports, r...)
+}
+func (p *published) ReportClear(suspect.Clearance) {}
+
+// Guards against a queued copy of a request that crashed the server: refused as
+// backend_down before the report, it would reach another server first.
+func TestRefusalAsDownFollowsTheCrashReport(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	life, out := &backendLife{life: 1}, &published{}
+	var queued Handler
+	guard := NewCrashGuard(HandlerFunc(func(c *Call) error {
+		life.life++ // dies while this request runs
+		if kind := kindOf(queued.Serve(c)); kind != errkind.CrashSuspect || len(out.reports) != 1 {
+			t.Errorf("kind %q after %d reports", kind, len(out.reports))
+		}
+		return errkind.New(errkind.ConnectionLost, "broken")
+	}), CrashGuardConfig{Node: "n", Incarnation: 1, Service: "shop", Suspects: suspect.New(suspect.Config{}), Publisher: out,
+		Liveness: life, Events: explain.NewStore("n", 1, 8), Clock: k})
+	queued = NewDownReport(HandlerFunc(func(*Call) error { return errkind.New(errkind.BackendDown, "down") }), guard)
+	if kind := kindOf(queued.Serve(newCall(t, "GET", "", k))); kind != errkind.BackendDown || len(out.reports) != 0 {
+		t.Errorf("before the first life: %q, %d reports", kind, len(out.reports))
+	}
+	if kind := kindOf(guard.Serve(newCall(t, "GET", "", k))); kind != errkind.ConnectionLost || len(out.reports) != 1 {
+		t.Errorf("kind %q, %d reports", kind, len(out.reports))
+	}
+}
+
+// Guards against copies of a request that spread over the pool before one of
+// them has finished, and against requests that stay on few servers after that.
+func TestCopiesMeetOnFewServersUntilOneHasFinished(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	pool := &poolN{n: 12}
+	var fail error
+	var running []*Call
+	f := NewChoose(HandlerFunc(func(c *Call) error { running = append(running, c); return fail }), pool, "", k, 1, explain.NewStore("e", 1, 64))
+	targets := func(fingerprint uint64, key string) map[fleet.NodeID]bool {
+		running = nil
+		for range 12 {
+			c := newCall(t, "GET", "", k).begin()
+			c.Meta.Fingerprint, c.Key = fingerprint, key
+			_ = f.Serve(c)
+		}
+		seen := map[fleet.NodeID]bool{}
+		for _, c := range running {
+			seen[c.Target.Node] = true
+		}
+		return seen
+	}
+	fail = errkind.New(errkind.QueueFull, "full")
+	spread := map[fleet.NodeID]bool{}
+	for fingerprint := range uint64(60) {
+		seen := targets(fingerprint*0x9e3779b97f4a7c15, "")
+		if len(seen) > pick.KeyedServers {
+			t.Fatalf("%d servers for one fingerprint", len(seen))
+		}
+		for n := range seen {
+			spread[n] = true
+		}
+	}
+	if len(spread) != pool.n {
+		t.Errorf("all fingerprints together use %d of %d servers", len(spread), pool.n)
+	}
+	if n := len(targets(7, "key")); n <= pick.KeyedServers {
+		t.Errorf("requests with a key use %d servers", n)
+	}
+	fail = nil
+	targets(7, "")
+	if n := len(targets(7, "")); n <= pick.KeyedServers {
+		t.Errorf("a request that has finished uses %d servers", n)
+	}
+	fail = errkind.New(errkind.ConnectionLost, "broken")
+	targets(7, "")
+	if n := len(targets(7, "")); n > pick.KeyedServers {
+		t.Errorf("a request that broke its connection uses %d servers", n)
+	}
+	fail = nil
+	targets(7, "")
+	k.Advance(2 * finishedPeriod)
+	fail = errkind.New(errkind.QueueFull, "full")
+	if n := len(targets(7, "")); n > pick.KeyedServers {
+		t.Errorf("a request that finished long ago uses %d servers", n)
+	}
+}
+
+// poolN is a Directory with n servers.
+type poolN struct{ n int }
+
+func (*poolN) Follow(context.Context, string) error { return nil }
+
+func (p *poolN) Servers(service string) []fleet.Server {
+	var out []fleet.Server
+	for i := range p.n {
+		out = append(out, fleet.Server{Node: fleet.NodeID(string(rune('a' + i))), Incarnation: 1, Service: service, State: fleet.Ready, Slots: 10})
+	}
+	return out
+}
--- a/filter/crashguard.go
+++ b/filter/crashguard.go
@@ -88,19 +88,15 @@
 // have heard of the suspicion, because reports go to the nodes of the service
 // first.
 func (f *CrashGuard) Serve(c *Call) error {
-	key := suspect.Key{Service: f.service, Fingerprint: c.Meta.Fingerprint}
-	switch v := f.suspects.Check(f.clock.Now(), key); {
-	case v == suspect.Refuse:
-		return errkind.New(errkind.CrashSuspect, "the request crashed %s servers before", f.service)
-	case v == suspect.Suspect && !c.Meta.Confined:
-		return errkind.New(errkind.CrashSuspect, "the request is suspected of crashing a %s server and is not confined", f.service)
+	if err := f.refusal(c); err != nil {
+		return err
 	}
 	g := f.enter(c)
 	start := f.clock.Now()
 	err := f.next.Serve(c)
 	defer func() { f.leave(g, c.Ctx.Err() != nil && !errkind.Of(err).ProvedNotRun()) }()
 	if err == nil {
-		if clearance, ok := f.suspects.Finished(f.clock.Now(), key, start); ok {
+		if clearance, ok := f.suspects.Finished(f.clock.Now(), f.key(c), start); ok {
 			f.publisher.ReportClear(clearance)
 		}
 		return nil
@@ -111,6 +107,21 @@
 	return err
 }
 
+func (f *CrashGuard) key(c *Call) suspect.Key {
+	return suspect.Key{Service: f.service, Fingerprint: c.Meta.Fingerprint}
+}
+
+// refusal returns the error that suspicion demands, or nil.
+func (f *CrashGuard) refusal(c *Call) error {
+	switch v := f.suspects.Check(f.clock.Now(), f.key(c)); {
+	case v == suspect.Refuse:
+		return errkind.New(errkind.CrashSuspect, "the request crashed %s servers before", f.service)
+	case v == suspect.Suspect && !c.Meta.Confined:
+		return errkind.New(errkind.CrashSuspect, "the request is suspected of crashing a %s server and is not confined", f.service)
+	}
+	return nil
+}
+
 func (f *CrashGuard) enter(c *Call) *guarded {
 	g := &guarded{report: fleet.CrashReport{Service: f.service, Fingerprint: c.Meta.Fingerprint, Node: f.node, Incarnation: f.inc,
 		Life: f.liveness.Life(), Confined: c.Meta.Confined, Class: c.Meta.Class, Path: c.Request.URL.Path}}
@@ -161,6 +172,31 @@
 	}
 }
 
+type downReport struct {
+	next  Handler
+	guard *CrashGuard
+}
+
+// NewDownReport returns the filter that answers BackendDown only after the crash
+// report of the last life was made. A queued copy of the request that crashed the
+// server would otherwise reach another server before the report. A request that
+// is refused or suspect from then on is told so.
+func NewDownReport(next Handler, g *CrashGuard) Handler { return &downReport{next, g} }
+
+func (f *downReport) Serve(c *Call) error {
+	err := f.next.Serve(c)
+	if err == nil || errkind.Of(err).Kind != errkind.BackendDown {
+		return err
+	}
+	if life := f.guard.liveness.Life(); life > 1 {
+		f.guard.Report(life - 1)
+	}
+	if refused := f.guard.refusal(c); refused != nil {
+		return refused
+	}
+	return err
+}
+
 // RecordCrash merges a crash report into the table and records an event when its
 // request is refused from now on. It tells whether the report was new.
 func RecordCrash(now time.Time, t *suspect.Table, events *explain.Store, r fleet.CrashReport) bool {
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -23,6 +23,7 @@
 type pool struct {
 	epoch     time.Time // zero of the int64 times of this package
 	endpoints []*Endpoint
+	announced []*Endpoint // in any state
 	byNode    map[fleet.NodeID]*Endpoint
 }
 
@@ -33,6 +34,7 @@
 	zone    *zoneDelay
 	readyAt int64
 	epoch   time.Time
+	hash    uint64 // of the node name
 
 	Server fleet.Server
 }
@@ -61,6 +63,7 @@
 		}
 		e := b.endpoint(next.epoch, now, s, ownZone, old.byNode[s.Node])
 		next.byNode[s.Node] = e
+		next.announced = append(next.announced, e)
 		if s.State == fleet.Ready {
 			next.endpoints = append(next.endpoints, e)
 		}
@@ -76,7 +79,7 @@
 	if old != nil && old.Server == s {
 		return old
 	}
-	e := &Endpoint{Server: s, epoch: epoch, zone: b.zone(s.Zone, ownZone)}
+	e := &Endpoint{Server: s, epoch: epoch, hash: hashNode(s.Node), zone: b.zone(s.Zone, ownZone)}
 	warm := max(now.UnixMilli()-s.ReadySince, 0) // the other clock may be ahead
 	e.readyAt = int64(now.Sub(epoch)) - min(warm, maxWarmMillis)*int64(time.Millisecond)
 	if old == nil || old.Server.Incarnation != s.Incarnation {
--- /dev/null
+++ b/pick/keyed_test.go
@@ -0,0 +1,111 @@
+package pick
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// Guards against nodes that rank the servers of a key differently, and against a
+// death that brings a third server in.
+func TestPickKeyedStaysOnItsServers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	servers := func(first int, down fleet.NodeID) []fleet.Server {
+		var out []fleet.Server
+		for i := range 7 {
+			s := fleet.Server{Node: fleet.NodeID(fmt.Sprintf("n%d", (i+first)%7)), Incarnation: 1, State: fleet.Ready, Slots: 10}
+			if s.Node == down {
+				s.State = fleet.Down
+			}
+			out = append(out, s)
+		}
+		return out
+	}
+	a, b := New(Config{}), New(Config{})
+	a.Update(now, servers(0, ""), "")
+	b.Update(now, servers(3, ""), "")
+	loads := map[fleet.NodeID]int{}
+	for key := range uint64(7000) {
+		x, xOther := a.PickKeyed(now, nil, key)
+		var tried Exclude
+		tried.Add(x.Server.Node)
+		y, yOther := a.PickKeyed(now, &tried, key)
+		if y == nil || y.Server.Node == x.Server.Node || !xOther || yOther {
+			t.Fatalf("second server %v, others %v %v", y, xOther, yOther)
+		}
+		tried.Add(y.Server.Node)
+		if z, _ := a.PickKeyed(now, &tried, key); z != nil {
+			t.Fatalf("third server %s", z.Server.Node)
+		}
+		if z, _ := b.PickKeyed(now, nil, key); z.Server.Node != x.Server.Node && z.Server.Node != y.Server.Node {
+			t.Fatalf("key %d: another node chooses %s, not %s or %s", key, z.Server.Node, x.Server.Node, y.Server.Node)
+		}
+		loads[x.Server.Node]++
+		loads[y.Server.Node]++
+		b.Update(now, servers(3, x.Server.Node), "")
+		if z, other := b.PickKeyed(now, nil, key); z == nil || z.Server.Node != y.Server.Node || other {
+			t.Fatalf("key %d: after the death of %s the choice is %v", key, x.Server.Node, z)
+		}
+		b.Update(now, servers(3, ""), "")
+	}
+	for n, count := range loads {
+		if count < 1700 || count > 2300 {
+			t.Errorf("%s ranks first or second for %d of 7000 keys, expected about 2000", n, count)
+		}
+	}
+}
+
+// Guards against a request that waits for the servers of its key while others
+// are idle, although no other copy of it is known.
+func TestPickSpillingLeavesBusyServers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{})
+	var servers []fleet.Server
+	for i := range 5 {
+		servers = append(servers, fleet.Server{Node: fleet.NodeID(fmt.Sprintf("n%d", i)), Incarnation: 1, State: fleet.Ready, Slots: 10})
+	}
+	b.Update(now, servers, "")
+	rng := rand.New(rand.NewPCG(1, 1))
+	const key = 99
+	seen := map[fleet.NodeID]bool{}
+	started := 0
+	for len(seen) <= KeyedServers && started < 100 {
+		e, other := b.PickSpilling(now, rng, nil, key)
+		if !other {
+			t.Error("no other server accepts work")
+		}
+		seen[e.Server.Node] = true
+		b.Started(e, now)
+		started++
+	}
+	if started < 10 || started > 40 {
+		t.Errorf("left the servers of the key after %d requests", started)
+	}
+	for range 20 {
+		if e, _ := b.PickKeyed(now, nil, key); !seen[e.Server.Node] {
+			t.Errorf("PickKeyed left the servers of the key for %s", e.Server.Node)
+		}
+	}
+}
+
+func BenchmarkPickSpilling(b *testing.B) {
+	for _, n := range []int{3, 13, 100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := time.Unix(1000, 0)
+			var servers []fleet.Server
+			for i := range n {
+				servers = append(servers, fleet.Server{Node: fleet.NodeID(fmt.Sprintf("n%d", i)), Incarnation: 1, State: fleet.Ready, Slots: 10})
+			}
+			p := New(Config{})
+			p.Update(now, servers, "")
+			rng := rand.New(rand.NewPCG(1, 1))
+			b.ReportAllocs()
+			for i := range b.N {
+				p.PickSpilling(now, rng, nil, uint64(i))
+			}
+		})
+	}
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -97,9 +97,19 @@
 	return !e.load.draining.Load() && (exclude == nil || !exclude.Has(e.Server.Node))
 }
 
-// HasOther reports whether another server than e accepts work, and is neither
+// Sole reports whether no other server than e accepts work.
+func (b *Balancer) Sole(e *Endpoint) bool { return !b.hasOther(e, nil) }
+
+// PickMovable is Pick that also reports whether another server accepts work that
+// is not in exclude.
+func (b *Balancer) PickMovable(now time.Time, rng *rand.Rand, exclude *Exclude) (e *Endpoint, other bool) {
+	e, _ = b.Pick(now, rng, exclude)
+	return e, e != nil && b.hasOther(e, exclude)
+}
+
+// hasOther reports whether another server than e accepts work, and is neither
 // ejected nor in exclude.
-func (b *Balancer) HasOther(e *Endpoint, exclude *Exclude) bool {
+func (b *Balancer) hasOther(e *Endpoint, exclude *Exclude) bool {
 	for _, o := range b.pool.Load().endpoints {
 		if o.Server.Node != e.Server.Node && o.load.ejectedUntil.Load() == 0 && o.eligible(exclude) {
 			return true
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"bramleymill/fleet"
 )
@@ -150,3 +151,58 @@
 	}
 	expect(t, 200, "", "ok", "POST", c.nodes[1].caller.URL+"/innocent", "X", "1")
 }
+
+// Guards against copies of a poisonous request that run on every server at the
+// same time, so that all of them die before the first crash is known.
+func TestConcurrentCopiesCrashAtMostTwoServers(t *testing.T) {
+	const copies = 30
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			c := newCluster(t)
+			var crashes atomic.Int32
+			release := make(chan struct{})
+			for i := range 5 {
+				var f *fragile
+				f = newFragile(t, &crashes, func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path != "/later" {
+						return
+					}
+					<-release
+					f.die()
+					panic(http.ErrAbortHandler)
+				})
+				c.node(fmt.Sprintf("n%d", i), nil, (&rawBackend{listener: f.listener}).with)
+			}
+			c.node("entry", nil)
+			var done sync.WaitGroup
+			for i := range copies {
+				done.Go(func() {
+					resp, _, err := request(t, method, c.nodes[i%len(c.nodes)].caller.URL+"/later", nil)
+					if err != nil || resp.StatusCode == 200 {
+						t.Errorf("%v %v", resp, err)
+					}
+				})
+			}
+			for admitted := 0; admitted < copies; time.Sleep(time.Millisecond) {
+				admitted = 0
+				for _, n := range c.nodes {
+					l := n.Admission()
+					admitted += l.InFlight + l.Queued
+				}
+			}
+			close(release)
+			done.Wait()
+			for _, n := range c.nodes {
+				if resp, _, err := request(t, method, n.caller.URL+"/later", nil); err != nil || resp.StatusCode == 200 {
+					t.Errorf("%v %v", resp, err)
+				}
+			}
+			if n := crashes.Load(); n > 2 {
+				t.Errorf("%d servers crashed", n)
+			}
+			for _, n := range c.nodes {
+				expect(t, 200, "", "", "GET", n.caller.URL+"/x")
+			}
+		})
+	}
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -82,6 +82,7 @@
 	l.guard = filter.NewCrashGuard(h, filter.CrashGuardConfig{Node: c.Node, Incarnation: c.Incarnation,
 		Service: c.Backend.Service, Suspects: c.Suspects, Publisher: c.Crashes, Liveness: l.monitor, Events: p.store, Clock: k})
 	h = filter.NewAdmission(l.guard, l.gate, k)
+	h = filter.NewDownReport(h, l.guard)
 	h = filter.NewDuplicates(h, k)
 	return filter.NewPeerCheck(h, c.Node, p.Incarnation, k)
 }
