Free a claim whose grant was lost before anything was sent

Cause: when no reply to Begin or Reassign came before the deadline, the entry node answered claims_unavailable, but the claim existed. The ending Released did not help after a lost Reassign, because it names the attempt before it. Change: Abandon{key, owner} releases the claim of an owner that sent nothing under it, whatever its attempt, also when it is unknown already. The entry node abandons in the background at the end of the request, and before a further attempt, which begins under another owner. Ruled out: repeating Begin under the same owner to learn the claim id, which may make a claim that did not exist; releasing by claim id, which came with the lost reply; letting the same owner begin again, since copies of the lost Begin could then not be told from the new one.

--- a/claim/claims.go
+++ b/claim/claims.go
@@ -16,7 +16,7 @@
 	if r != nil {
 		return r.answerBegin(b, owner)
 	}
-	if len(m.records) >= m.limits.MaxClaims || m.bytes+recordBytes > m.limits.MaxBytes {
+	if m.full() {
 		return reply{State: Full}
 	}
 	r = &record{
@@ -83,6 +83,34 @@
 	return reply{State: Stale}
 }
 
+// abandon frees the claim of an owner that sent nothing for it. Without a claim it
+// leaves a released one, because the lost Begin may still be applied.
+func (m *Machine) abandon(index uint64, a *AbandonRequest) reply {
+	if a.Key == "" || len(a.Key) > MaxKeyBytes || !validOwner(a.Owner) {
+		return reply{State: Invalid}
+	}
+	key, owner := digestOf(claimSpace, a.Key), ownerDigest(a.Owner)
+	r := m.find(key)
+	switch {
+	case r == nil:
+		if m.full() {
+			return reply{State: Full}
+		}
+		m.add(&record{key: key, owner: owner, body: digest(a.Fingerprint[:len(digest{})]), id: index,
+			when: m.now + int64(ReleasedRetention), attempt: 1, phase: released})
+	case r.owner == owner && (r.phase == running || r.phase == lapsed):
+		m.end(r, released, ReleasedRetention)
+	case r.owner != owner || r.phase != released:
+		return reply{State: Stale}
+	}
+	return reply{State: Recorded}
+}
+
+// full reports whether there is no room for another claim.
+func (m *Machine) full() bool {
+	return len(m.records) >= m.limits.MaxClaims || m.bytes+recordBytes > m.limits.MaxBytes
+}
+
 func (m *Machine) finish(f *FinishRequest) reply {
 	r := m.findID(f.ClaimID, f.Owner)
 	if r == nil || uint32(r.attempt) != f.Attempt {
--- a/claim/client.go
+++ b/claim/client.go
@@ -59,6 +59,11 @@
 	return c.request(ctx, command{Reassign: &r})
 }
 
+// Abandon frees the claim of a request for which nothing was sent.
+func (c *Client) Abandon(ctx context.Context, r AbandonRequest) (Result, error) {
+	return c.request(ctx, command{Abandon: &r})
+}
+
 // Finish ends a claim. An answer over the bound is sent without header and body.
 func (c *Client) Finish(ctx context.Context, r FinishRequest) (Result, error) {
 	if r.Answer != nil && !storable(r.Answer) {
--- a/claim/command.go
+++ b/claim/command.go
@@ -25,6 +25,7 @@
 	Lock     *LockRequest     `cbor:"4,keyasint,omitempty"`
 	Unlock   *UnlockRequest   `cbor:"5,keyasint,omitempty"`
 	Limits   *Limits          `cbor:"6,keyasint,omitempty"`
+	Abandon  *AbandonRequest  `cbor:"7,keyasint,omitempty"`
 }
 
 // reply is Result with the stored answer left encoded.
--- a/claim/datadriven_test.go
+++ b/claim/datadriven_test.go
@@ -53,6 +53,9 @@
 		d.ScanArgs(t, "refused", &c.Reassign.Refused)
 	case "finish":
 		c.Finish = s.finish(t, d, key, owner)
+	case "abandon":
+		c.Abandon = &AbandonRequest{Key: key, Owner: owner}
+		copy(c.Abandon.Fingerprint[:], body)
 	case "lock":
 		c.Lock = &LockRequest{Key: key, Owner: owner, Lease: 5 * time.Second}
 	case "unlock":
--- a/claim/doc.go
+++ b/claim/doc.go
@@ -10,6 +10,10 @@
 // further attempt; its owner may still finish it, because an answer or a proof
 // of refusal stays true however late it arrives.
 //
+// Abandon releases a claim whose Begin or Reassign had no reply, so that its owner
+// sent nothing under it. It names the owner and not the claim, whose id came with
+// the lost reply.
+//
 // An ended claim is kept for Limits.Retention after its end, so that the key
 // grants no second run during that time. A released claim frees its key at
 // once and is kept for ReleasedRetention only to refuse delayed copies of the
--- a/claim/machine.go
+++ b/claim/machine.go
@@ -91,6 +91,8 @@
 		return m.lock(index, c.Lock)
 	case c.Unlock != nil:
 		return m.unlock(c.Unlock)
+	case c.Abandon != nil:
+		return m.abandon(index, c.Abandon)
 	case c.Limits != nil:
 		return m.setLimits(*c.Limits)
 	}
--- a/claim/messages.go
+++ b/claim/messages.go
@@ -42,6 +42,16 @@
 	Incarnation fleet.Incarnation `cbor:"5,keyasint"`
 }
 
+// AbandonRequest frees the claim of a request for which its owner has sent no
+// attempt that may have run. It is needed when the reply to a Begin or Reassign
+// was lost. A copy of that Begin that is applied later is refused. The owner must
+// not use the claim, or begin another one under the same Owner, afterwards.
+type AbandonRequest struct {
+	Key         string   `cbor:"1,keyasint"` // as in BeginRequest
+	Fingerprint [32]byte `cbor:"2,keyasint"`
+	Owner       string   `cbor:"3,keyasint"`
+}
+
 // Ending tells how a claim ended.
 type Ending uint8
 
--- a/claim/property_test.go
+++ b/claim/property_test.go
@@ -42,8 +42,11 @@
 	attempts map[attemptID]*attempt
 	order    []attemptID
 	locks    map[string]*lockHold
+	left     map[keyOwner]bool // the owner has abandoned the key and sends nothing for it
 }
 
+type keyOwner struct{ key, owner string }
+
 const (
 	testRetention = time.Minute
 	testRemaining = 3 * time.Second
@@ -56,7 +59,7 @@
 )
 
 func newWorld(t *rapid.T) *world {
-	w := &world{t: t, replayed: New(), restored: New(), now: start, attempts: map[attemptID]*attempt{}, locks: map[string]*lockHold{}}
+	w := &world{t: t, replayed: New(), restored: New(), now: start, attempts: map[attemptID]*attempt{}, locks: map[string]*lockHold{}, left: map[keyOwner]bool{}}
 	w.tick()
 	w.apply(command{Limits: &Limits{MaxClaims: rapid.IntRange(1, 4).Draw(t, "max"), MaxBytes: 4 * recordBytes, Retention: testRetention}})
 	return w
@@ -108,6 +111,8 @@
 		w.granted(old.key, old.owner, old.begun, r)
 	case c.Finish != nil && r.State == Recorded:
 		w.finished(c.Finish)
+	case c.Abandon != nil && r.State == Recorded:
+		w.abandoned(c.Abandon)
 	case c.Lock != nil:
 		w.checkLock(c.Lock, r)
 	case c.Unlock != nil && r.State == Recorded:
@@ -134,7 +139,7 @@
 	}
 	a := w.attempts[id]
 	if a == nil {
-		a = &attempt{key: key, owner: owner, begun: begun, refused: rapid.Bool().Draw(w.t, "refused")}
+		a = &attempt{key: key, owner: owner, begun: begun, refused: rapid.Bool().Draw(w.t, "refused") || w.left[keyOwner{key, owner}]}
 		w.attempts[id] = a
 		w.order = append(w.order, id)
 	}
@@ -203,6 +208,52 @@
 	}
 }
 
+// abandon frees a key by an owner whose attempts on it are all proved not to have
+// run, or by one whose Begin was not applied.
+func (w *world) abandon(t *rapid.T) {
+	k := keyOwner{keys.Draw(t, "key"), owners.Draw(t, "owner")}
+	for _, a := range w.attempts {
+		if a.key == k.key && a.owner == k.owner && !a.refused {
+			return
+		}
+	}
+	w.left[k] = true
+	w.apply(command{Abandon: &AbandonRequest{Key: k.key, Owner: k.owner}})
+}
+
+// abandoned ends the newest claim of the owner, whose attempts grant nothing more.
+func (w *world) abandoned(q *AbandonRequest) {
+	for _, a := range w.attempts {
+		if a.key != q.Key || a.owner != q.Owner {
+			continue
+		}
+		if !a.refused {
+			w.t.Fatalf("%s of %s is free although it may have run", a.key, a.owner)
+		}
+		a.told = true
+		if a.ended.IsZero() {
+			a.ended = w.now
+		}
+	}
+	if b := w.current(q.Key); b != nil && b.owner == q.Owner {
+		lost := beginOf(q.Key, q.Owner)
+		lost.Remaining = testRemaining
+		data, err := encodeCommand(command{Begin: lost})
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		// A copy of the lost Begin that is applied now must not be granted.
+		w.index++
+		out := w.replayed.Apply(w.index, w.now, data)
+		if other := w.restored.Apply(w.index, w.now, data); !bytes.Equal(out, other) {
+			w.t.Fatalf("the restored machine replies %x, the replaying one %x", other, out)
+		}
+		if r, err := decodeResult(out); err != nil || r.State == Granted {
+			w.t.Fatalf("a lost Begin is granted after its claim was abandoned: %v", err)
+		}
+	}
+}
+
 func (w *world) checkLock(l *LockRequest, r Result) {
 	h := w.locks[l.Key]
 	if h != nil && !w.now.Before(h.until) {
@@ -259,8 +310,9 @@
 				b.Fingerprint[0], b.Remaining = prints.Draw(t, "print"), testRemaining
 				w.apply(command{Begin: b})
 			},
-			"report": w.report,
-			"resend": func(t *rapid.T) { w.apply(rapid.SampledFrom(w.sent).Draw(t, "command")) },
+			"report":  w.report,
+			"abandon": w.abandon,
+			"resend":  func(t *rapid.T) { w.apply(rapid.SampledFrom(w.sent).Draw(t, "command")) },
 			"lock": func(t *rapid.T) {
 				w.apply(command{Lock: &LockRequest{Key: "suspect/katalog", Owner: owners.Draw(t, "owner"), Lease: time.Second}})
 			},
--- a/filter/claims.go
+++ b/filter/claims.go
@@ -39,7 +39,8 @@
 	if c.Key == "" {
 		return f.next.Serve(c)
 	}
-	g := &grant{claims: f.claims, owner: c.Meta.RequestID + "/" + strconv.FormatUint(uint64(c.passes), 10)}
+	g := &grant{claims: f.claims, key: c.Class.Name + "/" + c.Key, body: c.BodyHash,
+		owner: c.Meta.RequestID + "/" + strconv.FormatUint(uint64(c.passes), 10)}
 	inner := *c
 	inner.BeforeSend = g.beforeSend
 	store := &storedAnswer{Answer: c.Answer, complete: g.answered}
@@ -50,6 +51,9 @@
 	switch {
 	case errors.Is(err, errReplay):
 		return replay(c, g.answer)
+	case g.unsure:
+		g.record(func(ctx context.Context) { _ = g.abandon(ctx) })
+		return err
 	case err == nil || g.id == "":
 		return err
 	}
@@ -64,8 +68,11 @@
 // grant is the claim of one request.
 type grant struct {
 	claims  Claims
+	key     string
+	body    [32]byte
 	owner   string
 	id      string
+	unsure  bool   // the reply to the last request was lost, and nothing was sent after it
 	attempt uint32 // the newest attempt that the claims group granted
 	state   string
 	answer  *claim.Answer // stored by an earlier request
@@ -74,6 +81,11 @@
 // beforeSend asks for the attempt. The filter of attempts makes a further one
 // only after a positive refusal of the last, because the class is not idempotent.
 func (g *grant) beforeSend(c *Call) error {
+	if g.unsure {
+		if err := g.abandon(c.Ctx); err != nil {
+			return errkind.New(errkind.ClaimsUnavailable, "claim: %w", err)
+		}
+	}
 	r, err := g.ask(c)
 	if err != nil {
 		// Nothing was sent for the attempt that is asked for, and every earlier
@@ -81,6 +93,7 @@
 		if errkind.Lookup(errkind.Of(err).Kind).Outcome == errkind.Rejected {
 			return err
 		}
+		g.unsure = errkind.Of(err).Kind != errkind.ClaimsUnavailable
 		return errkind.New(errkind.ClaimsUnavailable, "claim: %w", err)
 	}
 	g.state = r.State.String()
@@ -97,10 +110,23 @@
 		return g.claims.Reassign(c.Ctx, claim.ReassignRequest{ClaimID: g.id, Owner: g.owner, Refused: g.attempt,
 			Target: c.Target.Node, Incarnation: c.Target.Incarnation})
 	}
-	return g.claims.Begin(c.Ctx, claim.BeginRequest{Key: c.Class.Name + "/" + c.Key, Fingerprint: c.BodyHash, Owner: g.owner,
+	return g.claims.Begin(c.Ctx, claim.BeginRequest{Key: g.key, Fingerprint: g.body, Owner: g.owner,
 		Target: c.Target.Node, Incarnation: c.Target.Incarnation, Remaining: c.Meta.Remaining})
 }
 
+// abandon frees what a request without a reply may have claimed. Every attempt
+// before it was positively refused and none was sent after it, so that the request
+// has not run. A later claim needs another owner: copies of the lost request must
+// not be taken for it.
+func (g *grant) abandon(ctx context.Context) error {
+	if _, err := g.claims.Abandon(ctx, claim.AbandonRequest{Key: g.key, Fingerprint: g.body, Owner: g.owner}); err != nil {
+		return err
+	}
+	g.owner += "+"
+	g.id, g.attempt, g.unsure = "", 0, false
+	return nil
+}
+
 func (g *grant) refused(r claim.Result) error {
 	switch r.State {
 	case claim.Finished:
@@ -127,14 +153,20 @@
 // finish records the ending and waits for it for a bounded time. The caller may
 // have gone, so that its context does not end the recording.
 func (g *grant) finish(ending claim.Ending, a *claim.Answer) {
-	done := make(chan struct{})
 	request := claim.FinishRequest{ClaimID: g.id, Owner: g.owner, Attempt: g.attempt, Ending: ending, Answer: a}
+	g.record(func(ctx context.Context) { _, _ = g.claims.Finish(ctx, request) })
+}
+
+// record runs a request to the claims group to its end and waits for it for a
+// bounded time. Without a recorded ending the claim becomes unknown after its
+// deadline.
+func (g *grant) record(request func(context.Context)) {
+	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 		defer cancel()
-		// Without a recorded ending the claim becomes unknown after its deadline.
-		_, _ = g.claims.Finish(ctx, request)
+		request(ctx)
 	}()
 	timer := time.NewTimer(finishWait)
 	defer timer.Stop()
--- a/filter/interface.go
+++ b/filter/interface.go
@@ -32,6 +32,7 @@
 type Claims interface {
 	Begin(ctx context.Context, r claim.BeginRequest) (claim.Result, error)
 	Reassign(ctx context.Context, r claim.ReassignRequest) (claim.Result, error)
+	Abandon(ctx context.Context, r claim.AbandonRequest) (claim.Result, error)
 	Finish(ctx context.Context, r claim.FinishRequest) (claim.Result, error)
 }
 
--- /dev/null
+++ b/proxy/abandon_test.go
@@ -0,0 +1,71 @@
+package proxy
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// loseReplies makes the claims group apply commands without a reply after the
+// first n of them. A negative n ends the loss.
+func (f *fakeClaims) loseReplies(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fail = func() error {
+		if n--; n < 0 {
+			return errors.New("reply lost")
+		}
+		return nil
+	}
+	if n < 0 {
+		f.fail = nil
+	}
+}
+
+// Guards against a key that stays in progress, and is unknown later, although
+// nothing was sent for it: the group granted the attempt, but no reply came before
+// the deadline.
+func TestKeyIsFreeAfterLostGrant(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		replies int // before the loss
+		dead    int // servers that refuse the first attempts
+	}{{"begin", 0, 0}, {"reassign", 1, 2}} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t)
+			entry := c.node("entry", nil)
+			for _, name := range []string{"a", "b"}[:tt.dead] {
+				c.node(name, answer("dead")).peer.Close()
+			}
+			b := &counted{next: answer("done")}
+			if tt.dead == 0 {
+				c.node("c", b)
+			}
+			c.claims.loseReplies(tt.replies)
+			expect(t, 503, "claims_unavailable", "", "POST", entry.caller.URL+"/x", key, "k", fleet.HeaderTimeoutMillis, "200")
+			c.claims.loseReplies(-1)
+			if tt.dead > 0 {
+				c.node("c", b)
+			}
+			// The clock of the claims group stands still: without the release the key
+			// would stay in progress.
+			for try := 1; ; try++ {
+				resp, _, err := request(t, "POST", entry.caller.URL+"/x", strings.NewReader("payload"), key, "k")
+				if err != nil {
+					t.Fatal(err)
+				}
+				if resp.Header.Get(fleet.HeaderKind) != "in_progress" || try == 50 {
+					break
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			expect(t, 200, "", "done", "POST", entry.caller.URL+"/x", key, "k")
+			if n := b.runs.Load(); n != 1 {
+				t.Errorf("%d runs", n)
+			}
+		})
+	}
+}
