Bound the memory of the filter of duplicate attempts

Cause: the filter kept every attempt number of a non-idempotent request for up to 20 minutes, so that its memory grew with the rate without a limit. Change: at most 262,144 numbers are kept, in a hash of 8 bytes each. An attempt beyond that is refused as queue_full, which proves that it did not run, so that another server can be tried. A collision refuses an attempt as a duplicate. Ruled out: evicting the oldest number, which lets that attempt run twice; a shorter time, because a delayed attempt states the time left when it was sent, not when it arrives; a Bloom filter, whose false duplicates are answered as unknown. TestDuplicatesAreBounded fails before: the attempt beyond the bound passes.

--- a/filter/duplicates.go
+++ b/filter/duplicates.go
@@ -1,20 +1,27 @@
 package filter
 
 import (
+	"encoding/binary"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bramleymill/class"
 	"bramleymill/clock"
 	"bramleymill/errkind"
 )
 
-// attemptKey identifies an attempt. The id is that of the claim, otherwise that
-// of the request.
-type attemptKey struct {
-	id     string
-	number uint32
-}
+// attemptKey is a hash of the number of an attempt and the id of its claim,
+// otherwise of its request. Two attempts with equal keys are taken for duplicates,
+// so that a collision refuses an attempt and never lets one run twice. Among
+// maxAttempts it has a probability of 2e-9.
+type attemptKey uint64
+
+// maxAttempts bounds the attempt numbers that are remembered. They take
+// 9 MiB and allow 218 non-idempotent requests per second for 20 minutes, the
+// longest time for which a number is kept.
+const maxAttempts = 1 << 18
 
 // duplicates keeps two generations of attempt numbers. A number is remembered
 // for at least one generation, which is longer than any deadline.
@@ -30,26 +37,39 @@
 
 // NewDuplicates returns the filter that admits each attempt number of a
 // non-idempotent request once. Running an idempotent attempt twice is harmless,
-// so that those numbers are not kept.
+// so that those numbers are not kept. An attempt that cannot be remembered is
+// refused before it runs: forgetting another one could let that one run twice.
 func NewDuplicates(next Handler, k clock.Clock) Handler {
 	return &duplicates{next: next, clock: k, rotated: k.Now(), current: map[attemptKey]struct{}{}}
 }
 
 func (f *duplicates) Serve(c *Call) error {
-	if c.Once() && !f.first(keyOfAttempt(c)) {
-		return errkind.New(errkind.DuplicateAttempt, "attempt %d was received before", c.Meta.Attempt)
+	if c.Once() {
+		if err := f.first(c); err != nil {
+			return err
+		}
 	}
 	return f.next.Serve(c)
 }
 
 func keyOfAttempt(c *Call) attemptKey {
-	if c.Meta.ClaimID != "" {
-		return attemptKey{"claim " + c.Meta.ClaimID, c.Meta.Attempt}
+	space, id := "claim ", c.Meta.ClaimID
+	if id == "" {
+		space, id = "request ", c.Meta.RequestID
 	}
-	return attemptKey{c.Meta.RequestID, c.Meta.Attempt}
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(space)
+	_, _ = d.WriteString(id)
+	var number [4]byte
+	binary.LittleEndian.PutUint32(number[:], c.Meta.Attempt)
+	_, _ = d.Write(number[:])
+	return attemptKey(d.Sum64())
 }
 
-func (f *duplicates) first(k attemptKey) bool {
+// first returns nil for an attempt that has not been received before.
+func (f *duplicates) first(c *Call) error {
+	k := keyOfAttempt(c)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if now := f.clock.Now(); now.Sub(f.rotated) > class.MaxDeadline {
@@ -58,8 +78,11 @@
 	_, inCurrent := f.current[k]
 	_, inPrevious := f.previous[k]
 	if inCurrent || inPrevious {
-		return false
+		return errkind.New(errkind.DuplicateAttempt, "attempt %d was received before", c.Meta.Attempt)
+	}
+	if len(f.current)+len(f.previous) >= maxAttempts {
+		return errkind.New(errkind.QueueFull, "no room to remember another attempt")
 	}
 	f.current[k] = struct{}{}
-	return true
+	return nil
 }
--- /dev/null
+++ b/filter/duplicates_test.go
@@ -0,0 +1,65 @@
+package filter
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"bramleymill/class"
+	"bramleymill/clock"
+	"bramleymill/errkind"
+)
+
+// Guards against memory that grows with the rate of requests, and against making
+// room by forgetting an attempt, which could then run twice.
+func TestDuplicatesAreBounded(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	next := &passed{}
+	f := NewDuplicates(next, k)
+	c := newCall(t, "PUT", "", k)
+	serve := func(i int) errkind.Kind {
+		c.Meta.RequestID, c.Meta.Attempt = "e."+strconv.Itoa(i), 1
+		return kindOf(f.Serve(c))
+	}
+	for i := range maxAttempts / 2 {
+		serve(i)
+	}
+	k.Advance(class.MaxDeadline + 1)
+	for i := maxAttempts / 2; i < maxAttempts; i++ {
+		serve(i)
+	}
+	if next.calls != maxAttempts {
+		t.Fatalf("%d of %d attempts passed", next.calls, maxAttempts)
+	}
+	if kind := serve(maxAttempts); kind != errkind.QueueFull || next.calls != maxAttempts {
+		t.Errorf("attempt beyond the bound: %q", kind)
+	}
+	for _, i := range []int{0, maxAttempts - 1} {
+		if kind := serve(i); kind != errkind.DuplicateAttempt {
+			t.Errorf("duplicate in a full table: %q", kind)
+		}
+	}
+	if c.Meta.Idempotent = true; serve(maxAttempts) != "" {
+		t.Error("an idempotent attempt was refused")
+	}
+	c.Meta.Idempotent = false
+	k.Advance(class.MaxDeadline + 1) // the first half is forgotten
+	if kind := serve(maxAttempts); kind != "" {
+		t.Errorf("after the end of a generation: %q", kind)
+	}
+}
+
+func BenchmarkDuplicates(b *testing.B) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	f := NewDuplicates(&passed{}, k)
+	c := newCall(b, "PUT", "", k)
+	c.Meta.ClaimID = "0123456789abcdef0123456789abcdef-1"
+	b.ReportAllocs()
+	for i := range b.N {
+		if i%(maxAttempts/4) == 0 {
+			k.Advance(class.MaxDeadline + 1)
+		}
+		c.Meta.Attempt = uint32(i)
+		_ = f.Serve(c)
+	}
+}
