Evict the addresses of earlier incarnations of nodes

Cause: the request path kept the peer address of every incarnation of every node that it had ever called, one entry for each restart. Change: an address that no request has used for 10 minutes is forgotten when another one is added, at most once a minute. Ruled out: eviction when a later incarnation appears, which misses nodes that have left and breaks requests under way to the earlier one; eviction by the directory, which does not know which requests still run. Measured: TestAddressesOfEarlierIncarnationsAreEvicted, 1000 restarts of a node a minute apart: 1001 addresses kept before (without the eviction), at most 12 after.

--- /dev/null
+++ b/proxy/addresses_test.go
@@ -0,0 +1,37 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/fleet"
+)
+
+// Guards against addresses of earlier incarnations and of nodes that have left
+// that are kept for ever, and against losing one that is in use.
+func TestAddressesOfEarlierIncarnationsAreEvicted(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	r := newRemote(nil, k)
+	steady := fleet.Server{Node: "steady", Incarnation: 1, PeerAddress: "10.0.0.1:1"}
+	for i := range 1000 {
+		restarted := fleet.Server{Node: "restarted", Incarnation: fleet.Incarnation(i + 1), PeerAddress: "10.0.0.2:1"}
+		for _, s := range []*fleet.Server{&restarted, &steady} {
+			name := r.poolName(s)
+			if address, ok := r.addresses.address(name); !ok || address != s.PeerAddress {
+				t.Fatalf("address of %s is %q", name, address)
+			}
+		}
+		k.Advance(time.Minute)
+	}
+	kept := 0
+	r.addresses.byName.Range(func(any, any) bool { kept++; return true })
+	if limit := int(addressKept/time.Minute) + 2; kept > limit {
+		t.Errorf("%d addresses are kept, at most %d are recent", kept, limit)
+	}
+	moved := steady
+	moved.PeerAddress = "10.0.0.3:1"
+	if address, _ := r.addresses.address(r.poolName(&moved)); address != moved.PeerAddress {
+		t.Errorf("after a change the address is %q", address)
+	}
+}
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"bramleymill/clock"
@@ -39,7 +38,7 @@
 	transport *http.Transport
 	clientTLS *tls.Config
 	clock     clock.Clock
-	addresses sync.Map // pool name -> peer address
+	addresses addresses
 }
 
 func newRemote(clientTLS *tls.Config, k clock.Clock) *remote {
@@ -57,18 +56,10 @@
 	return r
 }
 
-// poolName names the connections to one incarnation of a node, so that those to
-// an earlier one are not used for the next.
-func (r *remote) poolName(s *fleet.Server) string {
-	name := string(s.Node) + "." + strconv.FormatUint(uint64(s.Incarnation), 36) + ":0"
-	if known, ok := r.addresses.Load(name); !ok || known != s.PeerAddress {
-		r.addresses.Store(name, s.PeerAddress)
-	}
-	return name
-}
+func (r *remote) poolName(s *fleet.Server) string { return r.addresses.poolName(s, r.clock.Now()) }
 
 func (r *remote) dial(ctx context.Context, network, name string) (net.Conn, error) {
-	address, ok := r.addresses.Load(name)
+	address, ok := r.addresses.address(name)
 	if !ok {
 		return nil, fmt.Errorf("no address for %s", name)
 	}
@@ -76,7 +67,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	var d net.Dialer
-	raw, err := d.DialContext(ctx, network, address.(string))
+	raw, err := d.DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
