Admit requests without allocations

Cause: each admission allocated the function that gives the slot back and its guard against a second call, 2 allocations on the request path. Change: Acquire returns a value of type Slot. A second Release has no effect, because the controller no longer knows the number of the request and never uses it again. The tests call Slot.Release in place of the function. Ruled out: a pool of releasers, whose reuse needs the same guard against a late second call. TestAdmissionAllocatesNothing guards it.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -29,12 +29,23 @@
 	}
 }
 
+// Slot is the right of one request to run. It is a value, so that an admission
+// allocates nothing.
+type Slot struct {
+	gate *Gate
+	id   uint64
+}
+
+// Release gives the slot back, with the time the backend server took, or zero when
+// that time says nothing about the server. Further calls have no effect, because
+// the number of the request is not used again.
+func (s Slot) Release(served time.Duration) { s.gate.done(s.id, served) }
+
 // Acquire blocks until r may run or is refused. A refused request has not run.
-// The caller must call release once, with the time the backend server took, or
-// zero when that time says nothing about the server.
-func (g *Gate) Acquire(ctx context.Context, r Request) (release func(served time.Duration), err *errkind.Error) {
+// The caller must release the slot.
+func (g *Gate) Acquire(ctx context.Context, r Request) (Slot, *errkind.Error) {
 	if ctx.Err() != nil {
-		return nil, errkind.New(errkind.CallerGone, "before admission: %w", context.Cause(ctx))
+		return Slot{}, errkind.New(errkind.CallerGone, "before admission: %w", context.Cause(ctx))
 	}
 	g.mu.Lock()
 	now := g.clock.Now()
@@ -52,13 +63,13 @@
 	g.mu.Unlock()
 	switch verdict {
 	case Refused:
-		return nil, errkind.New(kind, "class %s refused at admission", r.Class)
+		return Slot{}, errkind.New(kind, "class %s refused at admission", r.Class)
 	case Queued:
 		if err := g.wait(ctx, id, r, limit, decided); err != nil {
-			return nil, err
+			return Slot{}, err
 		}
 	}
-	return g.releaser(id), nil
+	return Slot{g, id}, nil
 }
 
 // wait blocks a queued request until it is decided. It sets a timer for the end
@@ -94,13 +105,6 @@
 	return errkind.New(kind, "class %s refused in the queue", r.Class)
 }
 
-func (g *Gate) releaser(id uint64) func(time.Duration) {
-	var once sync.Once
-	return func(served time.Duration) {
-		once.Do(func() { g.done(id, served) })
-	}
-}
-
 func (g *Gate) done(id uint64, served time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -38,13 +38,13 @@
 	return out
 }
 
-func mustAcquire(t *testing.T, g *Gate, r Request) func(time.Duration) {
+func mustAcquire(t *testing.T, g *Gate, r Request) Slot {
 	t.Helper()
-	release, err := g.Acquire(context.Background(), r)
+	slot, err := g.Acquire(context.Background(), r)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return release
+	return slot
 }
 
 // Guards against more executions than slots and against lost slots when many
@@ -60,15 +60,15 @@
 				if (w+i)%3 == 0 {
 					time.AfterFunc(50*time.Microsecond, cancel)
 				}
-				release, err := g.Acquire(ctx, Request{Urgency: fleet.UrgencyNormal, Deadline: time.Now().Add(time.Minute), Class: "a"})
+				slot, err := g.Acquire(ctx, Request{Urgency: fleet.UrgencyNormal, Deadline: time.Now().Add(time.Minute), Class: "a"})
 				if err == nil {
 					n := running.Add(1)
 					for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
 					}
 					time.Sleep(10 * time.Microsecond)
 					running.Add(-1)
-					release(0)
-					release(0) // a second call has no effect
+					slot.Release(0)
+					slot.Release(0) // a second call has no effect
 				}
 				cancel()
 			}
@@ -86,7 +86,7 @@
 // Guards against a caller that has gone keeping its place in the queue.
 func TestCanceledWaiterLeavesTheQueue(t *testing.T) {
 	g, _ := newGate(Config{Slots: 2, QueueLength: 2})
-	release := mustAcquire(t, g, ordinary(time.Minute))
+	slot := mustAcquire(t, g, ordinary(time.Minute))
 	ctx, cancel := context.WithCancel(context.Background())
 	waiter := acquire(ctx, g, ordinary(time.Minute))
 	waitQueued(g, 1)
@@ -94,7 +94,7 @@
 	if err := <-waiter; err == nil || err.Kind != errkind.CallerGone {
 		t.Errorf("canceled waiter got %v", err)
 	}
-	release(0)
+	slot.Release(0)
 	if l := g.Load(); l.InFlight != 0 || l.Queued != 0 {
 		t.Errorf("load is %+v", l)
 	}
@@ -104,7 +104,7 @@
 // server: its deadline passes on the clock of the gate.
 func TestWaiterIsRefusedAtItsDeadline(t *testing.T) {
 	g, clk := newGate(Config{Slots: 2, QueueLength: 2})
-	defer mustAcquire(t, g, ordinary(time.Minute))(0)
+	defer mustAcquire(t, g, ordinary(time.Minute)).Release(0)
 	waiter := acquire(context.Background(), g, ordinary(time.Millisecond))
 	waitQueued(g, 1)
 	clk.Advance(time.Millisecond)
@@ -117,7 +117,7 @@
 // and against a drain that ends before the running requests do.
 func TestDrain(t *testing.T) {
 	g, _ := newGate(Config{Slots: 2, QueueLength: 2})
-	release := mustAcquire(t, g, ordinary(time.Minute))
+	slot := mustAcquire(t, g, ordinary(time.Minute))
 	waiter := acquire(context.Background(), g, ordinary(time.Minute))
 	waitQueued(g, 1)
 	drained := g.Drain()
@@ -133,14 +133,23 @@
 	default:
 	}
 	g.Refuse(errkind.BackendDown)
-	release(time.Millisecond)
+	slot.Release(time.Millisecond)
 	<-drained
 	if l := g.Load(); l.Closed != errkind.Draining {
 		t.Errorf("a drain was replaced by %s", l.Closed)
 	}
 	<-g.Drain() // nothing runs
 	g.Open()
-	mustAcquire(t, g, ordinary(time.Minute))(0)
+	mustAcquire(t, g, ordinary(time.Minute)).Release(0)
+}
+
+// Guards against allocations on the request path.
+func TestAdmissionAllocatesNothing(t *testing.T) {
+	g, _ := newGate(Config{Slots: 10, QueueLength: 10})
+	r := ordinary(time.Minute)
+	if n := testing.AllocsPerRun(100, func() { mustAcquire(t, g, r).Release(time.Millisecond) }); n != 0 {
+		t.Errorf("%v allocations for each request", n)
+	}
 }
 
 func BenchmarkGate(b *testing.B) {
@@ -149,12 +158,12 @@
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			release, err := g.Acquire(context.Background(), Request{Urgency: fleet.UrgencyNormal, Deadline: deadline, Class: "a"})
+			slot, err := g.Acquire(context.Background(), Request{Urgency: fleet.UrgencyNormal, Deadline: deadline, Class: "a"})
 			if err != nil {
 				b.Error(err)
 				return
 			}
-			release(time.Millisecond)
+			slot.Release(time.Millisecond)
 		}
 	})
 }
--- a/filter/admission.go
+++ b/filter/admission.go
@@ -19,7 +19,7 @@
 
 func (f *admission) Serve(c *Call) error {
 	arrived := f.clock.Now()
-	release, refused := f.gate.Acquire(c.Ctx, admit.Request{
+	slot, refused := f.gate.Acquire(c.Ctx, admit.Request{
 		Urgency: c.Meta.Urgency, Internal: c.Meta.Internal, Deadline: c.Deadline, Class: c.Meta.Class,
 		Movable: c.Meta.Movable, Sole: c.Meta.Sole, Hedge: c.Meta.Hedge,
 	})
@@ -38,13 +38,13 @@
 	err := f.next.Serve(c)
 	c.Admitted = false
 	if err != nil {
-		release(0) // the duration of a failure says nothing about the server
+		slot.Release(0) // the duration of a failure says nothing about the server
 		return err
 	}
 	end := c.HeadAt
 	if end.IsZero() {
 		end = f.clock.Now()
 	}
-	release(end.Sub(start))
+	slot.Release(end.Sub(start))
 	return nil
 }
