Halve the allocations of a claim

Cause: applying a Finish decoded the stored answer with its header and encoded it again; a claim id took three allocations, each command and reply one more to pass it to the codec. Change: the answer is stored as it came, since proposers encode it deterministically and all replicas apply the same bytes; only one above 16 KiB is decoded, for its bounds. The machine reuses one command and one reply under its lock. Claim ids and digests are built in buffers on the stack. Ruled out: a decoder of our own for commands, which would save the remaining strings but duplicate the codec; reuse of the decoded requests, whose presence the codec tells by their pointers. TestOnlyAnswersAreStored passes before and after: it guards what the decoding checked.

--- a/claim/claims.go
+++ b/claim/claims.go
@@ -111,7 +111,7 @@
 	return len(m.records) >= m.limits.MaxClaims || m.bytes+recordBytes > m.limits.MaxBytes
 }
 
-func (m *Machine) finish(f *FinishRequest) reply {
+func (m *Machine) finish(f *finishReceived) reply {
 	r := m.findID(f.ClaimID, f.Owner)
 	if r == nil || uint32(r.attempt) != f.Attempt {
 		return reply{State: Stale}
@@ -125,13 +125,14 @@
 	return reply{State: Stale}
 }
 
-func (m *Machine) endClaim(r *record, f *FinishRequest) reply {
+func (m *Machine) endClaim(r *record, f *finishReceived) reply {
 	switch f.Ending {
 	case Answered:
-		if f.Answer == nil {
+		answer := answerToStore(f.Answer)
+		if answer == nil {
 			return reply{State: Invalid}
 		}
-		m.store(r, f.Answer)
+		m.store(r, answer)
 		m.end(r, answered, m.limits.Retention)
 	case Ambiguous:
 		m.end(r, ambiguous, m.limits.Retention)
@@ -145,11 +146,11 @@
 
 // store keeps the answer of r. When the bytes are used up, only the completion
 // is recorded: a finish must not be lost for lack of space.
-func (m *Machine) store(r *record, a *Answer) {
+func (m *Machine) store(r *record, answer []byte) {
 	before := r.cost()
-	r.answer = encodeAnswer(a)
+	r.answer = string(answer)
 	if m.bytes+r.cost()-before > m.limits.MaxBytes {
-		r.answer = truncatedAnswer(a.Status)
+		r.answer = string(truncatedCopy(answer))
 	}
 	m.bytes += r.cost() - before
 }
--- a/claim/command.go
+++ b/claim/command.go
@@ -28,6 +28,26 @@
 	Abandon  *AbandonRequest  `cbor:"7,keyasint,omitempty"`
 }
 
+// received is a command as the machine decodes it: the answer stays encoded,
+// because it is stored as it came.
+type received struct {
+	Begin    *BeginRequest    `cbor:"1,keyasint,omitempty"`
+	Reassign *ReassignRequest `cbor:"2,keyasint,omitempty"`
+	Finish   *finishReceived  `cbor:"3,keyasint,omitempty"`
+	Lock     *LockRequest     `cbor:"4,keyasint,omitempty"`
+	Unlock   *UnlockRequest   `cbor:"5,keyasint,omitempty"`
+	Limits   *Limits          `cbor:"6,keyasint,omitempty"`
+	Abandon  *AbandonRequest  `cbor:"7,keyasint,omitempty"`
+}
+
+type finishReceived struct {
+	ClaimID string          `cbor:"1,keyasint"`
+	Owner   string          `cbor:"2,keyasint"`
+	Attempt uint32          `cbor:"3,keyasint"`
+	Ending  Ending          `cbor:"4,keyasint"`
+	Answer  cbor.RawMessage `cbor:"5,keyasint,omitempty"`
+}
+
 // reply is Result with the stored answer left encoded.
 type reply struct {
 	State     State           `cbor:"1,keyasint"`
@@ -67,12 +87,11 @@
 	return b, nil
 }
 
-func decodeCommand(b []byte) (command, error) {
-	var c command
-	if err := decoding.Unmarshal(b, &c); err != nil {
-		return command{}, fmt.Errorf("decode claim command: %w", err)
+func decodeCommand(b []byte, c *received) error {
+	if err := decoding.Unmarshal(b, c); err != nil {
+		return fmt.Errorf("decode claim command: %w", err)
 	}
-	return c, nil
+	return nil
 }
 
 func decodeResult(b []byte) (Result, error) {
@@ -86,7 +105,7 @@
 	return r, nil
 }
 
-func encodeReply(r reply) []byte {
+func encodeReply(r *reply) []byte {
 	b, err := encoding.Marshal(r)
 	if err != nil {
 		// A reply consists of integers, text and stored CBOR, which always encode.
@@ -95,17 +114,41 @@
 	return b
 }
 
-// encodeAnswer returns the bytes to store for a. An answer over the bounds is
-// stored without header and body.
-func encodeAnswer(a *Answer) string {
-	if len(a.Body) <= MaxAnswerBytes {
-		if b, err := encoding.Marshal(a); err == nil && len(b) <= MaxAnswerBytes+maxHeaderBytes {
-			return string(b)
-		}
+// answerToStore returns the bytes to store for an encoded answer, or nil if it is
+// none. An answer over the bounds is stored without header and body. A smaller one
+// is not decoded: every reader decodes it.
+func answerToStore(encoded []byte) []byte {
+	if len(encoded) == 0 || encoded[0]>>majorTypeShift != majorTypeMap {
+		return nil
+	}
+	if len(encoded) <= MaxAnswerBytes {
+		return encoded
+	}
+	var a Answer
+	if err := decoding.Unmarshal(encoded, &a); err != nil {
+		return nil
+	}
+	if len(a.Body) <= MaxAnswerBytes && len(encoded) <= MaxAnswerBytes+maxHeaderBytes {
+		return encoded
 	}
 	return truncatedAnswer(a.Status)
 }
 
+// Layout of the first byte of a CBOR item.
+const (
+	majorTypeShift = 5
+	majorTypeMap   = 5
+)
+
+// truncatedCopy returns an encoded answer without header and body.
+func truncatedCopy(encoded []byte) []byte {
+	var a struct {
+		Status int `cbor:"1,keyasint"`
+	}
+	_ = decoding.Unmarshal(encoded, &a) // without a status the answer cannot be read either
+	return truncatedAnswer(a.Status)
+}
+
 // storable reports whether a fits the bounds of a stored answer.
 func storable(a *Answer) bool {
 	if len(a.Body) > MaxAnswerBytes {
@@ -121,12 +164,12 @@
 	return size <= MaxAnswerBytes+maxHeaderBytes
 }
 
-func truncatedAnswer(status int) string {
+func truncatedAnswer(status int) []byte {
 	b, err := encoding.Marshal(Answer{Status: status, Truncated: true})
 	if err != nil {
 		panic(fmt.Sprintf("encode truncated answer: %v", err))
 	}
-	return string(b)
+	return b
 }
 
 // maxHeaderBytes bounds the encoded header of a stored answer.
--- a/claim/machine.go
+++ b/claim/machine.go
@@ -40,6 +40,10 @@
 	limits  Limits
 	bytes   int64
 	now     int64 // latest stamped time
+
+	// The command in work and its reply, reused under mu.
+	in  received
+	out reply
 }
 
 // New returns an empty Machine with the default limits.
@@ -72,14 +76,16 @@
 	// A stamp older than the previous one would revive lapsed claims.
 	m.now = max(m.now, at.UnixNano())
 	m.expire()
-	c, err := decodeCommand(data)
-	if err != nil {
-		return encodeReply(reply{State: Invalid})
+	m.in = received{}
+	if err := decodeCommand(data, &m.in); err != nil {
+		m.out = reply{State: Invalid}
+	} else {
+		m.out = m.run(index, &m.in)
 	}
-	return encodeReply(m.run(index, &c))
+	return encodeReply(&m.out)
 }
 
-func (m *Machine) run(index uint64, c *command) reply {
+func (m *Machine) run(index uint64, c *received) reply {
 	switch {
 	case c.Begin != nil:
 		return m.begin(index, c.Begin)
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -182,3 +182,27 @@
 	runtime.ReadMemStats(&s)
 	return s.HeapAlloc
 }
+
+// Guards against a stored answer that is none, which every resend would fail to
+// read, and against one above the bounds.
+func TestOnlyAnswersAreStored(t *testing.T) {
+	m := New()
+	g := send(t, m, 1, start, command{Begin: beginOf("k", "a")})
+	for i, c := range []struct {
+		answer any
+		want   State
+	}{{nil, Invalid}, {7, Invalid}, {[]byte("x"), Invalid}, {map[int]any{1: "x", 3: make([]byte, MaxAnswerBytes)}, Invalid},
+		{Answer{Status: 201, Body: make([]byte, MaxAnswerBytes+1)}, Recorded}} {
+		data, err := encoding.Marshal(map[int]any{3: map[int]any{1: g.ClaimID, 2: "a", 3: 1, 4: Answered, 5: c.answer}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := decodeResult(m.Apply(uint64(i+2), start, data))
+		if err != nil || r.State != c.want {
+			t.Errorf("answer %d: %s, error %v, want %s", i, r.State, err, c.want)
+		}
+	}
+	if r := send(t, m, 10, start, command{Begin: beginOf("k", "b")}); r.State != Finished || !r.Answer.Truncated || r.Answer.Status != 201 {
+		t.Errorf("begin: %s %+v, want a truncated answer", r.State, r.Answer)
+	}
+}
--- a/claim/record.go
+++ b/claim/record.go
@@ -35,7 +35,8 @@
 )
 
 func digestOf(space, s string) digest {
-	sum := sha256.Sum256([]byte(space + s))
+	var buf [len(lockSpace) + len(claimSpace) + MaxOwnerBytes]byte // longer strings are copied to the heap
+	sum := sha256.Sum256(append(append(buf[:0], space...), s...))
 	return digest(sum[:len(digest{})])
 }
 
@@ -60,9 +61,14 @@
 // claimID names the record in messages. The key digest finds the record; the
 // log index tells successive claims on one key apart.
 func (r *record) claimID() string {
-	return hex.EncodeToString(r.key[:]) + "-" + strconv.FormatUint(r.id, 36)
+	var buf [2*len(r.key) + 1 + maxIDDigits]byte
+	b := append(hex.AppendEncode(buf[:0], r.key[:]), '-')
+	return string(strconv.AppendUint(b, r.id, 36))
 }
 
+// maxIDDigits is the length of the largest log index to the base of 36.
+const maxIDDigits = 13
+
 func parseClaimID(s string) (key digest, id uint64, ok bool) {
 	head, tail, found := strings.Cut(s, "-")
 	if !found || len(head) != hex.EncodedLen(len(key)) {
