Report slow servers before their first slow answer

Cause: a selecting node learned of a new straggler only from answers to its own requests, at 8 requests/s for each node one or two requests too late. Besides, the reported service time halved each second without an answer, and selecting nodes took each report as new evidence, so that an idle straggler looked faster than its peers after a few seconds.

Change: a running request that exceeds 1.5 times the mean of its class counts as evidence in the server's load report. The report states the age of its evidence and no longer halves; pick ages it from there and trusts an estimate for 4 s instead of 2 s. Requests to other nodes carry the load report of the sender's own backend server; nodes ignore the reports of services they have not used. The replay calls the same code.

The new tests failed with the change undone line by line.

Tests changed: the load command of the admission scripts prints the reported service time, its age and the estimate that admission itself uses, which still halves; the expected values of the estimate are the same.

--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -64,7 +64,9 @@
 		return describe((*c).Close(errkind.Draining))
 	case "load":
 		l := (*c).Load(*now)
-		return fmt.Sprintf("in_flight=%d queued=%d slots=%d service=%v closed=%q", l.InFlight, l.Queued, l.Slots, l.ServiceTime, l.Closed)
+		own := (*c).service.value(*now, (*c).config.EstimateTrust) // what admission itself expects
+		return fmt.Sprintf("in_flight=%d queued=%d slots=%d service=%v age=%v own=%v closed=%q",
+			l.InFlight, l.Queued, l.Slots, l.ServiceTime, l.ServiceAge, own, l.Closed)
 	}
 	t.Fatalf("unknown command %s", d.Cmd)
 	return ""
--- a/admit/controller.go
+++ b/admit/controller.go
@@ -40,6 +40,7 @@
 }
 
 type running struct {
+	started    time.Time
 	deadline   time.Time
 	privileged bool
 	class      string
@@ -71,7 +72,7 @@
 			return Refused, errkind.DeadlineBeforeRun, c.actions
 		}
 		c.observeDelay(now, 0, r)
-		c.run(id, r)
+		c.run(now, id, r)
 		return Admitted, "", c.actions
 	}
 	verdict, kind := c.enqueue(now, id, r)
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -11,21 +11,66 @@
 	InFlight    int
 	Queued      int
 	Slots       int
-	ServiceTime time.Duration
-	Closed      errkind.Kind // empty: open
+	ServiceTime time.Duration // zero: unknown
+	ServiceAge  time.Duration // since the newest evidence for ServiceTime
+	Closed      errkind.Kind  // empty: open
 }
 
 // Load returns the current counts.
 func (c *Controller) Load(now time.Time) Load {
+	service, age := c.reportedTime(now)
 	return Load{
 		InFlight:    len(c.running),
 		Queued:      len(c.queue),
 		Slots:       c.config.Slots,
-		ServiceTime: c.service.value(now, c.config.EstimateTrust),
+		ServiceTime: service,
+		ServiceAge:  age,
 		Closed:      c.closed,
 	}
 }
 
+// A running request that takes longer than overdueFactor times the mean of its
+// class is evidence of a slow server. Half as much weight as an answer has keeps
+// the long requests of a normal server from making it look slow.
+const (
+	overdueFactor = 1.5
+	overdueWeight = estimateWeight / 2
+)
+
+// reportedTime returns the service time for load reports and the age of the
+// evidence for it. Overdue requests count as if they ended now, so that other
+// nodes learn of a slow server before its first slow answer. The mean does not
+// fall with its age: selecting nodes would take an idle slow server for a fast one.
+func (c *Controller) reportedTime(now time.Time) (service, age time.Duration) {
+	if c.service.mean == 0 {
+		return 0, 0
+	}
+	var excess time.Duration
+	overdue, keep := 0, 1.0
+	for _, r := range c.running {
+		usual := c.usualTime(r.class)
+		if elapsed := now.Sub(r.started); float64(elapsed) > overdueFactor*float64(usual) {
+			excess += elapsed - usual
+			overdue++
+			keep *= 1 - overdueWeight
+		}
+	}
+	service = time.Duration(c.service.mean)
+	if overdue == 0 {
+		return service, now.Sub(c.service.at)
+	}
+	return service + time.Duration((1-keep)*float64(excess)/float64(overdue)), 0
+}
+
+// usualTime returns the mean service time of a class, or of all classes before
+// the first answer of the class.
+func (c *Controller) usualTime(class string) time.Duration {
+	if e := c.classes[class]; e != nil && e.mean > 0 {
+		return time.Duration(e.mean)
+	}
+	return time.Duration(c.service.mean)
+}
+
 // slotFor reports whether a slot is free for r.
 func (c *Controller) slotFor(r Request) bool {
 	if len(c.running) >= c.config.Slots {
@@ -34,8 +79,8 @@
 	return r.privileged() || c.ordinary < c.config.Slots-c.config.Reserved
 }
 
-func (c *Controller) run(id uint64, r Request) {
-	c.running[id] = running{r.Deadline, r.privileged(), r.Class}
+func (c *Controller) run(now time.Time, id uint64, r Request) {
+	c.running[id] = running{now, r.Deadline, r.privileged(), r.Class}
 	if !r.privileged() {
 		c.ordinary++
 	}
@@ -56,7 +101,7 @@
 			continue
 		}
 		c.observeDelay(now, now.Sub(started.arrived), started.request)
-		c.run(started.id, started.request)
+		c.run(now, started.id, started.request)
 		c.actions = append(c.actions, Action{started.id, ""})
 	}
 }
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -56,6 +56,15 @@
 // Balancer returns the balancer of a service, brought up to date with the directory.
 func (f *Choose) Balancer(service string) *pick.Balancer { return f.pool(service).balancer }
 
+// Observe records a load report that came with a message. Reports of services
+// that this node has not used are ignored, because looking up the balancer of a
+// service makes the node follow it.
+func (f *Choose) Observe(service string, node fleet.NodeID, r *fleet.LoadReport) {
+	if p, ok := f.services.Load(service); ok {
+		p.(*pool).balancer.Observe(node, f.clock.Now(), r)
+	}
+}
+
 func (f *Choose) pool(service string) *pool {
 	p := f.entry(service)
 	servers := f.directory.Servers(service)
--- a/filter/choose_test.go
+++ b/filter/choose_test.go
@@ -138,3 +138,32 @@
 		t.Fatal(err)
 	}
 }
+
+// countingDirectory counts the services that were asked for.
+type countingDirectory struct {
+	pool3
+	asked map[string]int
+}
+
+func (d countingDirectory) Servers(service string) []fleet.Server {
+	d.asked[service]++
+	return d.pool3.Servers(service)
+}
+
+// Guards against a node that follows each service whose servers send it requests,
+// and against reports that are lost for a service in use.
+func TestReportsOfUnusedServicesAreIgnored(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	d := countingDirectory{asked: map[string]int{}}
+	f := NewChoose(&passed{}, d, "", k, 1, explain.NewStore("e", 16, 16))
+	report := &fleet.LoadReport{Incarnation: 1, Sequence: 1, InFlight: 4, Slots: 10, Service: "shop"}
+	f.Observe("shop", "n1", report)
+	if len(d.asked) != 0 {
+		t.Errorf("a report made the node look up %v", d.asked)
+	}
+	b := f.Balancer("shop")
+	f.Observe("shop", "n1", report)
+	if v := b.View(b.Endpoint("n1"), k.Now()); v.Reported != 4 || v.ReportAge != 0 {
+		t.Errorf("view %+v after a report of 4 in flight", v)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -63,7 +63,7 @@
 }
 
 // LoadReport is the state of a backend server as counted by its own node. It
-// travels on every answer and refusal.
+// travels on every answer and refusal, and on requests to other nodes.
 type LoadReport struct {
 	Incarnation   Incarnation   `cbor:"1,keyasint"`
 	Sequence      uint64        `cbor:"2,keyasint"` // increases with every report of an incarnation
@@ -73,6 +73,8 @@
 	ServiceTime   time.Duration `cbor:"6,keyasint"` // mean of recent executions
 	Draining      bool          `cbor:"7,keyasint,omitempty"`
 	ConfigVersion uint64        `cbor:"8,keyasint"`
+	ServiceAge    time.Duration `cbor:"9,keyasint,omitempty"`  // since the newest evidence for ServiceTime
+	Service       string        `cbor:"10,keyasint,omitempty"` // set on requests: service of the sender's backend server
 }
 
 // Urgency orders classes in the queue of a backend server. Higher goes first.
--- a/pick/config.go
+++ b/pick/config.go
@@ -27,7 +27,7 @@
 	DefaultServiceTime         = 10 * time.Millisecond
 	DefaultOtherZoneDelay      = time.Millisecond
 	DefaultReportTrust         = 50 * time.Millisecond
-	DefaultEstimateTrust       = 2 * time.Second
+	DefaultEstimateTrust       = 4 * time.Second
 	DefaultSlowStart           = 5 * time.Second
 	DefaultSlowStartFactor     = 4
 	DefaultFailurePenalty      = 2 * time.Second
--- a/pick/load.go
+++ b/pick/load.go
@@ -141,7 +141,7 @@
 	}
 	if r.ServiceTime > 0 {
 		l.service.Store(float64(r.ServiceTime))
-		l.serviceAt.Store(now)
+		l.serviceAt.Store(now - int64(max(r.ServiceAge, 0)))
 	}
 	l.baseline.Store(l.started.Load())
 	l.reportAt.Store(now)
--- /dev/null
+++ b/pick/report_test.go
@@ -0,0 +1,29 @@
+package pick
+
+import (
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// Guards against a service time that counts as new each time it is reported, so
+// that a straggler without work is never tried again.
+func TestReportedServiceTimeAges(t *testing.T) {
+	b, _ := newBalancer(Config{}, servers(2))
+	node := nodeName(0)
+	report := fleet.LoadReport{Incarnation: 1, Sequence: 1, Slots: 10, ServiceTime: time.Second}
+	b.Observe(node, start, &report)
+	fresh := b.View(b.Endpoint(node), start).Cost
+	later := start.Add(10 * time.Second)
+	report.Sequence, report.ServiceAge = 2, 10*time.Second
+	b.Observe(node, later, &report)
+	if old := b.View(b.Endpoint(node), later).Cost; old > fresh/2 {
+		t.Errorf("cost %v with evidence 10 s old, %v with new evidence", old, fresh)
+	}
+	report.Sequence, report.ServiceAge = 3, -time.Hour
+	b.Observe(node, later, &report)
+	if cost := b.View(b.Endpoint(node), later).Cost; cost != fresh {
+		t.Errorf("cost %v with an age below zero, want %v", cost, fresh)
+	}
+}
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -180,6 +180,7 @@
 		return errkind.New(errkind.Unauthorized, "call of entry node %q came from %q", meta.Entry, name)
 	}
 	p.configSeen(meta.ConfigVersion)
+	p.observeSender(name, decodeLoad(r.Header))
 	c.Meta = *meta
 	c.Deadline = c.Started.Add(meta.Remaining)
 	c.Attempts = retry.NewAttempts(meta.AttemptsLeft)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -46,7 +46,7 @@
 	}
 	p.incarnation.Store(uint64(c.Incarnation))
 	p.work.init()
-	p.remote = newRemote(c.ClientTLS, c.Clock)
+	p.remote = newRemote(c.ClientTLS, c.Clock, p.sentReport)
 	if c.Backend != nil {
 		p.local = newLocalServer(p)
 		p.server = p.serverChain()
@@ -133,14 +133,33 @@
 	if p.local != nil {
 		load := p.local.gate.Load()
 		r.InFlight, r.Queued, r.Slots, r.ServiceTime = load.InFlight, load.Queued, load.Slots, load.ServiceTime
+		r.ServiceAge = load.ServiceAge
 		r.Draining = p.State() == fleet.Draining
 	}
 	return r
 }
 
-// ObserveLoad records a load report that came with a message.
-func (p *Proxy) ObserveLoad(service string, node fleet.NodeID, r *fleet.LoadReport) {
-	p.choose.Balancer(service).Observe(node, p.config.Clock.Now(), r)
+// sentReport returns the encoded load report for requests to other nodes, or an
+// empty string without a backend server. It tells their entry nodes that the
+// server has become slow before they send it work.
+func (p *Proxy) sentReport() string {
+	if p.local == nil {
+		return ""
+	}
+	r := p.LoadReport()
+	r.Service = p.config.Backend.Service
+	v, err := fleet.EncodeHeader(&r)
+	if err != nil {
+		return ""
+	}
+	return v
+}
+
+// observeSender records the load report that a node added to a request.
+func (p *Proxy) observeSender(node fleet.NodeID, r *fleet.LoadReport) {
+	if r != nil && r.Service != "" {
+		p.choose.Observe(r.Service, node, r)
+	}
 }
 
 // Views returns how this node sees the servers of a service.
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -38,11 +38,12 @@
 	transport *http.Transport
 	clientTLS *tls.Config
 	clock     clock.Clock
+	report    func() string // encoded load report of the own backend server
 	addresses addresses
 }
 
-func newRemote(clientTLS *tls.Config, k clock.Clock) *remote {
-	r := &remote{clientTLS: clientTLS, clock: k}
+func newRemote(clientTLS *tls.Config, k clock.Clock, report func() string) *remote {
+	r := &remote{clientTLS: clientTLS, clock: k, report: report}
 	r.transport = &http.Transport{
 		DialTLSContext:         r.dial,
 		MaxIdleConnsPerHost:    maxIdlePerPeer,
@@ -113,6 +114,9 @@
 			expect: true, expectTimeout: expectTimeout, done: make(chan struct{})}
 		defer x.end()
 		x.header[fleet.HeaderCallMeta] = []string{meta}
+		if load := r.report(); load != "" {
+			x.header[fleet.HeaderLoad] = []string{load}
+		}
 		if c.Body.Expect {
 			x.header[headerExpect] = []string{"1"}
 		}
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -41,6 +41,7 @@
 // entry is a node that receives requests of callers and chooses servers.
 type entry struct {
 	run       *runner
+	own       *server // the backend server beside the node
 	zone      string
 	rng       *rand.Rand
 	balancers map[string]*pick.Balancer
@@ -104,8 +105,13 @@
 	r.live[a.id] = a
 	e.inFlight[s]++
 	e.run.underWay[s] = append(e.run.underWay[s], a)
+	var report *fleet.LoadReport
+	if e.own != s && e.run.options.Policy == Current {
+		report = e.own.report()
+	}
 	e.run.after(a.hop, func() {
 		e.run.arrived(s, a)
+		s.learn(e.own, report)
 		s.offer(a)
 	})
 }
--- a/replay/run.go
+++ b/replay/run.go
@@ -110,7 +110,7 @@
 func (r *runner) addEntries() {
 	for i := range r.trace.Deployment.Entries {
 		e := &entry{
-			run: r, zone: r.servers[i%len(r.servers)].line.Zone,
+			run: r, own: r.servers[i%len(r.servers)], zone: r.servers[i%len(r.servers)].line.Zone,
 			rng:       rand.New(rand.NewPCG(r.trace.Deployment.Seed, 1000+uint64(i))),
 			balancers: map[string]*pick.Balancer{}, ready: map[string][]*server{},
 			lastUse: map[string]time.Duration{}, turn: map[string]int{}, inFlight: map[*server]int{},
@@ -123,6 +123,9 @@
 				e.balancers[s.line.Service] = pick.New(r.options.Pick)
 			}
 		}
+		if e.own.beside == nil {
+			e.own.beside = e
+		}
 		r.entries = append(r.entries, e)
 		e.update()
 	}
--- a/replay/server.go
+++ b/replay/server.go
@@ -17,6 +17,7 @@
 // server is a backend server with its own node.
 type server struct {
 	run        *runner
+	beside     *entry // the entry node of the same node; nil without one
 	line       *Line
 	announced  fleet.Server
 	controller *admit.Controller
@@ -59,6 +60,16 @@
 	s.perform(actions)
 }
 
+// learn lets the entry node beside s observe the report of the backend server
+// beside the sender of a request.
+func (s *server) learn(sender *server, report *fleet.LoadReport) {
+	if report == nil || s.beside == nil {
+		return
+	}
+	b := s.beside.balancers[sender.line.Service]
+	s.run.after(s.run.lateness(), func() { b.Observe(sender.line.Node, s.run.time(), report) })
+}
+
 // scheduleTick makes queued requests expire in time.
 func (s *server) scheduleTick() {
 	if at, ok := s.controller.NextExpiry(); ok {
@@ -136,7 +147,7 @@
 	return &fleet.LoadReport{
 		Incarnation: s.announced.Incarnation, Sequence: s.sequence,
 		InFlight: l.InFlight, Queued: l.Queued, Slots: l.Slots,
-		ServiceTime: l.ServiceTime, Draining: l.Closed == errkind.Draining,
+		ServiceTime: l.ServiceTime, ServiceAge: l.ServiceAge, Draining: l.Closed == errkind.Draining,
 	}
 }
 
