Prove the behaviour under overload between processes

Change: e2e TestOverload sends browsing, internal checks and keyed orders at 2 and 5 times the capacity of three servers and lowers the load after each. Goodput is the time that executions of answered work kept slots busy, as the stand-ins recorded it, relative to the slots that are not reserved; the median of slices of 250 ms counts. Refusals must stop in one of ten short loads that follow. An execution takes 500 ms, so that slots and not processors bound the capacity. The fleet of the tests takes several services, zones and class documents; sendLoad is the part of load that other streams share.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -21,6 +21,12 @@
 // requirement on speed.
 const patience = 30 * time.Second
 
+// slots is the number of slots of each backend server.
+const slots = 10
+
+// serviceToken proves calls of the backend servers that belong to no request.
+const serviceToken = "service-token-of-the-test"
+
 var binaries string
 
 func TestMain(m *testing.M) {
@@ -44,7 +50,10 @@
 type instance struct {
 	name    string
 	service string
+	zone    string
 	control bool
+	keys    string            // folder of its keys
+	quiet   bool              // callers send it no load
 	address map[string]string // by kind of listener
 	link    *faultlink.Link   // nil unless the fleet has links
 	node    *process
@@ -56,7 +65,11 @@
 	controls int
 	plain    int
 	links    bool
-	backend  []string // further flags of the stand-ins
+	services []string          // given to the instances in turn; default shop
+	zones    int               // availability zones that the instances are in, in turn; default one for each
+	classes  string            // class document with one place for a latency target; default classes
+	calls    map[string]string // by service: path that its backend servers call
+	backend  []string          // further flags of the stand-ins
 }
 
 // fleet runs processes in a folder of the test.
@@ -69,10 +82,23 @@
 
 func newFleet(t *testing.T, o fleetOptions) *fleet {
 	t.Helper()
+	if len(o.services) == 0 {
+		o.services = []string{"shop"}
+	}
+	if o.zones == 0 {
+		o.zones = o.controls + o.plain
+	}
+	if o.classes == "" {
+		o.classes = classes
+	}
 	f := &fleet{t: t, dir: t.TempDir(), options: o}
+	if err := os.WriteFile(f.path("service-token"), []byte(serviceToken), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	names := []string{"op:operator"}
 	for i := range o.controls + o.plain {
-		in := &instance{name: fmt.Sprintf("shop-%d", i+1), service: "shop", control: i < o.controls, address: map[string]string{}}
+		in := &instance{name: fmt.Sprintf("shop-%d", i+1), service: o.services[i%len(o.services)],
+			zone: fmt.Sprintf("z%d", i%o.zones+1), control: i < o.controls, keys: "keys", address: map[string]string{}}
 		for _, kind := range []string{"caller", "service", "peer", "admin", "metrics", "backend"} {
 			in.address[kind] = freeAddress(t)
 		}
@@ -131,13 +157,14 @@
 		}
 	}
 	s := map[string]any{
-		"node": in.name, "region": "r", "zone": "z" + in.name[len(in.name)-1:],
+		"node": in.name, "region": "r", "zone": in.zone,
 		"caller_address": in.address["caller"], "service_address": in.address["service"], "peer_address": in.address["peer"],
 		"advertised_address": in.address["advertised"], "admin_address": in.address["admin"], "metrics_address": in.address["metrics"],
-		"backend": map[string]any{"service": in.service, "address": in.address["backend"], "slots": 10, "connections": 250},
-		"seeds":   seeds,
-		"keys": map[string]any{"authority": f.path("keys", "authority.pem"), "certificate": f.path("keys", in.name+".pem"),
-			"private_key": f.path("keys", in.name+".key")},
+		"backend": map[string]any{"service": in.service, "address": in.address["backend"], "slots": slots, "connections": 250,
+			"service_token_file": f.path("service-token")},
+		"seeds": seeds,
+		"keys": map[string]any{"authority": f.path(in.keys, "authority.pem"), "certificate": f.path(in.keys, in.name+".pem"),
+			"private_key": f.path(in.keys, in.name+".key")},
 	}
 	if in.control {
 		s["control"] = map[string]any{"data_folder": f.path("data", in.name), "snapshot_interval": 200}
@@ -160,6 +187,9 @@
 	f.t.Helper()
 	args := append([]string{"--address", in.address["backend"], "--service", in.service, "--service-time", "2ms",
 		"--record-file", f.path(in.name + ".records")}, f.options.backend...)
+	if path := f.options.calls[in.service]; path != "" {
+		args = append(args, "--call-url", "http://"+in.address["service"]+path)
+	}
 	in.backend = f.start(in.name+"-backend.log", "millstandin", args...)
 }
 
--- /dev/null
+++ b/e2e/overload_test.go
@@ -0,0 +1,135 @@
+package e2e
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"bramleymill/admit"
+	"bramleymill/loadgen"
+	"bramleymill/standin"
+	"bramleymill/strictjson"
+)
+
+const overloadClasses = `{"classes":[
+ {"name":"browse","service":"shop","match":{"methods":["GET"],"path_prefix":"/"},"idempotent":true,
+  "latency_target":"%s","deadline":"5s","urgency":"low"},
+ {"name":"check","service":"shop","match":{"methods":["GET"],"path_prefix":"/stock"},"idempotent":true,"internal_only":true,
+  "latency_target":"1s","deadline":"5s","urgency":"critical"},
+ {"name":"order","service":"shop","match":{"methods":["POST"],"path_prefix":"/orders"},"idempotent":false,
+  "latency_target":"2s","deadline":"5s","urgency":"high","key":"required"}]}`
+
+// Guards against overload that costs goodput, that refuses checks and orders
+// before browsing, that runs refused work, or that lasts longer than its cause.
+// An execution takes so long that the slots bound the capacity and not the
+// processors. The capacity is derived from the executions in the same seconds,
+// so that it shrinks with the goodput on a busy machine.
+func TestOverload(t *testing.T) {
+	t.Parallel()
+	const (
+		servers     = 3
+		reserved    = slots / admit.DefaultReservedShare
+		serviceTime = 500 * time.Millisecond
+		capacity    = float64(servers*slots) / 0.5 // requests a second, by the nominal service time
+		warmUp      = time.Second
+		period      = 4 * time.Second
+		slice       = 250 * time.Millisecond
+		rest        = 1500 * time.Millisecond
+		rests       = 10 // refusals must stop in one of them
+	)
+	f := newFleet(t, fleetOptions{controls: servers, classes: overloadClasses, backend: []string{"--service-time", serviceTime.String()}})
+	f.begin()
+	checks := loadgen.Stream{Class: "check", Method: "GET", Path: "/stock", Idempotent: true, Rate: 0.06 * capacity,
+		TokenFile: f.path("service-token"), Timeout: strictjson.Duration(patience)}
+	for _, in := range f.instances {
+		checks.Internal = append(checks.Internal, in.address["service"])
+	}
+	for _, times := range []float64{2, 5} {
+		name := fmt.Sprintf("overload-%v", times)
+		start := time.Now()
+		stopped := false
+		_, outcomes := f.sendLoad(name, period, func() {
+			time.Sleep(period)
+			for i := 0; i < rests && !stopped; i++ {
+				check, _ := f.sendLoad(fmt.Sprint(name, "-after-", i), rest, func() {}, browsing(0.3*capacity), ordering(0.1*capacity), checks)
+				stopped = check.Answered == check.Sent
+			}
+		}, browsing((times-0.16)*capacity), ordering(0.1*capacity), checks)
+		if !stopped {
+			t.Errorf("%s: refusals go on after the load fell", name)
+		}
+		if sent, least := float64(len(outcomes)), 0.9*times*capacity*period.Seconds(); sent < least {
+			t.Errorf("%s: sent %v requests, want at least %v", name, sent, least)
+		}
+		f.checkRefusals(name, outcomes)
+		// Checks may use every slot, the other classes all but the reserved ones.
+		// The median of short slices leaves out the moments in which the machine
+		// holds processes back.
+		var busy []float64
+		for at := warmUp; at < period; at += slice {
+			busy = append(busy, f.usefulSlots(outcomes, start.Add(at), start.Add(at+slice)))
+		}
+		slices.Sort(busy)
+		t.Logf("%s: slots kept busy by goodput: %.1f", name, busy)
+		if median := busy[len(busy)/2]; median < 0.9*servers*(slots-reserved) {
+			t.Errorf("%s: goodput kept %.1f of %d slots busy, want 9 in 10", name, median, servers*(slots-reserved))
+		}
+	}
+}
+
+// checkRefusals checks that browsing is shed before orders and checks, and that
+// what was refused did not run.
+func (f *fleet) checkRefusals(name string, outcomes []loadgen.Outcome) {
+	f.t.Helper()
+	sent, refused := map[string]float64{}, map[string]float64{}
+	started := f.executions()
+	for _, o := range outcomes {
+		sent[o.Class]++
+		switch {
+		case o.Verdict == loadgen.NotRun:
+			refused[o.Class]++
+			if n := started[o.WorkID]; n > 0 {
+				f.t.Errorf("%s: %s was refused as not run and ran %d times", name, o.WorkID, n)
+			}
+		case o.Verdict != loadgen.Answered:
+			f.t.Errorf("%s: %+v", name, o)
+		}
+	}
+	f.t.Logf("%s: sent %v, refused %v", name, sent, refused)
+	share := maps.Clone(refused)
+	for class, n := range sent {
+		share[class] = refused[class] / n
+	}
+	for _, urgent := range []string{"order", "check"} {
+		if share[urgent] > share["browse"]/2 {
+			f.t.Errorf("%s: refused %.3f of %s and %.3f of browsing", name, share[urgent], urgent, share["browse"])
+		}
+	}
+}
+
+// usefulSlots returns how many slots were on average kept busy between two times
+// by browsing and orders that were answered. Each work counts once.
+func (f *fleet) usefulSlots(outcomes []loadgen.Outcome, from, to time.Time) float64 {
+	f.t.Helper()
+	answered := map[string]bool{}
+	for _, o := range outcomes {
+		answered[o.WorkID] = o.Verdict == loadgen.Answered && o.Class != "check"
+	}
+	var busy time.Duration
+	for _, in := range f.instances {
+		began := map[string]time.Time{}
+		for _, r := range f.recordsAt(in) {
+			if r.Event == standin.Started {
+				began[r.WorkID] = r.At
+			}
+			if r.Event == standin.Finished && answered[r.WorkID] {
+				begin, end := max(began[r.WorkID].Sub(from), 0), min(r.At.Sub(from), to.Sub(from))
+				busy += max(end-begin, 0)
+				answered[r.WorkID] = false
+			}
+		}
+	}
+	return float64(busy) / float64(to.Sub(from))
+}
--- a/e2e/traffic_test.go
+++ b/e2e/traffic_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
 	"time"
 
 	"bramleymill/errkind"
@@ -26,7 +25,7 @@
 func (f *fleet) document(number int) string {
 	f.t.Helper()
 	name := f.path(fmt.Sprintf("classes-%d.json", number))
-	text := fmt.Sprintf(classes, fmt.Sprintf("%dms", 1000+number))
+	text := fmt.Sprintf(f.options.classes, fmt.Sprintf("%dms", 1000+number))
 	if err := os.WriteFile(name, []byte(text), 0o644); err != nil {
 		f.t.Fatal(err)
 	}
@@ -71,6 +70,12 @@
 	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
+	return f.sendContext(ctx, in, method, path, work, key, change)
+}
+
+// sendContext is send for a caller that leaves when ctx ends.
+func (f *fleet) sendContext(ctx context.Context, in *instance, method, path, work, key string, change func(http.Header)) answer {
+	f.t.Helper()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+in.address["caller"]+path, bytes.NewReader([]byte("body")))
 	if err != nil {
 		f.t.Fatal(err)
@@ -106,7 +111,19 @@
 // executionsAt returns how often any work was started at one backend server.
 func (f *fleet) executionsAt(in *instance) int {
 	f.t.Helper()
-	b, err := os.ReadFile(filepath.Join(f.dir, in.name+".records"))
+	n := 0
+	for _, r := range f.recordsAt(in) {
+		if r.Event == standin.Started {
+			n++
+		}
+	}
+	return n
+}
+
+// recordsAt returns the execution records of one backend server.
+func (f *fleet) recordsAt(in *instance) []standin.Record {
+	f.t.Helper()
+	b, err := os.ReadFile(f.path(in.name + ".records"))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -114,27 +131,47 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	n := 0
-	for _, r := range recs {
-		if r.Event == standin.Started {
-			n++
-		}
-	}
-	return n
+	return recs
+}
+
+// browsing and ordering are streams for the classes of the tests.
+func browsing(rate float64) loadgen.Stream {
+	return loadgen.Stream{Class: "browse", Method: http.MethodGet, Path: "/page", Rate: rate, Idempotent: true,
+		Timeout: strictjson.Duration(patience)}
+}
+
+func ordering(rate float64) loadgen.Stream {
+	return loadgen.Stream{Class: "order", Method: http.MethodPost, Path: "/orders", Rate: rate, BodyBytes: 100, Key: true,
+		Timeout: strictjson.Duration(patience)}
 }
 
 // load sends browsing and orders for a while, during which fault is called, and
 // checks the outcomes against the execution records.
 func (f *fleet) load(d time.Duration, fault func()) loadgen.Check {
 	f.t.Helper()
-	p := &loadgen.Plan{Seed: 1, Duration: strictjson.Duration(d), Streams: []loadgen.Stream{
-		{Class: "browse", Method: http.MethodGet, Path: "/page", Rate: 100, Idempotent: true, Resends: 3, Timeout: strictjson.Duration(patience)},
-		{Class: "order", Method: http.MethodPost, Path: "/orders", Rate: 60, BodyBytes: 100, Key: true, Resends: 8, Timeout: strictjson.Duration(patience)},
-	}}
+	browse, order := browsing(100), ordering(60)
+	browse.Resends, order.Resends = 3, 8
+	check, outcomes := f.sendLoad("load", d, fault, browse, order)
+	for _, o := range outcomes {
+		if o.Verdict != loadgen.Answered {
+			f.t.Logf("%+v", o)
+		}
+	}
+	return check
+}
+
+// sendLoad sends streams for a while, during which fault is called, and checks
+// the outcomes against the execution records. The prefix tells the work ids of
+// several loads apart.
+func (f *fleet) sendLoad(prefix string, d time.Duration, fault func(), streams ...loadgen.Stream) (loadgen.Check, []loadgen.Outcome) {
+	f.t.Helper()
+	p := &loadgen.Plan{Seed: 1, Duration: strictjson.Duration(d), Streams: streams}
 	for _, in := range f.instances {
-		p.Nodes = append(p.Nodes, in.address["caller"])
+		if !in.quiet {
+			p.Nodes = append(p.Nodes, in.address["caller"])
+		}
 	}
-	r, err := loadgen.NewRunner(p, "load")
+	r, err := loadgen.NewRunner(p, prefix)
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -153,16 +190,11 @@
 	}
 	check := loadgen.Verify(result.Outcomes(), f.executions())
 	f.t.Log(check.Line())
-	for _, o := range result.Outcomes() {
-		if o.Verdict != loadgen.Answered {
-			f.t.Logf("%+v", o)
-		}
-	}
 	if !check.Passed() {
 		f.t.Errorf("broken promise: %+v", check)
 	}
 	if check.Answered == 0 {
 		f.t.Error("nothing was answered")
 	}
-	return check
+	return check, result.Outcomes()
 }
