Prove a call depth of 17 between processes

Cause: the depth was proved in one process; between processes the demo has 2. Change: the stand-in calls onward through its own node for the number of levels that a header states, breaks its connection when a call below failed if it is told to, and records the deadline that its node states and each work that it abandons. e2e: TestCallDepth (17 levels run once each, the time left never grows, level 18 is refused), TestRetriesDoNotMultiplyThroughTheDepth (every level fails when the one below fails; no level runs more than 4 times), TestCancellationTravelsThroughTheDepth (5 chains, together more than all slots, of which the caller leaves or the deadline passes; every level ends and the next chain is answered). Ruled out: 17 services with a node each: 34 processes for the same 17 hops. Three services with two nodes each call each other in a ring, so that each hop is between two processes. Level classes that hedge, which would run levels twice.

--- /dev/null
+++ b/e2e/depth_test.go
@@ -0,0 +1,190 @@
+package e2e
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	wire "bramleymill/fleet"
+	"bramleymill/standin"
+)
+
+// depth is the deepest chain of calls that is served.
+const depth = 17
+
+// Three services call each other in a ring, so that the target of a call is
+// never the node that makes it. A call from outside enters at /page.
+const ringClasses = `{"classes":[
+ {"name":"page","service":"ant","match":{"methods":["GET"],"path_prefix":"/"},"idempotent":true,
+  "latency_target":"%s","deadline":"25s","urgency":"normal"},
+ {"name":"ant","service":"ant","match":{"methods":["GET"],"path_prefix":"/ant"},"idempotent":true,"internal_only":true,
+  "latency_target":"1s","deadline":"25s","urgency":"normal"},
+ {"name":"bee","service":"bee","match":{"methods":["GET"],"path_prefix":"/bee"},"idempotent":true,"internal_only":true,
+  "latency_target":"1s","deadline":"25s","urgency":"normal"},
+ {"name":"cat","service":"cat","match":{"methods":["GET"],"path_prefix":"/cat"},"idempotent":true,"internal_only":true,
+  "latency_target":"1s","deadline":"25s","urgency":"normal"}]}`
+
+func newRing(t *testing.T) *fleet {
+	f := newFleet(t, fleetOptions{controls: 3, plain: 3, classes: ringClasses, services: []string{"ant", "bee", "cat"},
+		calls: map[string]string{"ant": "/bee", "bee": "/cat", "cat": "/ant"}})
+	f.begin()
+	return f
+}
+
+// descend returns the change of headers for a request with levels below it.
+func descend(levels int, more ...string) func(http.Header) {
+	return func(h http.Header) {
+		h.Set(standin.HeaderLevels, strconv.Itoa(levels))
+		for i := 0; i < len(more); i += 2 {
+			h.Set(more[i], more[i+1])
+		}
+	}
+}
+
+// records returns the execution records of all backend servers.
+func (f *fleet) records() []standin.Record {
+	f.t.Helper()
+	var all []standin.Record
+	for _, in := range f.instances {
+		all = append(all, f.recordsAt(in)...)
+	}
+	return all
+}
+
+// levels returns the records of a work and the calls below it, by level from the
+// top and event.
+func (f *fleet) levels(work string) [depth + 1]map[standin.Event][]standin.Record {
+	f.t.Helper()
+	var out [depth + 1]map[standin.Event][]standin.Record
+	for i := range out {
+		out[i] = map[standin.Event][]standin.Record{}
+	}
+	for _, r := range f.records() {
+		if below, ok := strings.CutPrefix(r.WorkID, work); ok && strings.ReplaceAll(below, "/nested", "") == "" {
+			level := strings.Count(below, "/nested")
+			out[level][r.Event] = append(out[level][r.Event], r)
+		}
+	}
+	return out
+}
+
+// Guards against a chain of calls through as many processes as are allowed that
+// does not end, that goes one level too deep, or whose levels lose the deadline
+// of the caller.
+func TestCallDepth(t *testing.T) {
+	t.Parallel()
+	f := newRing(t)
+	const timeout = 20_000 // less than the deadlines of the classes
+	for round := range 5 {
+		work := "deep-" + strconv.Itoa(round)
+		a := f.send(f.instances[round], http.MethodGet, "/page", work, "", descend(depth-1, wire.HeaderTimeoutMillis, strconv.Itoa(timeout)))
+		if a.status != http.StatusOK {
+			t.Fatalf("chain of %d calls: %+v", depth, a)
+		}
+		left := int64(timeout)
+		for level, events := range f.levels(work) {
+			if n := len(events[standin.Started]); n != min(1, depth-level) {
+				t.Fatalf("level %d ran %d times", level, n)
+			}
+			for _, r := range events[standin.Started] {
+				if r.DeadlineMillis <= 0 || r.DeadlineMillis > left {
+					t.Errorf("level %d has %d ms left, the level above had %d ms", level, r.DeadlineMillis, left)
+				}
+				left = r.DeadlineMillis
+			}
+		}
+	}
+	if a := f.send(f.instances[0], http.MethodGet, "/page", "too-deep", "", descend(depth)); a.status != http.StatusFailedDependency {
+		t.Errorf("chain of %d calls: %+v", depth+1, a)
+	}
+	if n := len(f.levels("too-deep")[depth][standin.Started]); n != 0 {
+		t.Errorf("a call of depth %d ran", depth+1)
+	}
+}
+
+// Guards against retries that multiply: every level fails when the level below
+// it fails, and every level may retry.
+func TestRetriesDoNotMultiplyThroughTheDepth(t *testing.T) {
+	t.Parallel()
+	f := newRing(t)
+	most := 0
+	for round := range 5 {
+		work := "broken-" + strconv.Itoa(round)
+		a := f.send(f.instances[round], http.MethodGet, "/page", work, "", descend(depth-1, standin.HeaderBreak, "yes"))
+		if a.status == http.StatusOK {
+			t.Errorf("round %d: %+v", round, a)
+		}
+		for level, events := range f.levels(work) {
+			n := len(events[standin.Started])
+			if most = max(most, n); n > 1+furtherAttempts {
+				t.Errorf("round %d: level %d ran %d times, want at most %d", round, level, n, 1+furtherAttempts)
+			}
+		}
+	}
+	if most < 2 {
+		t.Error("nothing was retried, so that the test shows nothing")
+	}
+}
+
+// furtherAttempts is retry.DefaultAttempts, the bound of a whole call tree.
+const furtherAttempts = 3
+
+// Guards against a chain of calls that goes on, and keeps its slots, after the
+// caller has left or its deadline has passed.
+func TestCancellationTravelsThroughTheDepth(t *testing.T) {
+	t.Parallel()
+	f := newRing(t)
+	for _, in := range f.instances {
+		f.freezeBackend(in, 10*time.Minute)
+	}
+	// All chains together hold more slots than there are.
+	chains := len(f.instances)*slots/depth + 2
+	for round := range chains {
+		work := "left-" + strconv.Itoa(round)
+		if round%2 == 0 {
+			a := f.send(f.instances[0], http.MethodGet, "/page", work, "", descend(depth-1, wire.HeaderTimeoutMillis, "3000"))
+			if a.status == http.StatusOK {
+				t.Errorf("%s: %+v", work, a)
+			}
+		} else {
+			ctx, leave := context.WithCancel(context.Background())
+			gone := make(chan struct{})
+			go func() {
+				defer close(gone)
+				f.sendContext(ctx, f.instances[0], http.MethodGet, "/page", work, "", descend(depth-1))
+			}()
+			f.await(work+" at the lowest level", func() bool {
+				return len(f.levels(work)[depth-1][standin.Started]) == 1
+			})
+			leave()
+			<-gone
+		}
+		f.await(work+" ended at every level", func() bool {
+			for _, events := range f.levels(work) {
+				if len(events[standin.Started]) != len(events[standin.Aborted]) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	for _, in := range f.instances {
+		f.freezeBackend(in, 0)
+	}
+	if a := f.send(f.instances[0], http.MethodGet, "/page", "after", "", descend(depth-1)); a.status != http.StatusOK {
+		t.Errorf("after %d chains were cancelled: %+v", chains, a)
+	}
+}
+
+// freezeBackend holds the executions of a backend server back for a while.
+func (f *fleet) freezeBackend(in *instance, d time.Duration) {
+	f.t.Helper()
+	resp, err := http.Post("http://"+in.address["backend"]+"/standin/freeze?for="+d.String(), "", nil)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		f.t.Fatalf("freeze the backend server of %s: %v %v", in.name, resp, err)
+	}
+	resp.Body.Close()
+}
--- a/standin/record.go
+++ b/standin/record.go
@@ -17,7 +17,7 @@
 const (
 	Started  Event = "started"
 	Finished Event = "finished"
-	Aborted  Event = "aborted" // the caller went away and the work was abandoned
+	Aborted  Event = "aborted" // abandoned, because the caller went away or a nested call failed
 )
 
 // Record is one line of the execution records. WorkID is chosen by the caller
@@ -30,6 +30,8 @@
 	Method  string    `json:"method"`
 	Path    string    `json:"path"`
 	At      time.Time `json:"at"`
+
+	DeadlineMillis int64 `json:"deadline_ms,omitempty"` // time left, as the node stated it
 }
 
 // Recorder appends records to a file. Each record is one write call, so that
--- a/standin/server.go
+++ b/standin/server.go
@@ -21,6 +21,12 @@
 const (
 	HeaderWorkID = "Work-Id"       // identity of the work, kept when the request is sent again
 	HeaderCrash  = "Standin-Crash" // any value: the process exits while it runs the request
+	// HeaderLevels is the number of levels below the request. With more than zero
+	// the stand-in calls CallURL with one level less, whatever the method.
+	HeaderLevels = "Standin-Levels"
+	// HeaderBreak makes the lowest level, and each level whose call failed, close
+	// its connection without an answer. It is passed on with HeaderLevels.
+	HeaderBreak = "Standin-Break"
 )
 
 // crashExitCode is the exit status after a request with HeaderCrash.
@@ -169,7 +175,15 @@
 		s.logger.Warn("crash requested", "work_id", r.Header.Get(HeaderWorkID))
 		s.exit(crashExitCode)
 	}
-	if err := s.callOther(r); err != nil {
+	levels := r.Header.Get(HeaderLevels)
+	err = s.callOther(r, levels)
+	if err != nil {
+		s.record(Aborted, r)
+	}
+	if r.Header.Get(HeaderBreak) != "" && (err != nil || levels == "0") {
+		panic(http.ErrAbortHandler)
+	}
+	if err != nil {
 		s.logger.Debug("nested call failed", "error", err)
 		http.Error(w, "nested call: "+err.Error(), http.StatusFailedDependency)
 		return
@@ -208,12 +222,12 @@
 }
 
 // callOther queries another service while the execution holds its slot.
-func (s *Server) callOther(r *http.Request) error {
+func (s *Server) callOther(r *http.Request, levels string) error {
 	url := s.config.CallURL
 	if r.Header.Get(fleet.HeaderCall) == "" {
 		url = s.config.DirectCallURL
 	}
-	if url == "" || r.Method == http.MethodGet || r.Method == http.MethodHead {
+	if url == "" || levels == "0" || levels == "" && (r.Method == http.MethodGet || r.Method == http.MethodHead) {
 		return nil
 	}
 	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, url, nil)
@@ -222,6 +236,10 @@
 	}
 	req.Header.Set(fleet.HeaderCall, r.Header.Get(fleet.HeaderCall))
 	req.Header.Set(HeaderWorkID, r.Header.Get(HeaderWorkID)+"/nested")
+	if n, err := strconv.Atoi(levels); err == nil {
+		req.Header.Set(HeaderLevels, strconv.Itoa(n-1))
+		req.Header.Set(HeaderBreak, r.Header.Get(HeaderBreak))
+	}
 	resp, err := s.client.Do(req)
 	if err != nil {
 		return err
@@ -237,6 +255,7 @@
 }
 
 func (s *Server) record(e Event, r *http.Request) {
+	left, _ := strconv.ParseInt(r.Header.Get(fleet.HeaderDeadlineMillis), 10, 64)
 	err := s.recorder.Write(Record{
 		Event:   e,
 		WorkID:  r.Header.Get(HeaderWorkID),
@@ -245,6 +264,8 @@
 		Method:  r.Method,
 		Path:    r.URL.Path,
 		At:      time.Now(),
+
+		DeadlineMillis: left,
 	})
 	if err != nil {
 		s.logger.Error("execution record lost", "error", err)
