Prove the stop and return of an availability zone between processes

Cause: a returning zone was proved with 60 nodes in one process. Change: e2e TestZoneStopsAndReturns kills all three nodes and backend servers of one of three zones under browsing and orders and starts them again under browsing. Work goes on in the others, nothing is lost or doubled, each returned server gets work, and the control messages that each node sent since the return stay below what a node at rest and a join account for.

--- /dev/null
+++ b/e2e/zone_test.go
@@ -0,0 +1,132 @@
+package e2e
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"bramleymill/observe"
+)
+
+// Guards against an availability zone that takes work with it when all its nodes
+// and backend servers stop at once, and against a storm of control messages when
+// they return together.
+func TestZoneStopsAndReturns(t *testing.T) {
+	t.Parallel()
+	const zones = 3
+	f := newFleet(t, fleetOptions{controls: zones, plain: 2 * zones, zones: zones})
+	f.begin()
+	var gone, others []*instance
+	for _, in := range f.instances {
+		if in.zone == f.instances[0].zone {
+			gone = append(gone, in)
+		} else {
+			others = append(others, in)
+		}
+	}
+	f.load(5*time.Second, func() {
+		time.Sleep(time.Second)
+		for _, in := range gone {
+			in.node.kill()
+			in.backend.kill()
+			in.quiet = true
+		}
+		f.awaitLive(others[0], len(others))
+		for _, in := range others {
+			if a := f.send(in, http.MethodGet, "/page", "during", "", nil); a.status != http.StatusOK {
+				t.Errorf("%s while a zone is down: %+v", in.name, a)
+			}
+		}
+	})
+	f.awaitFresh(others)
+	// Without orders, for which the instances of the claims exchange messages too.
+	start, before := time.Now(), f.messages(others)
+	f.sendLoad("return", 3*time.Second, func() {
+		for _, in := range gone {
+			f.startBackend(in)
+			f.startNode(in)
+			in.quiet = false
+		}
+		f.awaitLive(others[0], len(f.instances))
+	}, browsing(100))
+	f.awaitFresh(f.instances)
+	passed, now := time.Since(start).Seconds(), f.messages(f.instances)
+	for _, in := range f.instances {
+		sent, limit := now[in.name]-before[in.name], joinMessages+calmMessages*passed
+		t.Logf("%s in %s sent %.0f control messages in %.1f s", in.name, in.zone, sent, passed)
+		if sent > limit {
+			t.Errorf("%s sent %.0f control messages in %.1f s, want at most %.0f", in.name, sent, passed, limit)
+		}
+	}
+	again := ordering(60)
+	again.Resends = 8
+	f.sendLoad("again", time.Second, func() {}, again)
+	for _, in := range gone {
+		before := f.executionsAt(in)
+		f.await("work at "+in.name+" after its return", func() bool {
+			f.send(in, http.MethodGet, "/page", "returned", "", nil)
+			return f.executionsAt(in) > before
+		})
+	}
+	f.awaitInForce(f.apply(1), len(f.instances))
+}
+
+// A node that tries again without a pause sends hundreds of messages a second. A
+// slow machine sends fewer in the time that passes.
+const (
+	joinMessages = 60 // to find a parent, follow services and fetch the configuration
+	calmMessages = 25 // a second; a control instance at rest sends 7
+)
+
+// awaitLive waits until a control instance lists a number of live nodes.
+func (f *fleet) awaitLive(in *instance, n int) {
+	f.t.Helper()
+	f.await("live nodes", func() bool {
+		s, ok := f.statusAt(in)
+		live := 0
+		for _, node := range s.Nodes {
+			if node.Live {
+				live++
+			}
+		}
+		return ok && live == n
+	})
+}
+
+// messages returns how many control messages nodes have sent.
+func (f *fleet) messages(list []*instance) map[string]float64 {
+	f.t.Helper()
+	out := map[string]float64{}
+	for _, in := range list {
+		out[in.name] = f.metric(in, "bramleymill_control_messages_sent")
+	}
+	return out
+}
+
+// awaitFresh waits until the counters of nodes, which are passed on from time to
+// time, have been passed on again.
+func (f *fleet) awaitFresh(list []*instance) {
+	f.t.Helper()
+	before := f.messages(list)
+	f.await("fresh counters", func() bool {
+		for name, n := range f.messages(list) {
+			if n == before[name] {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// metric returns the value of a series of a node, or zero before it exists.
+func (f *fleet) metric(in *instance, name string) float64 {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	values, err := observe.Scrape(ctx, in.address["metrics"])
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return values[name]
+}
