Check kept connections between nodes again after a change of the keys

Cause: the new e2e TestRotationUnderLoad found that a process with a key of the dropped authority was served on its kept HTTP connections for as long as it used them. Only control connections were checked again. Change: the peer listener checks the peer of a connection again when the keys have changed since its last check, and refuses the request as unauthorized. A node names its connections to others by the generation of its keys too, so that requests after a reload use connections made with the new certificate. keys.Store gives the generation without a look at the files for the request path. The test allows refusals by load and no other. Not checked again: connections of operators, which last for one command.

--- /dev/null
+++ b/e2e/rotation_test.go
@@ -0,0 +1,119 @@
+package e2e
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/loadgen"
+)
+
+// Guards against a rotation of the keys that fails requests, and against a
+// process that goes on with a key of the authority that was dropped: on the
+// connections that it has, and after a restart.
+func TestRotationUnderLoad(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{controls: 3, plain: 2, services: []string{"shop", "shop", "shop", "shop", "other"}})
+	f.begin()
+	f.ctl("apply", f.documentServing(), "--wait")
+	if err := os.CopyFS(f.path("old"), os.DirFS(f.path("keys"))); err != nil {
+		t.Fatal(err)
+	}
+	behind, others := f.instances[4], f.instances[:4]
+	behind.node.kill()
+	behind.keys, behind.quiet = "old", true
+	f.writeSettings(behind)
+	f.startNode(behind)
+	f.awaitServing(behind)
+
+	_, outcomes := f.sendLoad("rotation", 9*time.Second, func() {
+		time.Sleep(time.Second)
+		for _, step := range []string{"trust", "reissue", "drop"} {
+			f.rotate(step, others)
+			f.trustNew("old") // the process with the old key trusts the others, so that these have to refuse it
+		}
+	}, browsing(100), ordering(30))
+	// A machine that holds processes back causes refusals by load. Those that the
+	// rotation causes are of another kind or come from a peer that was refused.
+	for _, o := range outcomes {
+		if o.Verdict != loadgen.Answered && errkind.Lookup(o.Kind).Outcome != errkind.Overloaded {
+			t.Errorf("failed during the rotation: %+v", o)
+		}
+	}
+	for _, in := range others {
+		for line := range strings.Lines(f.log(in)) {
+			if strings.Contains(line, `msg="peer refused"`) && !strings.Contains(line, "name="+behind.name) {
+				t.Errorf("%s refused a peer with the new key: %s", in.name, line)
+			}
+		}
+	}
+	// Browsing is served under an unconfirmed configuration, so that only the
+	// other nodes can refuse it. Every connection of the old key has to be refused.
+	refused := 0
+	f.await("refusal on the connections of the old key", func() bool {
+		a := f.send(behind, http.MethodGet, "/page", "old-key", "", nil)
+		if refused++; a.err != nil || a.status == http.StatusOK {
+			refused = 0
+		}
+		return refused == 20
+	})
+	behind.node.kill()
+	from := map[string]int{}
+	for _, in := range others {
+		from[in.name] = len(f.log(in))
+	}
+	f.startNode(behind)
+	f.await("refusal of a new process with the old key", func() bool {
+		for _, in := range others {
+			if strings.Contains(f.log(in)[from[in.name]:], `msg="peer refused"`) {
+				return true
+			}
+		}
+		return false
+	})
+	if a := f.send(behind, http.MethodGet, "/page", "old-key-2", "", nil); a.status == http.StatusOK {
+		t.Errorf("a new process with the old key was served: %+v", a)
+	}
+	old := []string{"status", "--address", f.instances[0].address["admin"], "--authority", f.path("keys", "authority.pem"),
+		"--certificate", f.path("old", "op.pem"), "--private-key", f.path("old", "op.key")}
+	if out, code := f.try("bramleymillctl", old...); code == 0 {
+		t.Errorf("an operator with the old key was served: %s", out)
+	}
+	behind.node.kill()
+	behind.keys = "keys"
+	f.writeSettings(behind)
+	f.startNode(behind)
+	f.awaitServing(behind)
+	f.awaitLive(others[0], len(f.instances))
+}
+
+// trustNew replaces the authority in a folder of old keys by the present one.
+func (f *fleet) trustNew(folder string) {
+	f.t.Helper()
+	b, err := os.ReadFile(f.path("keys", "authority.pem"))
+	if err == nil {
+		err = os.WriteFile(f.path(folder, "authority.pem"), b, 0o644)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// rotate makes a step of the rotation of keys and waits until nodes have read
+// their files again.
+func (f *fleet) rotate(step string, nodes []*instance) {
+	f.t.Helper()
+	from := map[string]int{}
+	for _, in := range nodes {
+		from[in.name] = len(f.log(in))
+	}
+	f.run("bramleymillctl", "keys", "rotate", step, "--folder", f.path("keys"))
+	for _, in := range nodes {
+		f.await(in.name+" after "+step, func() bool {
+			return strings.Contains(f.log(in)[from[in.name]:], `msg="key files reloaded"`)
+		})
+	}
+}
--- a/keys/store.go
+++ b/keys/store.go
@@ -112,6 +112,10 @@
 // again with Recheck when it changes.
 func (s *Store) Generation() uint64 { return s.material().generation }
 
+// LastGeneration is Generation as of the last look at the files. It looks at none,
+// so that the request path can call it.
+func (s *Store) LastGeneration() uint64 { return s.current.Load().generation }
+
 // Refused returns how many peers were refused for a reason.
 func (s *Store) Refused(r Reason) uint64 {
 	if n, ok := s.refused[r]; ok {
--- a/node/run.go
+++ b/node/run.go
@@ -107,6 +107,7 @@
 		StateChanged:  n.member.SetState,
 		ConfigSeen:    n.fetchConfiguration,
 		ClientTLS:     n.keys.PeerClient(),
+		KeyGeneration: n.keys.LastGeneration,
 		Seed:          n.seed,
 		Log:           n.logger,
 	})
@@ -138,6 +139,7 @@
 		}
 		l, err := listen(name, address, h, secure, n.logger)
 		if err == nil {
+			l.server.ConnContext = noteGeneration(n.keys)
 			r.listeners = append(r.listeners, l)
 		}
 		return err
@@ -145,7 +147,7 @@
 	return errors.Join(
 		add("caller_address", s.CallerAddress, p.Caller(), nil),
 		add("service_address", s.ServiceAddress, p.Service(), nil),
-		add("peer_address", s.PeerAddress, p.Peer(), n.keys.PeerServer()),
+		add("peer_address", s.PeerAddress, recheckPeers(p.Peer(), n.keys), n.keys.PeerServer()),
 		add("metrics_address", s.MetricsAddress, n.metrics.Handler(), nil),
 		add("admin_address", s.AdminAddress, n.adminHandler(), n.keys.AdminServer()),
 	)
--- a/proxy/addresses.go
+++ b/proxy/addresses.go
@@ -34,10 +34,11 @@
 	used    atomic.Int64 // Unix nanoseconds, to the precision of addressSweep
 }
 
-// poolName names the connections to one incarnation of a node, so that those to
-// an earlier one are not used for the next, and keeps the address to open them.
-func (a *addresses) poolName(s *fleet.Server, now time.Time) string {
-	name := string(s.Node) + "." + strconv.FormatUint(uint64(s.Incarnation), 36) + ":0"
+// poolName names the connections that were made to one incarnation of a node with
+// one generation of the keys, so that those to an earlier incarnation, or made with
+// earlier keys, are not used. It keeps the address to open them.
+func (a *addresses) poolName(s *fleet.Server, generation uint64, now time.Time) string {
+	name := string(s.Node) + "." + strconv.FormatUint(uint64(s.Incarnation), 36) + "." + strconv.FormatUint(generation, 36) + ":0"
 	if known, ok := a.byName.Load(name); ok {
 		if p := known.(*peerAddress); p.address == s.PeerAddress {
 			if now.UnixNano()-p.used.Load() >= int64(addressSweep) {
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -60,12 +60,16 @@
 	ConfigSeen func(version uint64)
 
 	ClientTLS *tls.Config // for connections to other nodes
-	Clock     clock.Clock // nil: the system's
-	Seed      uint64
-	Log       *slog.Logger   // nil: discarded
-	Store     *explain.Store // nil: a new one with Records and Events
-	Records   int            // request records kept; zero: explain.DefaultRecords
-	Events    int            // events kept; zero: explain.DefaultEvents
+	// KeyGeneration changes with the keys of ClientTLS. Connections made before are
+	// not used for further requests. It may be nil.
+	KeyGeneration func() uint64
+
+	Clock   clock.Clock // nil: the system's
+	Seed    uint64
+	Log     *slog.Logger   // nil: discarded
+	Store   *explain.Store // nil: a new one with Records and Events
+	Records int            // request records kept; zero: explain.DefaultRecords
+	Events  int            // events kept; zero: explain.DefaultEvents
 }
 
 func (c *Config) setDefaults() error {
@@ -84,6 +88,9 @@
 	if c.ConfigSeen == nil {
 		c.ConfigSeen = func(uint64) {}
 	}
+	if c.KeyGeneration == nil {
+		c.KeyGeneration = func() uint64 { return 0 }
+	}
 	if c.Clock == nil {
 		c.Clock = clock.System{}
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -46,7 +46,7 @@
 	}
 	p.incarnation.Store(uint64(c.Incarnation))
 	p.work.init()
-	p.remote = newRemote(c.ClientTLS, c.Clock, p.sentReport)
+	p.remote = newRemote(c.ClientTLS, c.KeyGeneration, c.Clock, p.sentReport)
 	if c.Backend != nil {
 		p.local = newLocalServer(p)
 		p.server = p.serverChain()
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -35,15 +35,16 @@
 
 // remote sends attempts to other nodes over mutual TLS.
 type remote struct {
-	transport *http.Transport
-	clientTLS *tls.Config
-	clock     clock.Clock
-	report    func() string // encoded load report of the own backend server
-	addresses addresses
+	transport  *http.Transport
+	clientTLS  *tls.Config
+	generation func() uint64 // of the keys in clientTLS
+	clock      clock.Clock
+	report     func() string // encoded load report of the own backend server
+	addresses  addresses
 }
 
-func newRemote(clientTLS *tls.Config, k clock.Clock, report func() string) *remote {
-	r := &remote{clientTLS: clientTLS, clock: k, report: report}
+func newRemote(clientTLS *tls.Config, generation func() uint64, k clock.Clock, report func() string) *remote {
+	r := &remote{clientTLS: clientTLS, generation: generation, clock: k, report: report}
 	r.transport = &http.Transport{
 		DialTLSContext:         r.dial,
 		MaxIdleConnsPerHost:    maxIdlePerPeer,
@@ -57,7 +58,9 @@
 	return r
 }
 
-func (r *remote) poolName(s *fleet.Server) string { return r.addresses.poolName(s, r.clock.Now()) }
+func (r *remote) poolName(s *fleet.Server) string {
+	return r.addresses.poolName(s, r.generation(), r.clock.Now())
+}
 
 func (r *remote) dial(ctx context.Context, network, name string) (net.Conn, error) {
 	address, ok := r.addresses.address(name)
