Prove the loss of a disk while another control instance is cut off

Cause: this combination was proved by the model of the replicated log only. Change: e2e TestLostDiskWhileAnotherIsCutOff, with three control instances (no majority is left: nothing is accepted until the cut ends, then the instance gets its vote back) and with five (changes go on, and the instance gets its vote back during the cut). No accepted version and no claim is lost, and the audit trail verifies. Ruled out: an exact version after the cut with three instances: the change that was not accepted may have reached one log and come into force with the majority. Fails with: the same disk id in every folder (a change is accepted without a majority).

--- /dev/null
+++ b/e2e/disk_test.go
@@ -0,0 +1,98 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+)
+
+// Guards against a fleet that forgets or accepts on its own when a control
+// instance has lost its disk while another one is cut off. With three instances
+// one with its disk is left, which is no majority; with five there are three.
+func TestLostDiskWhileAnotherIsCutOff(t *testing.T) {
+	t.Parallel()
+	for _, controls := range []int{3, 5} {
+		t.Run(fmt.Sprint(controls, " control instances"), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, fleetOptions{controls: controls, plain: 1, links: true})
+			f.begin()
+			f.awaitVoters(controls)
+			before := f.apply(1)
+			order := f.send(f.instances[controls], http.MethodPost, "/orders", "order-1", "key-1", nil)
+			if order.status != http.StatusOK {
+				t.Fatalf("order before: %+v", order)
+			}
+			lost, away, left := f.instances[0], f.instances[1], f.instances[2]
+			f.cut(away, true, true)
+			lost.node.kill()
+			if err := os.RemoveAll(f.path("data", lost.name)); err != nil {
+				t.Fatal(err)
+			}
+			from := len(f.log(lost))
+			f.startNode(lost)
+
+			after := before + 1
+			if controls == 3 {
+				f.checkNothingAccepted(before, 5*time.Second)
+				f.heal()
+				f.awaitVotes(lost, from)
+				// The change that was not accepted may have reached one log and
+				// come into force with the majority.
+				v := f.apply(2)
+				if v != after && v != after+1 {
+					t.Errorf("version %d after %d", v, before)
+				}
+				after = v
+			} else {
+				if v := f.applyWithout(away, 2); v != after {
+					t.Errorf("version %d after %d", v, before)
+				}
+				f.awaitVotes(lost, from)
+				if s, ok := f.statusAt(away); ok && s.Confirmed && s.Version < after {
+					t.Errorf("the cut-off instance confirmed version %d, %d was accepted", s.Version, after)
+				}
+				f.heal()
+			}
+			f.awaitInForce(after, len(f.instances))
+			again := f.send(left, http.MethodPost, "/orders", "order-1", "key-1", nil)
+			if again.status != http.StatusOK || again.body != order.body {
+				t.Errorf("the same order again: %+v", again)
+			}
+			if n := f.executions()["order-1"]; n != 1 {
+				t.Errorf("the order ran %d times", n)
+			}
+			f.ctl("history", "--verify")
+		})
+	}
+}
+
+// awaitVoters waits until the leader of each group has a number of voters.
+func (f *fleet) awaitVoters(n int) {
+	f.t.Helper()
+	for _, in := range f.instances[:n] {
+		if in != f.instances[0] { // the founder votes from the start
+			f.awaitVotes(in, 0)
+		}
+	}
+}
+
+// checkNothingAccepted tries a change at every control instance for a while.
+func (f *fleet) checkNothingAccepted(version uint64, d time.Duration) {
+	f.t.Helper()
+	file := f.document(90)
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		for _, in := range f.instances {
+			if !in.control {
+				continue
+			}
+			if out, code := f.try("bramleymillctl", f.operateAt(in, "apply", file, "--change-id", "lonely", "--timeout", "500ms")...); code == exitAccepted {
+				f.t.Fatalf("%s accepted a change without a majority: %s", in.name, out)
+			}
+			if s, ok := f.statusAt(in); ok && s.Confirmed && s.Version != version {
+				f.t.Fatalf("%s confirms version %d, %d was accepted", in.name, s.Version, version)
+			}
+		}
+	}
+}
