Prove catch-up and a new leader after 1,000 changes between processes

Cause: catch-up was measured in process and proved for 500 changes; the time to a new leader was not measured between processes. Change: e2e TestCatchUpAndNewLeaderAfterManyChanges makes 1,000 changes through the client of package operator while a control instance is away, starts it, and then kills the leader three times. Every change must get the next version. The times are logged and not judged. Ruled out: a process of bramleymillctl for each of 1,000 changes, because the test must stay short; killing the founder, which need not be the leader: the logs name it.

--- /dev/null
+++ b/e2e/catchup_test.go
@@ -0,0 +1,114 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleymill/keys"
+	"bramleymill/operator"
+)
+
+// changesBeforeReturn is the number of changes that a control instance misses.
+const changesBeforeReturn = 1000
+
+// Guards against a control instance that does not catch up after a thousand
+// changes, and against a fleet that accepts no changes after its leader died. The
+// times are reported and not judged.
+func TestCatchUpAndNewLeaderAfterManyChanges(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetOptions{controls: 3, plain: 1})
+	f.begin()
+	f.awaitVoters(3)
+	away := f.instances[2]
+	away.node.kill()
+	version := f.change(f.instances[:2], 1, changesBeforeReturn)
+
+	start := time.Now()
+	f.startNode(away)
+	client := f.operator(away)
+	f.await("returned instance current", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		s, err := client.Status(ctx)
+		return err == nil && s.Confirmed && s.Version == version
+	})
+	t.Logf("start and catch-up after %d changes: %v", changesBeforeReturn, time.Since(start).Round(time.Millisecond))
+
+	f.awaitInForce(version, len(f.instances))
+	for range 3 {
+		leader := f.leader()
+		var others []*instance
+		for _, in := range f.instances[:3] {
+			if in != leader {
+				others = append(others, in)
+			}
+		}
+		start = time.Now()
+		leader.node.kill()
+		version = f.change(others, version, 1)
+		t.Logf("change accepted after the death of the leader: %v", time.Since(start).Round(time.Millisecond))
+		f.startNode(leader)
+		f.awaitInForce(version, len(f.instances))
+	}
+	f.ctl("history", "--verify")
+}
+
+// leader returns the control instance that became leader of the configuration
+// last, by the logs.
+func (f *fleet) leader() *instance {
+	f.t.Helper()
+	var last string
+	var leader *instance
+	for _, in := range f.instances {
+		for line := range strings.Lines(f.log(in)) {
+			// A line begins with the time in a form that sorts.
+			if strings.Contains(line, `msg="role changed"`) && strings.Contains(line, "group=0 role=leader") && line > last {
+				last, leader = line, in
+			}
+		}
+	}
+	if leader == nil {
+		f.t.Fatal("no leader in the logs")
+	}
+	return leader
+}
+
+// change makes a number of changes through control instances and returns the
+// version after the last. Each must be accepted once and get the next version.
+func (f *fleet) change(through []*instance, version uint64, n int) uint64 {
+	f.t.Helper()
+	client := f.operator(through...)
+	for range n {
+		document := fmt.Sprintf(f.options.classes, fmt.Sprintf("%dms", 1000+version))
+		q := operator.ApplyRequest{ChangeID: fmt.Sprint("change-", version), Expected: version, Document: document}
+		f.await(q.ChangeID, func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), patience)
+			defer cancel()
+			r, err := client.Apply(ctx, q)
+			if err == nil && r.Version != version+1 {
+				f.t.Fatalf("version %d after %d", r.Version, version)
+			}
+			return err == nil
+		})
+		version++
+	}
+	return version
+}
+
+// operator returns a client for instances with the keys of the operator.
+func (f *fleet) operator(at ...*instance) *operator.Client {
+	f.t.Helper()
+	store, err := keys.Load(keys.Config{Files: keys.FilesOf(f.path("keys"), "op")})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	var addresses []string
+	for _, in := range at {
+		addresses = append(addresses, in.address["admin"])
+	}
+	return operator.NewClient(&http.Client{Transport: &http.Transport{TLSClientConfig: store.AdminClient()}}, addresses)
+}
