Give up leadership while a disk hangs

Cause: the log is synced on the goroutine that sends heartbeats, so that the other replicas elect a leader when a sync does not return. Change: operations on the disk are watched. Until it returns, the replicas name no leader, confirm nothing, hold their goroutines, refuse what would wait (proved not run), end the waits of what was handed over already (unknown), drop messages at once, and send their own proposals to the leader that the other voters name. When the operation returns they take part again; when it fails they stop as after a failed sync. A stop waits at most for its time limit. Visible: status of any control instance ("problem" of a node, asked from each instance with a limit of 300 ms and kept for 1 s), events disk_hangs, disk_answers and control_stopped, metrics control_disk_hangs and control_problems, and the log. Decided: a disk that hangs while nothing is written is met by the next write; there is no write of its own to find out. An instance whose disk hangs while it opens its data folder waits without a message. Ruled out: a deadline on the sync (the operating system has none, and the state of the file would be unknown); moving the sync to another goroutine (the core must not go on without it, and heartbeats would keep a leader that cannot commit). Measured: the tests only.

--- a/cmd/bramleymillctl/read.go
+++ b/cmd/bramleymillctl/read.go
@@ -111,6 +111,11 @@
 		rows = append(rows, []any{n.Node, n.Service, n.Zone, n.State, n.Live, n.ConfigVersion, n.OrdersVersion, fmt.Sprintf("%d ms", n.LeaseAgeMs)})
 	}
 	table(w, rows)
+	for _, n := range s.Nodes {
+		if n.Problem != "" {
+			fmt.Fprintf(w, "control role of %s: %s\n", n.Node, n.Problem)
+		}
+	}
 }
 
 func newExplainCommand(o *options) *cobra.Command {
--- a/explain/store.go
+++ b/explain/store.go
@@ -27,6 +27,10 @@
 	Quarantined   EventKind = "quarantined"
 	ConfigApplied EventKind = "config_applied"
 	StateChanged  EventKind = "state_changed"
+	// A control instance: its disk stopped answering, answers again, or failed.
+	DiskHangs      EventKind = "disk_hangs"
+	DiskAnswers    EventKind = "disk_answers"
+	ControlStopped EventKind = "control_stopped"
 )
 
 // Event is one event of the fleet as seen by a node.
--- a/node/admin.go
+++ b/node/admin.go
@@ -54,8 +54,14 @@
 func (n *Node) Nodes() []operator.NodeStatus {
 	view := n.member.View()
 	out := make([]operator.NodeStatus, 0, len(view))
+	var found map[fleet.NodeID]string
+	if n.control != nil {
+		found = n.control.problems.of(view, nodeID(n.settings), n.control.host)
+	}
 	for _, v := range view {
-		out = append(out, n.statusOf(v))
+		s := n.statusOf(v)
+		s.Problem = found[s.Node]
+		out = append(out, s)
 	}
 	return out
 }
--- a/node/control.go
+++ b/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"os"
 	"slices"
@@ -12,6 +13,7 @@
 
 	"bramleymill/claim"
 	"bramleymill/configstate"
+	"bramleymill/explain"
 	"bramleymill/member"
 	"bramleymill/raft"
 	"bramleymill/replica"
@@ -50,6 +52,9 @@
 	proved   atomic.Pointer[time.Time] // start of the newest successful confirmation as a follower
 	versions *versionLog
 	changed  atomic.Pointer[func()] // wakes the membership; nil until there is one
+	note     func(kind explain.EventKind, reason string)
+	hangs    atomic.Int64 // of disks, since the start
+	problems problems
 	limits   claim.Limits
 	logger   *slog.Logger
 }
@@ -59,7 +64,8 @@
 	document []byte
 }
 
-func openControl(s *settings.Settings, mux *transport.Mux, client transport.Client, seed uint64, logger *slog.Logger) (*control, error) {
+func openControl(s *settings.Settings, mux *transport.Mux, client transport.Client, seed uint64, logger *slog.Logger,
+	note func(kind explain.EventKind, reason string)) (*control, error) {
 	folder, err := lockFolder(s.Control.DataFolder)
 	if err != nil {
 		return nil, err
@@ -74,6 +80,7 @@
 			Retention: s.Control.ClaimRetention.Std(),
 		},
 		versions: newVersionLog(),
+		note:     note,
 	}
 	c.machine = configstate.New(c.onChange)
 	c.host = replica.NewHost(mux, client)
@@ -102,6 +109,12 @@
 		ControlOnly:   group == groupConfiguration,
 		OnFailure: func(err error) {
 			c.logger.Error("control role stopped", "group", group, "error", err)
+			c.note(explain.ControlStopped, fmt.Sprintf("group %d: %v", group, err))
+		},
+		OnDisk: func(e replica.DiskEvent) {
+			if group == groupConfiguration { // each group is told of the one disk
+				c.noteDisk(e)
+			}
 		},
 	})
 }
--- a/node/node.go
+++ b/node/node.go
@@ -106,10 +106,11 @@
 
 func (n *Node) openState(mux *transport.Mux) error {
 	s := n.settings
+	n.store = explain.NewStore(nodeID(s), explain.DefaultRecords, explain.DefaultEvents)
 	var source member.ConfigSource
 	var proposer replica.Proposer = replica.NewRemote(n.endpoint, s.Seeds, groupClaims)
 	if s.Control != nil {
-		c, err := openControl(s, mux, n.endpoint, n.seed, n.logger)
+		c, err := openControl(s, mux, n.endpoint, n.seed, n.logger, n.noteControl)
 		if err != nil {
 			return err
 		}
@@ -150,7 +151,6 @@
 	}
 	n.crashes = &crashes{client: n.endpoint, member: m, self: nodeID(s), logger: n.logger}
 	n.suspects = suspect.New(suspect.Config{})
-	n.store = explain.NewStore(nodeID(s), explain.DefaultRecords, explain.DefaultEvents)
 	receiveCrashes(mux, m, n.suspects, n.store, n.logger)
 	explain.Register(mux, n.store)
 	if s.RecordFile != "" {
@@ -187,6 +187,11 @@
 	return a
 }
 
+// noteControl records an event of the control role of this node.
+func (n *Node) noteControl(kind explain.EventKind, reason string) {
+	n.store.AddEvent(time.Now(), kind, nodeID(n.settings), "", reason)
+}
+
 func (n *Node) noteClasses(version uint64) {
 	n.store.AddEvent(time.Now(), explain.ConfigApplied, nodeID(n.settings), "", fmt.Sprintf("version %d", version))
 }
--- a/node/run.go
+++ b/node/run.go
@@ -179,6 +179,10 @@
 	if n.recorder != nil {
 		n.metrics.Set("decision_records_dropped", float64(n.recorder.dropped.Load()))
 	}
+	if c := n.control; c != nil {
+		n.metrics.Set("control_disk_hangs", float64(c.hangs.Load()))
+		n.metrics.Set("control_problems", float64(len(c.host.Problems())))
+	}
 	n.metrics.Set("registry_nodes", float64(m.Nodes))
 	n.metrics.Set("configuration_age_seconds", n.member.Confirmed().Seconds())
 	if set := n.config.Current(); set != nil {
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -79,6 +79,7 @@
 	ConfigVersion uint64       `json:"config_version"`
 	OrdersVersion uint64       `json:"orders_version"`
 	LeaseAgeMs    int64        `json:"lease_age_ms"`
+	Problem       string       `json:"problem,omitempty"` // of the control role
 }
 
 // Status is the state of the fleet as seen by one node.
--- a/replica/apply.go
+++ b/replica/apply.go
@@ -184,10 +184,11 @@
 // save stores a snapshot. A failure other than a full disk stops the replica;
 // after a full disk the next interval tries again.
 func (a *applier) save(meta raft.SnapshotMeta, data []byte) {
-	err := a.group.storage.saveSnapshot(meta, data)
+	err := a.group.disk.watch(a.group.operation("saving a snapshot"), snapshotHang, func() error { return a.group.storage.saveSnapshot(meta, data) })
 	switch {
 	case err == nil:
-		_ = a.group.post(a.group.ctx, func(raft.Reading) { a.group.compact(meta) }) // fails when stopped
+		// Fails when stopped, or when the log hangs; the next snapshot compacts then.
+		_ = a.group.post(a.group.ctx, func(raft.Reading) { a.group.compact(meta) })
 	case isDiskFull(err):
 		a.group.config.Logger.Error("snapshot not saved", "error", err)
 	default:
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -134,6 +135,7 @@
 	every     int         // Config.SnapshotEvery
 	timing    raft.Timing // Config.Timing
 	discard   bool        // journal.discard
+	onDisk    atomic.Pointer[func(name string, e DiskEvent)]
 }
 
 type member = raft.Member
@@ -205,6 +207,11 @@
 		Client: cl, Seed: uint64(len(name)) + uint64(name[0]), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Seeds: []string{"a", "b", "c", "d", "e", "f"}, Host: p.host, Timing: c.timing,
 		SnapshotEvery: c.every, Files: c.files[name],
+		OnDisk: func(e DiskEvent) {
+			if f := c.onDisk.Load(); f != nil {
+				(*f)(name, e)
+			}
+		},
 	})
 	if err != nil {
 		p.host.Close()
@@ -218,6 +225,8 @@
 	return g, nil
 }
 
+func (c *cluster) setOnDisk(f func(name string, e DiskEvent)) { c.onDisk.Store(&f) }
+
 // stop ends a process. Everything that it reported as durable stays on disk.
 func (c *cluster) stop(name string) {
 	c.network.mu.Lock()
--- a/replica/config.go
+++ b/replica/config.go
@@ -40,8 +40,12 @@
 	// OnFailure is called once when a storage failure stops this replica. The
 	// process goes on.
 	OnFailure func(error)
-	Timing    raft.Timing // zero: raft.DefaultTiming
-	Files     wal.FS      // nil: the file system of the machine
+	// OnDisk is called when the disk stops answering and when it answers again.
+	// It is called for the disk of all groups of the Host, whichever of them noticed.
+	// A replica whose disk hangs gives up leadership and takes part in nothing.
+	OnDisk func(DiskEvent)
+	Timing raft.Timing // zero: raft.DefaultTiming
+	Files  wal.FS      // nil: the file system of the machine
 }
 
 func (c *Config) complete() error {
--- a/replica/confirm.go
+++ b/replica/confirm.go
@@ -82,6 +82,8 @@
 			return raft.Read{}, errNotLeading()
 		}
 		return p.read, nil
+	case <-g.disk.stuck():
+		return raft.Read{}, g.errHangs()
 	case <-ctx.Done():
 		return raft.Read{}, errkind.New(errkind.ControlUnavailable, "read: %w", ctx.Err())
 	case <-g.ctx.Done():
--- a/replica/group.go
+++ b/replica/group.go
@@ -43,6 +43,7 @@
 	view    atomic.Pointer[view]
 	failure atomic.Pointer[error]
 	joining atomic.Pointer[error] // why the last attempt to join failed
+	disk    *diskWatch
 	proofs  proofs
 
 	// Owned by the goroutine of run.
@@ -66,7 +67,7 @@
 	}
 	g := &Group{
 		config: c, storage: s, inputs: make(chan input, maxInputs),
-		answers: map[raft.ID][]*answerSlot{}, addresses: map[raft.ID]string{},
+		answers: map[raft.ID][]*answerSlot{}, addresses: map[raft.ID]string{}, disk: c.Host.disk,
 	}
 	if have.Snapshot.Index > 0 {
 		if err := c.Machine.Restore(have.data); err != nil {
@@ -101,11 +102,17 @@
 	return raft.Reading{Mono: now.Sub(g.origin), Unix: now.UnixNano()}
 }
 
-// post hands f to the goroutine that owns the core.
+// post hands f to the goroutine that owns the core, unless the disk holds that
+// goroutine up.
 func (g *Group) post(ctx context.Context, f input) error {
+	if g.disk.err() != nil {
+		return g.errHangs()
+	}
 	select {
 	case g.inputs <- f:
 		return nil
+	case <-g.disk.stuck():
+		return g.errHangs()
 	case <-ctx.Done():
 		return errkind.New(errkind.ControlUnavailable, "group %d: %w", g.config.Group, ctx.Err())
 	case <-g.ctx.Done():
@@ -125,6 +132,8 @@
 	select {
 	case r := <-result:
 		return r, nil
+	case <-g.disk.stuck():
+		return none, errHangsNow()
 	case <-ctx.Done():
 		return none, errkind.New(errkind.OutcomeUnknown, "group %d is busy: %w", g.config.Group, ctx.Err())
 	case <-g.ctx.Done():
@@ -145,6 +154,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for g.ctx.Err() == nil {
+		g.awaitDisk()
 		timer.Reset(g.untilDeadline())
 		select {
 		case f := <-g.inputs:
@@ -208,11 +218,13 @@
 			if !stored {
 				continue
 			}
-			if err = g.storage.persist(a); err == nil {
+			err = g.onDisk("writing the log", func() error { return g.storage.persist(a) })
+			if err == nil {
 				g.node.Persisted(a)
 			}
 		case raft.Restore:
-			if err = g.storage.restore(a); err == nil {
+			err = g.onDisk("storing a received snapshot", func() error { return g.storage.restore(a) })
+			if err == nil {
 				g.node.Restored(a)
 				g.applier.push(applyItem{restore: &a})
 			}
@@ -253,7 +265,7 @@
 
 func (g *Group) sendChunk(m raft.Message) {
 	c := *m.Chunk
-	if err := g.storage.attachChunk(&c); err != nil {
+	if err := g.onDisk("reading a snapshot", func() error { return g.storage.attachChunk(&c) }); err != nil {
 		g.config.Logger.Warn("snapshot chunk unavailable", "to", m.To.Node, "error", err)
 		g.node.SnapshotUnavailable(m.To)
 		return
@@ -280,7 +292,7 @@
 		return
 	}
 	base, entries := g.node.Remaining()
-	err := g.storage.reset(g.node.HardState(), base, entries)
+	err := g.onDisk("compacting the log", func() error { return g.storage.reset(g.node.HardState(), base, entries) })
 	switch {
 	case err == nil:
 	case isDiskFull(err):
@@ -303,6 +315,9 @@
 	return g.Confirm(ctx)
 }
 
+// ErrDiskHangs reports an operation on the disk that does not return.
+var ErrDiskHangs = errors.New("replica: the disk does not answer")
+
 // ErrHasGroup reports that a folder belongs to a group already.
 var ErrHasGroup = errors.New("replica: the folder belongs to a group already")
 
@@ -310,7 +325,17 @@
 // voter is reachable, and closes the replica.
 func (g *Group) TransferAndClose(ctx context.Context) error {
 	err := g.transfer(ctx)
-	return errors.Join(err, g.Close())
+	closed := make(chan error, 1)
+	go func() { closed <- g.Close() }()
+	select {
+	case e := <-closed:
+		return errors.Join(err, e)
+	case <-ctx.Done():
+	}
+	if hang := g.disk.err(); hang != nil {
+		return errors.Join(err, fmt.Errorf("replica: group %d closed without waiting for its disk: %w", g.config.Group, hang))
+	}
+	return errors.Join(err, fmt.Errorf("replica: close group %d: %w", g.config.Group, ctx.Err()))
 }
 
 func (g *Group) transfer(ctx context.Context) error {
--- /dev/null
+++ b/replica/health_test.go
@@ -0,0 +1,35 @@
+package replica
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/transport"
+)
+
+// Guards against a hanging disk that no other process gets to know of, and
+// against telling processes without the control role.
+func TestProblemsTellOfAHangingDisk(t *testing.T) {
+	c, disks := newFaultyCluster(t)
+	leader := c.leader()
+	if p := c.processes[leader].host.Problems(); len(p) != 0 {
+		t.Fatalf("problems at rest: %q", p)
+	}
+	c.hang(disks[leader])
+	c.propose(leader, "one")
+	asking := NewHost(transport.NewMux(), &client{n: c.network, address: "x", role: fleet.RoleControl})
+	defer asking.Close()
+	got, err := asking.ProblemsAt(c.context(), leader)
+	c.must(err)
+	if len(got) != 1 || !strings.Contains(got[0], "group 1") || !strings.Contains(got[0], ErrDiskHangs.Error()) {
+		t.Fatalf("problems %q", got)
+	}
+	var refused *errkind.Error
+	err = (&client{n: c.network, address: "y", role: fleet.RoleNode}).Call(c.context(), leader, kindHealth, &healthRequest{}, &healthReply{})
+	if !errors.As(err, &refused) || refused.Kind != errkind.Unauthorized {
+		t.Fatalf("a node was told: %v", err)
+	}
+}
--- a/replica/host.go
+++ b/replica/host.go
@@ -34,6 +34,7 @@
 // Host carries the messages of all groups of one process.
 type Host struct {
 	client transport.Client
+	disk   *diskWatch // of all groups: they share the data folder of the process
 
 	mu     sync.Mutex
 	origin time.Time // of monotonic readings, shared by all groups
@@ -58,12 +59,14 @@
 // NewHost returns a Host and registers its handlers on m.
 func NewHost(m *transport.Mux, client transport.Client) *Host {
 	h := &Host{client: client, groups: map[uint32]*Group{}, peers: map[string]*peer{}, life: newClusterID()}
+	h.disk = newDiskWatch(h.diskChanged)
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	transport.Handle(m, kindBatch, h.onBatch)
 	transport.Handle(m, kindPropose, h.onPropose)
 	transport.Handle(m, kindRead, h.onRead)
 	transport.Handle(m, kindLocate, h.onLocate)
 	transport.Handle(m, kindJoin, h.onJoin)
+	transport.Handle(m, kindHealth, h.onHealth)
 	return h
 }
 
--- a/replica/messages.go
+++ b/replica/messages.go
@@ -14,6 +14,7 @@
 	kindRead                                   // a linearizable read index from the leader
 	kindLocate                                 // the leader's address
 	kindJoin                                   // a replica asks to become a learner
+	kindHealth                                 // what keeps the replicas of a process from working
 )
 
 // batch carries messages of several groups. The reply of a batch is a batch.
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -39,6 +39,8 @@
 		var err error
 		if s := g.Status(); s.Stopped {
 			return nil, a.failure(g.stoppedError())
+		} else if g.disk.err() != nil {
+			result, err = g.proposeElsewhere(ctx, s.Voters, command)
 		} else if s.Role == raft.Leader || s.LeaderAddress == "" {
 			result, err = g.proposeHere(ctx, command)
 		} else {
@@ -96,11 +98,30 @@
 	select {
 	case o := <-p.w.done:
 		return o.result, o.err
+	case <-g.disk.stuck():
+		return nil, errHangsNow()
 	case <-ctx.Done():
 		return nil, errkind.New(errkind.OutcomeUnknown, "the command is not committed yet: %w", ctx.Err())
 	}
 }
 
+// proposeElsewhere proposes to the leader that the other voters name. A replica
+// whose disk hangs does not hear who leads.
+func (g *Group) proposeElsewhere(ctx context.Context, voters []raft.Member, command []byte) ([]byte, error) {
+	var others []string
+	for _, m := range voters {
+		if m.ID.Node != g.config.Node {
+			others = append(others, m.Address)
+		}
+	}
+	leader := NewRemote(g.config.Client, others, g.config.Group).locate(ctx)
+	if leader == "" || leader == g.config.Address {
+		return nil, g.errHangs()
+	}
+	result, _, err := proposeAt(ctx, g.config.Client, leader, g.config.Group, command)
+	return result, err
+}
+
 // place appends command to the log of the leader. It runs on the goroutine that
 // owns the core.
 func (g *Group) place(now raft.Reading, command []byte) (*waiter, error) {
--- a/replica/route.go
+++ b/replica/route.go
@@ -26,6 +26,7 @@
 	select {
 	case <-s.done:
 		return s.messages
+	case <-s.group.disk.stuck():
 	case <-ctx.Done():
 	case <-s.group.ctx.Done():
 	}
--- a/replica/status.go
+++ b/replica/status.go
@@ -47,7 +47,7 @@
 	Voters        []raft.Member
 	Learners      []raft.Member
 	Stopped       bool  // closed or failed
-	Err           error // storage failure, full disk, or why joining fails
+	Err           error // storage failure, full or hanging disk, or why joining fails
 }
 
 // Status returns the current state. Its slices must not be modified.
@@ -69,6 +69,9 @@
 	if p := g.failure.Load(); p != nil {
 		s.Err = *p
 	}
+	if err := g.disk.err(); err != nil {
+		s.Err, s.Role, s.Leader, s.LeaderAddress = err, raft.Follower, "", ""
+	}
 	if g.ctx.Err() != nil {
 		s.Stopped, s.Role, s.Leader, s.LeaderAddress = true, raft.Follower, "", ""
 	}
@@ -81,7 +84,7 @@
 // applied everything that was committed when it was elected.
 func (g *Group) Confirmed() (age time.Duration, ok bool) {
 	v := g.view.Load()
-	if !v.confirmed || g.ctx.Err() != nil || g.applier.state().Index < v.termStart {
+	if !v.confirmed || g.ctx.Err() != nil || g.disk.err() != nil || g.applier.state().Index < v.termStart {
 		return 0, false
 	}
 	return g.reading().Mono - v.confirmedAt, true
--- a/wal/faultfs/faultfs.go
+++ b/wal/faultfs/faultfs.go
@@ -35,6 +35,7 @@
 	synced map[string]*inode // names that survive a crash
 	lives  int               // handles of earlier lives are dead
 
+	hang       chan struct{} // syncs wait until it is closed; nil: none
 	writeFails bool
 	syncFails  bool
 	free       int // bytes until the disk is full; negative: unlimited
@@ -56,6 +57,26 @@
 // data, as operating systems do.
 func (f *FS) FailSyncs(on bool) { f.set(func() { f.syncFails = on }) }
 
+// HangSyncs makes syncs wait until release is called, which lets them go on.
+// Everything else works in the meantime.
+func (f *FS) HangSyncs() (release func()) {
+	hang := make(chan struct{})
+	f.set(func() { f.hang = hang })
+	return sync.OnceFunc(func() {
+		f.set(func() { f.hang = nil })
+		close(hang)
+	})
+}
+
+func (f *FS) waitHang() {
+	f.mu.Lock()
+	hang := f.hang
+	f.mu.Unlock()
+	if hang != nil {
+		<-hang
+	}
+}
+
 // SetFree sets the number of bytes that may be written until the disk is full.
 // A negative number removes the limit.
 func (f *FS) SetFree(bytes int) { f.set(func() { f.free = bytes }) }
@@ -174,6 +195,7 @@
 
 // SyncFolder makes the names in a folder durable.
 func (f *FS) SyncFolder(folder string) error {
+	f.waitHang()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.syncFails {
@@ -253,6 +275,7 @@
 }
 
 func (h *file) Sync() error {
+	h.fs.waitHang()
 	unlock, err := h.lock()
 	if err != nil {
 		return err
