--- a/claim/claims.go
+++ b/claim/claims.go
@@ -19,7 +19,7 @@
 	if m.full() {
 		return reply{State: Full}
 	}
-	r = &record{
+	r = m.add(record{
 		key:     key,
 		owner:   owner,
 		body:    digest(b.Fingerprint[:len(digest{})]),
@@ -28,8 +28,7 @@
 		target:  targetHash(b.Target, b.Incarnation),
 		attempt: 1,
 		phase:   running,
-	}
-	m.add(r)
+	})
 	return r.grant()
 }
 
@@ -96,7 +95,7 @@
 		if m.full() {
 			return reply{State: Full}
 		}
-		m.add(&record{key: key, owner: owner, body: digest(a.Fingerprint[:len(digest{})]), id: index,
+		m.add(record{key: key, owner: owner, body: digest(a.Fingerprint[:len(digest{})]), id: index,
 			when: m.now + int64(ReleasedRetention), attempt: 1, phase: released})
 	case r.owner == owner && (r.phase == running || r.phase == lapsed):
 		m.end(r, released, ReleasedRetention)
@@ -108,7 +107,7 @@
 
 // full reports whether there is no room for another claim.
 func (m *Machine) full() bool {
-	return len(m.records) >= m.limits.MaxClaims || m.bytes+recordBytes > m.limits.MaxBytes
+	return m.records.len() >= m.limits.MaxClaims || m.bytes+recordBytes > m.limits.MaxBytes
 }
 
 func (m *Machine) finish(f *finishReceived) reply {
--- a/claim/locks.go
+++ b/claim/locks.go
@@ -14,11 +14,10 @@
 		}
 		return m.grantLock(r)
 	}
-	if len(m.records) >= m.limits.MaxClaims+lockReserve {
+	if m.records.len() >= m.limits.MaxClaims+lockReserve {
 		return reply{State: Full}
 	}
-	r := &record{key: key, owner: owner, id: index, when: m.now + int64(l.Lease), phase: locked}
-	m.add(r)
+	r := m.add(record{key: key, owner: owner, id: index, when: m.now + int64(l.Lease), phase: locked})
 	return m.grantLock(r)
 }
 
--- a/claim/machine.go
+++ b/claim/machine.go
@@ -24,8 +24,8 @@
 	// expiriesPerCommand bounds the expiry work of one command. One command adds
 	// at most one record, so that a backlog shrinks.
 	expiriesPerCommand = 16
-	// recordBytes is the measured memory of a record with its share of the map
-	// and the heap, rounded up, and the room for a truncated answer.
+	// recordBytes is the memory of a record with its share of the table
+	// and the heap (measured: 111 bytes), rounded up, and the room for a truncated answer.
 	recordBytes = 192
 	// truncatedAnswerBytes is at least the encoded size of a truncated answer.
 	truncatedAnswerBytes = 24
@@ -35,7 +35,7 @@
 // and Restore are called by one goroutine in log order.
 type Machine struct {
 	mu      sync.Mutex
-	records map[digest]*record
+	records *table
 	expiry  expiry
 	limits  Limits
 	bytes   int64
@@ -49,7 +49,7 @@
 // New returns an empty Machine with the default limits.
 func New() *Machine {
 	return &Machine{
-		records: map[digest]*record{},
+		records: newTable(),
 		limits:  Limits{MaxClaims: DefaultMaxClaims, MaxBytes: DefaultMaxBytes, Retention: DefaultRetention},
 		now:     math.MinInt64,
 	}
@@ -66,7 +66,7 @@
 func (m *Machine) Stats() Stats {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return Stats{Records: len(m.records), Bytes: m.bytes, Limits: m.limits}
+	return Stats{Records: m.records.len(), Bytes: m.bytes, Limits: m.limits}
 }
 
 // Apply executes one command and returns the encoded Result.
@@ -132,7 +132,7 @@
 
 // find returns the settled record of key, or nil.
 func (m *Machine) find(key digest) *record {
-	r := m.records[key]
+	r := m.records.find(key)
 	if r == nil {
 		return nil
 	}
@@ -152,16 +152,18 @@
 	return r
 }
 
-func (m *Machine) add(r *record) {
-	m.records[r.key] = r
-	m.expiry.push(r)
-	m.bytes += r.cost()
+// add stores a copy of r and returns it. It is valid until it is removed.
+func (m *Machine) add(r record) *record {
+	stored := m.records.add(r)
+	m.expiry.push(stored)
+	m.bytes += stored.cost()
+	return stored
 }
 
 func (m *Machine) remove(r *record) {
-	delete(m.records, r.key)
 	m.expiry.remove(r)
 	m.bytes -= r.cost()
+	m.records.remove(r)
 }
 
 // end moves r to an ended phase that is kept for the time keep.
--- a/claim/machine_test.go
+++ b/claim/machine_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"runtime"
 	"testing"
 	"time"
@@ -206,3 +207,48 @@
 		t.Errorf("begin: %s %+v, want a truncated answer", r.State, r.Answer)
 	}
 }
+
+// fullStore returns a store filled up to the default limits with claims whose
+// answers have the given body.
+func fullStore(b testing.TB, body int) *Machine {
+	m := New()
+	index := uint64(0)
+	next := func(c command) Result {
+		index++
+		return send(b, m, index, start, c)
+	}
+	for i := 0; ; i++ {
+		r := next(command{Begin: beginOf(fmt.Sprint("key-", i), "owner")})
+		if r.State == Full {
+			return m
+		}
+		if body > 0 {
+			next(command{Finish: &FinishRequest{ClaimID: r.ClaimID, Owner: "owner", Attempt: 1, Ending: Answered,
+				Answer: &Answer{Status: 200, Body: make([]byte, body)}}})
+		}
+	}
+}
+
+// BenchmarkFullStore reports the memory that a full store holds, and what a
+// snapshot of it takes on top for a moment.
+func BenchmarkFullStore(b *testing.B) {
+	for _, body := range []int{0, 200, 1000, 8000} {
+		b.Run(fmt.Sprintf("body=%d", body), func(b *testing.B) {
+			before := liveHeap()
+			m := fullStore(b, body)
+			held := liveHeap() - before
+			records := m.Stats().Records
+			b.ReportAllocs()
+			b.ResetTimer()
+			for b.Loop() {
+				if err := m.SnapshotStream()(io.Discard); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(records), "records")
+			b.ReportMetric(float64(held)/1e6, "held-MB")
+			b.ReportMetric(float64(held)/float64(records), "held-B/record")
+			runtime.KeepAlive(m)
+		})
+	}
+}
--- a/claim/record.go
+++ b/claim/record.go
@@ -53,7 +53,8 @@
 	// target is a hash of the target of the current attempt. It distinguishes a
 	// repeated request of the owner from a different one.
 	target   uint32
-	position int32 // index in the expiry heap
+	position int32  // index in the expiry heap
+	place    uint32 // in the table
 	attempt  uint16
 	phase    phase
 }
--- a/claim/snapshot.go
+++ b/claim/snapshot.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 )
 
@@ -31,8 +33,14 @@
 	Answer  []byte
 }
 
-// Snapshot returns the state as a CBOR sequence. Equal states give equal bytes.
-func (m *Machine) Snapshot() ([]byte, error) {
+// image is the state at a moment. The answers are shared with the store, which
+// does not change them.
+type image struct {
+	header  snapshotHeader
+	records []record // in the order of their ids
+}
+
+func (m *Machine) image() *image {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	list := slices.Clone(m.expiry.items)
@@ -42,18 +50,47 @@
 		}
 		return 1
 	})
-	var out bytes.Buffer
-	enc := encoding.NewEncoder(&out)
-	h := snapshotHeader{Format: snapshotFormat, Now: m.now, Limits: m.limits, Records: len(list)}
-	if err := enc.Encode(h); err != nil {
-		return nil, fmt.Errorf("encode claim snapshot: %w", err)
-	}
-	for _, r := range list {
-		if err := enc.Encode(r.export()); err != nil {
-			return nil, fmt.Errorf("encode claim snapshot: %w", err)
+	i := &image{
+		header:  snapshotHeader{Format: snapshotFormat, Now: m.now, Limits: m.limits, Records: len(list)},
+		records: make([]record, len(list)),
+	}
+	for n, r := range list {
+		i.records[n] = *r
+	}
+	return i
+}
+
+// writeTo writes the image as a CBOR sequence.
+func (i *image) writeTo(w io.Writer) error {
+	b, err := encoding.Marshal(i.header)
+	if err != nil {
+		return fmt.Errorf("encode claim snapshot: %w", err)
+	}
+	for n := range i.records {
+		if len(b) >= streamBytes {
+			if _, err := w.Write(b); err != nil {
+				return err
+			}
+			b = b[:0]
 		}
+		b = i.records[n].appendSnapshot(b)
 	}
-	return out.Bytes(), nil
+	_, err = w.Write(b)
+	return err
+}
+
+// streamBytes is the size at which a part of a snapshot is written.
+const streamBytes = 32 << 10
+
+// SnapshotStream returns a function that writes what Snapshot returns now. A
+// snapshot held in one piece takes as much memory as a full store again.
+func (m *Machine) SnapshotStream() func(w io.Writer) error { return m.image().writeTo }
+
+// Snapshot returns the state as a CBOR sequence. Equal states give equal bytes.
+func (m *Machine) Snapshot() ([]byte, error) {
+	var out bytes.Buffer
+	err := m.image().writeTo(&out)
+	return out.Bytes(), err
 }
 
 // Restore replaces the state by a snapshot. The state is unchanged on error.
@@ -90,17 +127,65 @@
 	return nil
 }
 
-func (r *record) export() snapshotRecord {
-	s := snapshotRecord{Key: r.key[:], Owner: r.owner[:], ID: r.id, When: r.when,
-		Target: r.target, Attempt: r.attempt, Phase: r.phase, Answer: []byte(r.answer)}
-	if r.phase != locked {
-		s.Body = r.body[:]
+// Major types of CBOR.
+const (
+	cborUnsigned = 0 << 5
+	cborNegative = 1 << 5
+	cborBytes    = 2 << 5
+	cborArray    = 4 << 5
+)
+
+// appendSnapshot appends r as a snapshotRecord. It does so by hand, because a
+// general encoder needs copies of the fields.
+func (r *record) appendSnapshot(b []byte) []byte {
+	body := r.body[:]
+	if r.phase == locked {
+		body = nil
+	}
+	b = appendHead(b, cborArray, 9)
+	b = appendBytes(b, r.key[:])
+	b = appendBytes(b, r.owner[:])
+	if body == nil {
+		b = append(b, cborNull)
+	} else {
+		b = appendBytes(b, body)
+	}
+	b = appendHead(b, cborUnsigned, r.id)
+	if r.when < 0 {
+		b = appendHead(b, cborNegative, uint64(-(r.when + 1)))
+	} else {
+		b = appendHead(b, cborUnsigned, uint64(r.when))
+	}
+	b = appendHead(b, cborUnsigned, uint64(r.target))
+	b = appendHead(b, cborUnsigned, uint64(r.attempt))
+	b = appendHead(b, cborUnsigned, uint64(r.phase))
+	b = appendHead(b, cborBytes, uint64(len(r.answer)))
+	return append(b, r.answer...)
+}
+
+const cborNull = 0xf6
+
+func appendBytes(b, content []byte) []byte {
+	return append(appendHead(b, cborBytes, uint64(len(content))), content...)
+}
+
+// appendHead appends the shortest head of a data item.
+func appendHead(b []byte, major byte, n uint64) []byte {
+	switch {
+	case n < 24:
+		return append(b, major|byte(n))
+	case n <= math.MaxUint8:
+		return append(b, major|24, byte(n))
+	case n <= math.MaxUint16:
+		return binary.BigEndian.AppendUint16(append(b, major|25), uint16(n))
+	case n <= math.MaxUint32:
+		return binary.BigEndian.AppendUint32(append(b, major|26), uint32(n))
 	}
-	return s
+	return binary.BigEndian.AppendUint64(append(b, major|27), n)
 }
 
 func (m *Machine) load(s *snapshotRecord) error {
-	r := &record{id: s.ID, when: s.When, target: s.Target, attempt: s.Attempt, phase: s.Phase, answer: string(s.Answer)}
+	r := record{id: s.ID, when: s.When, target: s.Target, attempt: s.Attempt, phase: s.Phase, answer: string(s.Answer)}
 	n := len(digest{})
 	if len(s.Key) != n || len(s.Owner) != n || (s.Phase != locked && len(s.Body) != n) {
 		return fmt.Errorf("a digest has the wrong length")
@@ -111,7 +196,7 @@
 	copy(r.key[:], s.Key)
 	copy(r.owner[:], s.Owner)
 	copy(r.body[:], s.Body)
-	if m.records[r.key] != nil {
+	if m.records.find(r.key) != nil {
 		return fmt.Errorf("the key is given twice")
 	}
 	m.add(r)
--- /dev/null
+++ b/claim/table_test.go
@@ -0,0 +1,142 @@
+package claim
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"runtime"
+	"testing"
+	"time"
+	"unsafe"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a table that loses, mixes up or keeps records, above all when
+// the removal of one moves the others of its cluster, and against places that are
+// not used again.
+func TestTableAgainstMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, model := newTable(), map[digest]uint64{}
+		most := 0
+		for i := range uint64(rapid.IntRange(1, 400).Draw(t, "steps")) {
+			var key digest
+			binary.BigEndian.PutUint16(key[:], rapid.Uint16Range(0, 120).Draw(t, "key"))
+			r := table.find(key)
+			id, ok := model[key]
+			if (r != nil) != ok || (ok && r.id != id) {
+				t.Fatalf("find: %v, want id %d %v", r, id, ok)
+			}
+			if ok {
+				table.remove(r)
+				delete(model, key)
+			} else {
+				if stored := table.add(record{key: key, id: i}); stored.key != key || stored.id != i {
+					t.Fatalf("stored %+v", stored)
+				}
+				model[key] = i
+			}
+			most = max(most, len(model))
+			if table.len() != len(model) {
+				t.Fatalf("%d records, want %d", table.len(), len(model))
+			}
+		}
+		if places := table.len() + len(table.free); places > most {
+			t.Fatalf("%d places for at most %d records", places, most)
+		}
+		for key, id := range model {
+			if r := table.find(key); r == nil || r.id != id {
+				t.Fatalf("record %d is lost", id)
+			}
+		}
+	})
+}
+
+// Guards against an encoding by hand that differs from the one that Restore and
+// earlier versions read and write.
+func TestSnapshotRecordEncoding(t *testing.T) {
+	numbers := rapid.SampledFrom([]uint64{0, 1, 23, 24, 255, 256, 65535, 65536, math.MaxUint32, math.MaxUint32 + 1, math.MaxInt64})
+	rapid.Check(t, func(t *rapid.T) {
+		r := record{
+			id:      numbers.Draw(t, "id"),
+			when:    int64(numbers.Draw(t, "when")),
+			target:  uint32(numbers.Draw(t, "target")),
+			attempt: uint16(numbers.Draw(t, "attempt")),
+			phase:   phase(rapid.IntRange(int(running), int(locked)).Draw(t, "phase")),
+			answer:  string(make([]byte, rapid.SampledFrom([]int{0, 1, 23, 24, 300, 70000}).Draw(t, "answer"))),
+		}
+		if rapid.Bool().Draw(t, "before 1970") {
+			r.when = -r.when - 1
+		}
+		copy(r.key[:], rapid.SliceOfN(rapid.Byte(), 16, 16).Draw(t, "digest"))
+		r.owner, r.body = r.key, r.key
+		s := snapshotRecord{Key: r.key[:], Owner: r.owner[:], ID: r.id, When: r.when,
+			Target: r.target, Attempt: r.attempt, Phase: r.phase, Answer: []byte(r.answer)}
+		if r.phase != locked {
+			s.Body = r.body[:]
+		}
+		want, err := encoding.Marshal(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := r.appendSnapshot(nil)
+		if !bytes.Equal(got, want) {
+			t.Fatalf("% x\nwant % x", got, want)
+		}
+	})
+}
+
+// Guards against a field that makes every record larger.
+func TestRecordSize(t *testing.T) {
+	if n := unsafe.Sizeof(record{}); n > 96 {
+		t.Fatalf("a record has %d bytes", n)
+	}
+}
+
+// Guards against a snapshot that holds an encoded copy of the store: with copies
+// of the answers and a growing buffer it took three times the store for a moment.
+func TestSnapshotStreamAllocatesLittle(t *testing.T) {
+	m := fullStore(t, 1000)
+	var written counter
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	if err := m.SnapshotStream()(&written); err != nil {
+		t.Fatal(err)
+	}
+	runtime.ReadMemStats(&after)
+	if n := after.TotalAlloc - before.TotalAlloc; n > uint64(written)/4 {
+		t.Fatalf("%d bytes allocated to write %d", n, written)
+	}
+}
+
+// counter counts what is written to it.
+type counter uint64
+
+func (c *counter) Write(b []byte) (int, error) {
+	*c += counter(len(b))
+	return len(b), nil
+}
+
+// Guards against a stream that changes with later commands, although its length
+// and checksum are written before its content.
+func TestSnapshotStreamIsAtOneMoment(t *testing.T) {
+	m := New()
+	for i := range 50 {
+		send(t, m, uint64(i+1), start, command{Begin: beginOf(fmt.Sprint("key-", i), "owner")})
+	}
+	want, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream := m.SnapshotStream()
+	for i := range 200 {
+		send(t, m, uint64(i+100), start.Add(time.Hour), command{Begin: beginOf(fmt.Sprint("later-", i), "owner")})
+	}
+	for range 2 {
+		var got bytes.Buffer
+		if err := stream(&got); err != nil || !bytes.Equal(got.Bytes(), want) {
+			t.Fatalf("the stream has %d bytes, want the %d of the earlier state: %v", got.Len(), len(want), err)
+		}
+	}
+}
--- a/replica/apply.go
+++ b/replica/apply.go
@@ -8,6 +8,7 @@
 
 	"bramleymill/errkind"
 	"bramleymill/raft"
+	"bramleymill/snap"
 )
 
 // snapshotBytes is the size of applied commands after which a snapshot is taken
@@ -168,7 +169,7 @@
 		return
 	}
 	a.sinceEntries, a.sinceBytes = 0, 0
-	data, err := a.group.config.Machine.Snapshot()
+	image, err := a.image()
 	if err != nil {
 		a.group.config.Logger.Error("state machine gave no snapshot", "error", err)
 		return
@@ -177,14 +178,23 @@
 	a.saving.Store(true)
 	a.group.wait.Go(func() {
 		defer a.saving.Store(false)
-		a.save(meta, data)
+		a.save(meta, image)
 	})
 }
 
+// image returns the present state of the machine.
+func (a *applier) image() (snap.Snapshot, error) {
+	if s, ok := a.group.config.Machine.(Streamer); ok {
+		return snap.Snapshot{Stream: s.SnapshotStream()}, nil
+	}
+	data, err := a.group.config.Machine.Snapshot()
+	return snap.Snapshot{Data: data}, err
+}
+
 // save stores a snapshot. A failure other than a full disk stops the replica;
 // after a full disk the next interval tries again.
-func (a *applier) save(meta raft.SnapshotMeta, data []byte) {
-	err := a.group.disk.watch(a.group.operation("saving a snapshot"), snapshotHang, func() error { return a.group.storage.saveSnapshot(meta, data) })
+func (a *applier) save(meta raft.SnapshotMeta, image snap.Snapshot) {
+	err := a.group.disk.watch(a.group.operation("saving a snapshot"), snapshotHang, func() error { return a.group.storage.saveSnapshot(meta, image) })
 	switch {
 	case err == nil:
 		// Fails when stopped, or when the log hangs; the next snapshot compacts then.
--- a/replica/interface.go
+++ b/replica/interface.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 )
 
@@ -17,6 +18,15 @@
 	Restore(snapshot []byte) error
 }
 
+// Streamer is implemented by a StateMachine whose state is large. A snapshot of it
+// is written without holding it in memory.
+type Streamer interface {
+	// SnapshotStream returns a function that writes what Snapshot returns now. It
+	// may be called several times, also while commands are applied, and writes
+	// the same bytes each time.
+	SnapshotStream() func(w io.Writer) error
+}
+
 // Proposer replicates commands. Group and the remote client of a group implement it.
 type Proposer interface {
 	// Propose returns the result of applying command. An error whose kind has the
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -165,18 +165,19 @@
 	return s.log.Reset(b)
 }
 
-func (s *storage) saveSnapshot(m raft.SnapshotMeta, data []byte) error {
+func (s *storage) saveSnapshot(m raft.SnapshotMeta, x snap.Snapshot) error {
 	header, err := cbor.Marshal(m)
 	if err != nil {
 		return fmt.Errorf("encode snapshot header: %w", err)
 	}
-	return s.snaps.Save(&snap.Snapshot{Index: m.Index, Header: header, Data: data})
+	x.Index, x.Header = m.Index, header
+	return s.snaps.Save(&x)
 }
 
 // restore stores a received snapshot. The log is emptied after the snapshot is
 // durable, see reconcile.
 func (s *storage) restore(r raft.Restore) error {
-	if err := s.saveSnapshot(r.Meta, r.Data); err != nil {
+	if err := s.saveSnapshot(r.Meta, snap.Snapshot{Data: r.Data}); err != nil {
 		return err
 	}
 	return s.reset(r.HardState, r.Meta, nil)
--- a/snap/snap.go
+++ b/snap/snap.go
@@ -3,10 +3,12 @@
 package snap
 
 import (
+	"bufio"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -26,6 +28,9 @@
 	// kept is the number of snapshots that stay on disk. The one before the
 	// newest lets a transfer to a replica finish.
 	kept = 2
+
+	// writeBytes is the size of the writes of a streamed snapshot.
+	writeBytes = 64 << 10
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -55,6 +60,9 @@
 	Index  uint64
 	Header []byte
 	Data   []byte
+	// Stream writes the data in place of Data when a large snapshot is saved. It
+	// is called three times and writes the same bytes each time.
+	Stream func(w io.Writer) error
 }
 
 // Store keeps the snapshots of one folder. It is safe for concurrent use.
@@ -220,17 +228,48 @@
 func write(f wal.File, x *Snapshot) error {
 	b := []byte(magic)
 	b = binary.LittleEndian.AppendUint32(b, uint32(len(x.Header)))
-	b = binary.LittleEndian.AppendUint64(b, uint64(len(x.Data)))
-	b = binary.LittleEndian.AppendUint32(b, checksum(b[8:20], x.Header, x.Data))
-	for _, part := range [][]byte{b, x.Header, x.Data} {
-		if len(part) == 0 {
-			continue
-		}
-		if _, err := f.Write(part); err != nil {
+	// The length and the checksum precede the data, so that a stream is run twice.
+	var length, sum counter
+	if err := x.writeData(&length); err != nil {
+		return err
+	}
+	b = binary.LittleEndian.AppendUint64(b, length.n)
+	sum.crc = checksum(b[8:20], x.Header)
+	if err := x.writeData(&sum); err != nil {
+		return err
+	}
+	b = binary.LittleEndian.AppendUint32(b, sum.crc)
+	out := bufio.NewWriterSize(f, writeBytes)
+	for _, part := range [][]byte{b, x.Header} {
+		if _, err := out.Write(part); err != nil {
 			return err
 		}
 	}
-	return nil
+	if err := x.writeData(out); err != nil {
+		return err
+	}
+	return out.Flush()
+}
+
+// writeData writes the data from wherever it comes.
+func (x *Snapshot) writeData(w io.Writer) error {
+	if x.Stream != nil {
+		return x.Stream(w)
+	}
+	_, err := w.Write(x.Data)
+	return err
+}
+
+// counter counts and sums what is written to it.
+type counter struct {
+	n   uint64
+	crc uint32
+}
+
+func (c *counter) Write(b []byte) (int, error) {
+	c.n += uint64(len(b))
+	c.crc = crc32.Update(c.crc, castagnoli, b)
+	return len(b), nil
 }
 
 func (s *Store) removeOld() error {
--- a/snap/snap_test.go
+++ b/snap/snap_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"path/filepath"
 	"testing"
@@ -119,3 +120,34 @@
 		t.Fatalf("removed snapshot: %v", err)
 	}
 }
+
+// Guards against a streamed snapshot that is stored otherwise than one in one piece.
+func TestStreamIsStoredLikeData(t *testing.T) {
+	data := bytes.Repeat([]byte("0123456789"), 30_000)
+	var stored [2]*snap.Snapshot
+	for i, x := range []*snap.Snapshot{
+		{Index: 7, Header: []byte("header"), Data: data},
+		{Index: 7, Header: []byte("header"), Stream: func(w io.Writer) error {
+			for part := data; len(part) > 0; part = part[min(len(part), 777):] {
+				if _, err := w.Write(part[:min(len(part), 777)]); err != nil {
+					return err
+				}
+			}
+			return nil
+		}},
+	} {
+		s, err := snap.Open(faultfs.New(1), "f")
+		if err == nil {
+			err = s.Save(x)
+		}
+		if err == nil {
+			stored[i], err = s.Latest()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !bytes.Equal(stored[0].Data, data) || !bytes.Equal(stored[1].Data, data) || !bytes.Equal(stored[0].Header, stored[1].Header) {
+		t.Fatal("the stored snapshots differ")
+	}
+}
