Measure the added latency alone in bench.sh

Change: 'bench.sh path [OPTION...]' measures the added latency only and BENCH_BIN names the folder of the commands. Ruled out: a separate script, which would repeat the start of the fleet. The rest of the script is unchanged; the full run was not repeated.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -3,11 +3,25 @@
 # benchmarks in one run on this machine, all on loopback. The results replace
 # bench/results only if every part ran. Variables: BENCH_SEED, and BENCH_NOTE for
 # a note to keep with the figures, for example that the machine was busy.
+#
+# "bench.sh path [OPTION...]" measures only the latency that nodes add, passes
+# the options to "millbench path" and leaves the results in run/bench/results.
+# BENCH_BIN names the folder of the commands, so that two builds can take turns.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+part=${1:-all}
+case $part in
+all) ;;
+path) shift ;;
+*) echo "unknown part $part, expected none or path" >&2; exit 2 ;;
+esac
+path_options=("$@")
+if [[ $part == all ]]; then path_options=(); fi
+
 run=$PWD/run/bench
 source scripts/common.sh
+bin=${BENCH_BIN:-$bin}
 seed=${BENCH_SEED:-0}
 note=${BENCH_NOTE:-}
 rm -rf "$run"
@@ -22,6 +36,7 @@
 "$bin/bramleymillctl" keys fleet --folder "$run/keys" operator-1:operator hop-client hop-server \
   control-1:control control-2:control control-3:control entry server >/dev/null
 
+if [[ $part == all ]]; then
 echo "policies on recorded traces"
 bench policies replay/testdata
 
@@ -34,6 +49,7 @@
 eventually "$bin/millbench" hop "${hop[@]}" $(key_flags hop-client) --results "$run/warm-up" --rounds 1 --round 10ms
 bench hop "${hop[@]}" $(key_flags hop-client)
 stop hop-server
+fi
 
 echo "latency added by the nodes"
 # A fixed service time of 2 ms. Two of the ten slots are reserved for urgent
@@ -66,9 +82,14 @@
 eventually ctl apply bench/classes.json --wait --reason "benchmark"
 eventually bench path --results "$run/warm-up" --nodes-url "http://$(address 12)/katalog/x" --direct-url "http://$backend/katalog/x" \
   --capacity 200 --light 100 --light-rounds 1 --half-rounds 1
-bench path --nodes-url "http://$(address 12)/katalog/x" --direct-url "http://$backend/katalog/x" --capacity "$capacity"
+bench path --nodes-url "http://$(address 12)/katalog/x" --direct-url "http://$backend/katalog/x" --capacity "$capacity" "${path_options[@]}"
 for id in entry server "${controls[@]}" backend; do stop "$id"; done
 
+if [[ $part == path ]]; then
+  cat "$run/results/path.json"
+  exit
+fi
+
 echo "Go benchmarks"
 # One package at a time, so that they do not disturb each other. The commits and
 # the log sync to the disk of the machine.
