Exchange requests on the goroutine of the call

Cause: http.Transport hands each request to a goroutine that writes and gets the answer from another one that reads, for the backend server and for the peer: four hand-offs for a call through two nodes. Change: the goroutine of the call writes the request and reads the answer on a connection of an own pool; net/http still encodes and parses. Only a body above 16 KiB, or one that is still being received, is sent by another goroutine. The end of an idle connection is found by looking at the socket before it is used. The pool opens connections beside the waiters, as the Transport does, and no longer needs a request that the Transport will not repeat. Ruled out: the Transport for streamed bodies only, because both would have to share the limit of connections to the backend server. Tests: with usable() always true TestIdleConnectionsThatEndedAreNotUsed fails (502, connection_lost); without the limit TestHeadOfAnAnswerIsBounded does not end. node and e2e pass.

--- a/proxy/backend.go
+++ b/proxy/backend.go
@@ -23,36 +23,25 @@
 
 // backend dispatches to the backend server beside the node.
 type backend struct {
-	node      fleet.NodeID
-	address   string
-	transport *http.Transport
-	tokens    *tokens
-	monitor   *monitor
-	clock     clock.Clock
+	node    fleet.NodeID
+	address string
+	pool    *pool
+	tokens  *tokens
+	monitor *monitor
+	clock   clock.Clock
 }
 
 func newBackend(c *Config, t *tokens, m *monitor) *backend {
 	connections := max(1, c.Backend.Connections-spareConnections)
 	b := &backend{node: c.Node, address: c.Backend.Address, tokens: t, monitor: m, clock: c.Clock}
-	b.transport = &http.Transport{
-		DialContext:            dialCounted,
-		MaxConnsPerHost:        connections,
-		MaxIdleConns:           0,
-		MaxIdleConnsPerHost:    connections, // kept warm until the backend server closes them
-		ExpectContinueTimeout:  backendExpectTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaders,
-		DisableCompression:     true,
-	}
+	// Idle connections are kept warm until the backend server closes them.
+	b.pool = newPool(dialBackend, connections, connections, 0)
 	return b
 }
 
-func dialCounted(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	raw, err := d.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: raw}, nil
+func dialBackend(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
 }
 
 // Dispatch passes the call to the backend server and its answer on.
@@ -62,16 +51,16 @@
 	})
 	defer b.tokens.revoke(token)
 	for try := 1; ; try++ {
-		x := &exchange{call: c, scheme: "http", host: b.address, header: b.header(c, token),
-			expect: c.Body.Expect, expectTimeout: backendExpectTimeout, done: make(chan struct{})}
-		defer x.end()
-		resp, written, err := x.roundTrip(b.transport)
+		x := &exchange{call: c, host: b.address, header: b.header(c, token),
+			expect: c.Body.Expect, expectTimeout: backendExpectTimeout}
+		resp, written, err := x.roundTrip(b.pool)
 		switch {
 		case err == nil:
+			defer x.end()
 			return b.receive(c, resp)
 		case written:
 			return lost(c, "connection to the backend server broke", err)
-		case x.conn == nil || try == maxUnsentRetries:
+		case x.link == nil || try == maxUnsentRetries:
 			b.monitor.check()
 			return notSent(c, errkind.BackendDown, err)
 		}
@@ -109,4 +98,4 @@
 	})
 }
 
-func (b *backend) close() { b.transport.CloseIdleConnections() }
+func (b *backend) close() { b.pool.close() }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -4,9 +4,8 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
-	"net/http/httptrace"
-	"net/textproto"
 	"net/url"
 	"strings"
 	"sync"
@@ -23,127 +22,193 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
 
-// exchange is one request sent on one connection.
+// inlineBody is the largest body that is written before the answer is read. It
+// fits into the send buffer of a connection, so that a server that answers
+// without reading cannot block the exchange.
+const inlineBody = 16 << 10
+
+// sendGrace bounds the time in which a body that is still being sent when its
+// answer is complete may end, so that the connection can be used again.
+const sendGrace = 50 * time.Millisecond
+
+// exchange is one request sent on one connection. The goroutine of the call
+// writes the request and reads the answer itself: a goroutine for each direction
+// would add two wake-ups to each hop. Only a body that is large or not yet
+// received is sent by another goroutine.
 type exchange struct {
 	call   *filter.Call
-	scheme string
-	host   string // names the connection pool
+	host   string // names the connections in the pool
 	header http.Header
 	expect bool // the body is sent only when the receiver asks for it
-	// expectTimeout is the Transport's time after which it sends the body of a
-	// request that expects 100 Continue without being asked.
+	// expectTimeout is the time after which a body that is not asked for is sent.
 	expectTimeout time.Duration
 
-	mu     sync.Mutex
-	conn   *countedConn
-	before uint64 // writes of conn before this request
-	other  bool   // a connection was used that does not count its writes
+	pool   *pool
+	link   *link
+	before uint64      // writes of link before this request
+	stop   func() bool // ends the watching of the context
 
-	asked   atomic.Bool  // 100 Continue was received
-	waiting atomic.Int64 // when the wait for it began, in nanoseconds since epoch
-	done    chan struct{}
+	inline   bool          // the body does not wait for the answer
+	sent     chan error    // result of sending in another goroutine; nil if there is none
+	asked    chan struct{} // closed when 100 Continue was received
+	wasAsked bool
+	done     chan struct{} // closed at the end of the exchange
+	broken   atomic.Bool   // the body could not be read to its end
+	response *http.Response
+	complete bool // the answer was read to its end
 }
 
-// roundTrip sends the request. written is false only if it is proved that no
-// byte of the request was sent and none will be.
-func (x *exchange) roundTrip(t http.RoundTripper) (resp *http.Response, written bool, err error) {
+// roundTrip sends the request and reads the head of the answer. written is false
+// only if it is proved that no byte of the request was sent and none will be.
+// After an error the exchange has ended, otherwise end has to be called.
+func (x *exchange) roundTrip(p *pool) (resp *http.Response, written bool, err error) {
+	x.pool, x.asked, x.done = p, make(chan struct{}), make(chan struct{})
 	req, err := x.newRequest()
 	if err != nil {
 		return nil, false, err
 	}
-	resp, err = t.RoundTrip(req)
+	if x.link, err = p.get(x.call.Ctx, x.host); err != nil {
+		return nil, false, err
+	}
+	x.before = x.link.Writes()
+	x.stop = context.AfterFunc(x.call.Ctx, x.link.interrupt)
+	if err = x.send(req); err == nil {
+		x.response, err = x.head(req)
+	}
 	if err != nil {
-		return nil, !x.unwritten(), err
+		written = !x.link.Unwritten(x.before)
+		x.end()
+		return nil, written, err
+	}
+	x.response.Body = &answerBody{Reader: x.response.Body, exchange: x}
+	return x.response, true, nil
+}
+
+// send writes the request, or starts to if its body is not at hand.
+func (x *exchange) send(req *http.Request) error {
+	if x.inline {
+		return x.write(req)
 	}
-	return resp, true, nil
+	x.sent = make(chan error, 1)
+	go func() {
+		err := x.write(req)
+		if x.broken.Load() {
+			x.link.interrupt() // the receiver must not take the part for the whole
+		}
+		x.sent <- err
+	}()
+	return nil
 }
 
-// end ends the sending of a body that was not asked for.
-func (x *exchange) end() { close(x.done) }
+func (x *exchange) write(req *http.Request) error {
+	if err := req.Write(x.link.out); err != nil {
+		return err
+	}
+	return x.link.out.Flush()
+}
 
-func (x *exchange) unwritten() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.other {
-		return false
+// head reads the head of the final answer and passes on those before it.
+func (x *exchange) head(req *http.Request) (*http.Response, error) {
+	for {
+		x.link.limitReads(maxResponseHeaders)
+		resp, err := http.ReadResponse(x.link.in, req)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case resp.StatusCode == http.StatusContinue:
+			if !x.wasAsked {
+				x.wasAsked = true
+				close(x.asked)
+			}
+		case resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols:
+			x.call.Answer.Informational(resp.StatusCode, endToEnd(resp.Header))
+		default:
+			x.link.limitReads(math.MaxInt64)
+			return resp, nil
+		}
 	}
-	return x.conn == nil || x.conn.Unwritten(x.before)
 }
 
-func (x *exchange) gotConn(info httptrace.GotConnInfo) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	c, ok := info.Conn.(*countedConn)
-	if !ok {
-		x.other = true
+// end returns the connection for the next request, or closes it if anything of
+// this one is left on it.
+func (x *exchange) end() {
+	close(x.done)
+	l, p, host := x.link, x.pool, x.host
+	if !x.stop() || !x.complete || x.response.Close || x.response.StatusCode < http.StatusOK || l.in.Buffered() > 0 {
+		p.discard(host, l)
+		return
+	}
+	if x.sent == nil {
+		l.used = true
+		p.put(host, l)
 		return
 	}
-	x.conn, x.before = c, c.Writes()
+	go settle(p, host, l, x.sent)
+}
+
+// settle returns a connection whose answer is complete when the request is too.
+func settle(p *pool, host string, l *link, sent <-chan error) {
+	timer := time.NewTimer(sendGrace)
+	defer timer.Stop()
+	select {
+	case err := <-sent:
+		if err == nil {
+			l.used = true
+			p.put(host, l)
+			return
+		}
+	case <-timer.C:
+	}
+	p.discard(host, l)
+}
+
+// answerBody notes the end of the answer. Closing it early does not read the
+// rest; the end of the exchange closes the connection then.
+type answerBody struct {
+	io.Reader
+	exchange *exchange
 }
 
-// newRequest builds the request such that http.Transport never repeats it by
-// itself. The Transport repeats a request whose reused connection broke if it
-// has no body, or one that can be opened again, and either its method is GET,
-// HEAD, OPTIONS or TRACE or it has an Idempotency-Key header. The server may
-// have run it by then. Therefore GetBody is never set, a request without a body
-// is given an empty one, and the key header keeps a spelling that the Transport
-// does not look up. Header names are compared without regard to case on the wire.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.exchange.complete = true
+	}
+	return n, err
+}
+
+func (b *answerBody) Close() error { return nil }
+
 func (x *exchange) newRequest() (*http.Request, error) {
 	in, body := x.call.Request, x.call.Body
-	ctx := httptrace.WithClientTrace(x.call.Ctx, &httptrace.ClientTrace{
-		GotConn:         x.gotConn,
-		Wait100Continue: func() { x.waiting.Store(int64(time.Since(epoch))) },
-		// Got100Continue comes before the body is read, Got1xxResponse may come after.
-		Got100Continue: func() { x.asked.Store(true) },
-		Got1xxResponse: func(code int, h textproto.MIMEHeader) error {
-			x.call.Answer.Informational(code, endToEnd(http.Header(h)))
-			return nil
-		},
-	})
 	out := &http.Request{
 		Method: in.Method,
-		URL: &url.URL{Scheme: x.scheme, Host: x.host, Path: in.URL.Path, RawPath: in.URL.RawPath,
+		URL: &url.URL{Scheme: "http", Host: x.host, Path: in.URL.Path, RawPath: in.URL.RawPath,
 			RawQuery: in.URL.RawQuery, ForceQuery: in.URL.ForceQuery},
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: x.header,
 		Host:   in.Host,
 	}
-	hideKey(out.Header)
 	if _, ok := out.Header["User-Agent"]; !ok {
-		out.Header["User-Agent"] = nil // the Transport would add its own
+		out.Header["User-Agent"] = nil // net/http would add its own
 	}
 	if wantsTrailers(in.Header) {
 		out.Header["Te"] = []string{"trailers"}
 	}
-	if err := x.setBody(out, body, in); err != nil {
-		return nil, err
-	}
-	return out.WithContext(ctx), nil
-}
-
-func hideKey(h http.Header) {
-	for _, name := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
-		if v, ok := h[name]; ok {
-			delete(h, name)
-			h[strings.ToLower(name)] = v
-		}
-	}
+	return out, x.setBody(out, body, in)
 }
 
 func (x *exchange) setBody(out *http.Request, body *filter.Body, in *http.Request) error {
 	if body.Empty() && len(in.Trailer) == 0 {
-		switch in.Method {
-		case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
-			// The identity encoding sends the empty body without a length.
-			out.Body = io.NopCloser(strings.NewReader(""))
-			out.TransferEncoding = []string{"identity"}
-		}
+		x.inline = true
 		return nil
 	}
 	r, err := body.Open()
 	if err != nil {
 		return err
 	}
+	x.inline = body.Whole() && body.Length <= inlineBody
 	out.ContentLength, out.Body = body.Length, r
 	if len(in.Trailer) > 0 {
 		out.ContentLength = -1
@@ -156,34 +221,53 @@
 	if out.ContentLength == 0 {
 		out.ContentLength = -1 // zero with a body means that the length is not known
 	}
-	if x.expect && !body.Whole() {
-		out.Header["Expect"] = []string{"100-continue"}
-		out.Body = &awaitedBody{ReadCloser: out.Body, exchange: x}
+	if !body.Whole() {
+		if x.expect {
+			out.Header["Expect"] = []string{"100-continue"}
+		}
+		out.Body = &sentBody{ReadCloser: out.Body, exchange: x, wait: x.expect}
 	}
 	return nil
 }
 
-// awaitedBody is a body that the receiver has to ask for. The Transport also
-// sends it after a final answer, in order to reuse the connection. Reading it
-// then would ask the caller for a body that nothing needs, so that the Transport
-// is kept waiting until the exchange is over.
-type awaitedBody struct {
+var errNotAsked = errors.New("the body was not asked for")
+
+// sentBody is a body that is received while it is sent. It may have to be asked
+// for by the receiver: reading it asks the caller for it.
+type sentBody struct {
 	io.ReadCloser
 	exchange *exchange
+	wait     bool // it was not asked for yet
 }
 
-// epoch is the zero of monotonic times.
-var epoch = time.Now()
-
-var errNotAsked = errors.New("the body was not asked for")
-
-func (b *awaitedBody) Read(p []byte) (int, error) {
+func (b *sentBody) Read(p []byte) (int, error) {
 	x := b.exchange
-	if !x.asked.Load() && time.Since(epoch)-time.Duration(x.waiting.Load()) < x.expectTimeout {
-		<-x.done
-		return 0, errNotAsked
+	if b.wait {
+		if !x.awaitAsked() {
+			return 0, errNotAsked
+		}
+		b.wait = false
+	}
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		x.broken.Store(true)
+	}
+	return n, err
+}
+
+// awaitAsked reports whether the body may be sent. It is not sent after a final
+// answer that came first.
+func (x *exchange) awaitAsked() bool {
+	timer := time.NewTimer(x.expectTimeout)
+	defer timer.Stop()
+	select {
+	case <-x.asked:
+		return true
+	case <-timer.C:
+		return true
+	case <-x.done:
+		return false
 	}
-	return b.ReadCloser.Read(p)
 }
 
 // trailerBody copies the trailers of the received request, which are known at
--- /dev/null
+++ b/proxy/link.go
@@ -0,0 +1,75 @@
+package proxy
+
+import (
+	"bufio"
+	"crypto/tls"
+	"errors"
+	"math"
+	"net"
+	"syscall"
+	"time"
+)
+
+// linkBuffer is the size of each buffer of a connection. The head of a request
+// with a small body fits, so that both leave in one write.
+const linkBuffer = 4 << 10
+
+var errHeadTooLarge = errors.New("the head of the answer is too large")
+
+// link is a connection to a server with the buffers that stay with it.
+type link struct {
+	*countedConn
+	in   *bufio.Reader
+	out  *bufio.Writer
+	raw  syscall.RawConn // nil: the connection cannot be inspected
+	left int64           // bytes that may still be read
+	used bool            // it has carried a request
+	idle time.Time       // when it became idle
+}
+
+func newLink(conn net.Conn) *link {
+	l := &link{countedConn: &countedConn{Conn: conn}, left: math.MaxInt64}
+	l.in, l.out = bufio.NewReaderSize(l, linkBuffer), bufio.NewWriterSize(l.countedConn, linkBuffer)
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	if inspected, ok := conn.(syscall.Conn); ok {
+		l.raw, _ = inspected.SyscallConn() // nil after an error
+	}
+	return l
+}
+
+// Read reads for the buffer, up to the limit set with limitReads.
+func (l *link) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.countedConn.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
+func (l *link) limitReads(n int64) { l.left = n }
+
+// interrupt ends a blocked Read and Write. The connection is of no use afterwards.
+func (l *link) interrupt() { _ = l.SetDeadline(time.Unix(1, 0)) }
+
+// usable reports whether an idle connection can carry a request. No goroutine
+// reads from an idle connection, so that its end is found here: a server that
+// closed it has made it readable.
+func (l *link) usable() bool {
+	if l.in.Buffered() > 0 {
+		return false // sent without a request
+	}
+	if l.raw == nil {
+		return true
+	}
+	silent := false
+	err := l.raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && silent
+}
--- /dev/null
+++ b/proxy/pool_test.go
@@ -0,0 +1,214 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// pipePool returns a pool whose connections are pipes, opened when the test
+// allows it.
+func pipePool(t *testing.T, maxOpen, maxIdle int) (p *pool, allow chan error) {
+	allow = make(chan error)
+	p = newPool(func(ctx context.Context, _ string) (net.Conn, error) {
+		select {
+		case err := <-allow:
+			if err != nil {
+				return nil, err
+			}
+			near, far := net.Pipe()
+			t.Cleanup(func() { _ = far.Close() })
+			return near, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}, maxOpen, maxIdle, 0)
+	t.Cleanup(p.close)
+	return p, allow
+}
+
+// waiting starts a get and returns when it waits.
+func waiting(ctx context.Context, t *testing.T, p *pool) <-chan opened {
+	t.Helper()
+	before := waiters(p)
+	out := make(chan opened, 1)
+	go func() {
+		l, err := p.get(ctx, "a")
+		out <- opened{l, err}
+	}()
+	until(t, "a waiter", func() bool { return waiters(p) > before })
+	return out
+}
+
+// until blocks until f holds.
+func until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for !f() {
+		if t.Context().Err() != nil {
+			t.Fatalf("waiting in vain for %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func waiters(p *pool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts["a"]; h != nil {
+		return len(h.waiters)
+	}
+	return 0
+}
+
+// Guards against more connections to a backend server than it accepts, and
+// against a waiter that nobody wakes when a connection ends.
+func TestPoolKeepsTheLimit(t *testing.T) {
+	p, allow := pipePool(t, 1, 1)
+	first := waiting(t.Context(), t, p)
+	allow <- nil
+	held := <-first
+	second := waiting(t.Context(), t, p)
+	p.mu.Lock()
+	open := p.hosts["a"].open
+	p.mu.Unlock()
+	if open != 1 {
+		t.Fatalf("%d connections are open, the limit is 1", open)
+	}
+	p.discard("a", held.link)
+	allow <- nil // only now may another one be opened
+	if got := <-second; got.err != nil || got.link == held.link {
+		t.Fatalf("the waiter got %+v", got)
+	}
+}
+
+// Guards against waiting for a new connection although one has become idle, and
+// against losing the new one.
+func TestPoolGivesAnIdleConnectionToAWaiter(t *testing.T) {
+	p, allow := pipePool(t, 0, 2)
+	first := waiting(t.Context(), t, p)
+	allow <- nil
+	held := <-first
+	second := waiting(t.Context(), t, p)
+	held.link.used = true
+	p.put("a", held.link)
+	if got := <-second; got.link != held.link {
+		t.Fatalf("the waiter got %+v", got)
+	}
+	allow <- nil
+	until(t, "the new connection is kept", func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.hosts["a"].idle) == 1
+	})
+}
+
+// Guards against a failed connection that is reported to nobody or to a waiter
+// whose own connection is still being opened, and against hosts that are kept.
+func TestPoolReportsAFailedConnection(t *testing.T) {
+	p, allow := pipePool(t, 0, 2)
+	first, second := waiting(t.Context(), t, p), waiting(t.Context(), t, p)
+	failure := errors.New("refused")
+	allow <- failure
+	allow <- nil
+	a, b := <-first, <-second
+	if errors.Is(a.err, failure) == errors.Is(b.err, failure) {
+		t.Fatalf("got %v and %v, expected one failure", a.err, b.err)
+	}
+	for _, o := range []opened{a, b} {
+		if o.link != nil {
+			p.discard("a", o.link)
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.hosts) != 0 {
+		t.Fatalf("%d hosts are kept without a connection", len(p.hosts))
+	}
+}
+
+// Guards against a connection that is opened for a caller who has left and is
+// then in nobody's hands.
+func TestPoolKeepsAConnectionThatNobodyAwaits(t *testing.T) {
+	p, allow := pipePool(t, 1, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	first := waiting(ctx, t, p)
+	cancel()
+	if got := <-first; !errors.Is(got.err, context.Canceled) {
+		t.Fatalf("got %+v", got)
+	}
+	allow <- nil
+	l, err := p.get(t.Context(), "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.close()
+	p.put("a", l)
+	if _, err := l.countedConn.Conn.Write([]byte("x")); !errors.Is(err, io.ErrClosedPipe) {
+		t.Fatalf("a closed pool kept the connection: %v", err)
+	}
+}
+
+// Guards against a lost request when the backend server closes idle connections:
+// nothing reads from them, so that their end has to be found before writing.
+func TestIdleConnectionsThatEndedAreNotUsed(t *testing.T) {
+	for name, ending := range map[string]string{"closed": "", "with an error answer": "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			closed := make(chan struct{}, 1)
+			backend := newRawBackend(t, func(c net.Conn, r *http.Request, n int32) bool {
+				if r.Method != http.MethodPost {
+					return write(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				// One write, so that the answer comes before the end.
+				write(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"+ending)
+				_ = c.Close()
+				closed <- struct{}{}
+				return false
+			})
+			c := newCluster(t)
+			server := c.node("a", nil, backend.with)
+			for i := range 20 {
+				resp, err := http.Post(server.caller.URL+"/x", "text/plain", strings.NewReader(fmt.Sprint("order ", i)))
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
+				if err != nil || string(body) != "ok" {
+					t.Fatalf("order %d: status %s, body %q, %v", i, resp.Status, body, err)
+				}
+				<-closed
+			}
+		})
+	}
+}
+
+// Guards against a head of any size that a backend server could fill the memory
+// of its node with.
+func TestHeadOfAnAnswerIsBounded(t *testing.T) {
+	backend := newRawBackend(t, func(c net.Conn, r *http.Request, _ int32) bool {
+		if r.URL.Path != "/x" {
+			return write(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+		write(c, "HTTP/1.1 200 OK\r\n")
+		for i := 0; write(c, fmt.Sprintf("H-%d: %s\r\n", i, strings.Repeat("x", 8<<10))); i++ {
+		}
+		return false
+	})
+	c := newCluster(t)
+	server := c.node("a", nil, backend.with)
+	resp, err := http.Post(server.caller.URL+"/x", "text/plain", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusGatewayTimeout && resp.StatusCode != http.StatusBadGateway {
+		t.Fatalf("status %s", resp.Status)
+	}
+}
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -35,7 +35,7 @@
 
 // remote sends attempts to other nodes over mutual TLS.
 type remote struct {
-	transport  *http.Transport
+	pool       *pool
 	clientTLS  *tls.Config
 	generation func() uint64 // of the keys in clientTLS
 	clock      clock.Clock
@@ -45,16 +45,7 @@
 
 func newRemote(clientTLS *tls.Config, generation func() uint64, k clock.Clock, report func() string) *remote {
 	r := &remote{clientTLS: clientTLS, generation: generation, clock: k, report: report}
-	r.transport = &http.Transport{
-		DialTLSContext:         r.dial,
-		MaxIdleConnsPerHost:    maxIdlePerPeer,
-		IdleConnTimeout:        idleConnTimeout,
-		ExpectContinueTimeout:  expectTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaders,
-		DisableCompression:     true,
-		ForceAttemptHTTP2:      false,
-		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
-	}
+	r.pool = newPool(r.dial, 0, maxIdlePerPeer, idleConnTimeout)
 	return r
 }
 
@@ -62,16 +53,14 @@
 	return r.addresses.poolName(s, r.generation(), r.clock.Now())
 }
 
-func (r *remote) dial(ctx context.Context, network, name string) (net.Conn, error) {
+func (r *remote) dial(ctx context.Context, name string) (net.Conn, error) {
 	address, ok := r.addresses.address(name)
 	if !ok {
 		return nil, fmt.Errorf("no address for %s", name)
 	}
 	node, _, _ := strings.Cut(name, ".")
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
 	var d net.Dialer
-	raw, err := d.DialContext(ctx, network, address)
+	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -80,7 +69,7 @@
 		_ = raw.Close()
 		return nil, err
 	}
-	return &countedConn{Conn: conn}, nil
+	return conn, nil
 }
 
 // handshake checks that the peer is the expected node.
@@ -113,9 +102,8 @@
 		return errkind.New(errkind.Internal, "%w", err)
 	}
 	for try := 1; ; try++ {
-		x := &exchange{call: c, scheme: "https", host: r.poolName(&c.Target), header: endToEnd(c.Request.Header),
-			expect: true, expectTimeout: expectTimeout, done: make(chan struct{})}
-		defer x.end()
+		x := &exchange{call: c, host: r.poolName(&c.Target), header: endToEnd(c.Request.Header),
+			expect: true, expectTimeout: expectTimeout}
 		x.header[fleet.HeaderCallMeta] = []string{meta}
 		if load := r.report(); load != "" {
 			x.header[fleet.HeaderLoad] = []string{load}
@@ -123,15 +111,16 @@
 		if c.Body.Expect {
 			x.header[headerExpect] = []string{"1"}
 		}
-		resp, written, err := x.roundTrip(r.transport)
+		resp, written, err := x.roundTrip(r.pool)
 		switch {
 		case err == nil:
+			defer x.end()
 			c.Attempts.Return(min(lent, unused(resp.Header)))
 			return r.receive(c, resp)
 		case written:
 			// What was lent may have been used.
 			return lost(c, "connection to "+string(c.Target.Node)+" broke", err)
-		case x.conn == nil || try == maxUnsentRetries:
+		case x.link == nil || try == maxUnsentRetries:
 			c.Attempts.Return(lent)
 			return notSent(c, errkind.BackendDown, err)
 		}
@@ -171,4 +160,4 @@
 	return &report
 }
 
-func (r *remote) close() { r.transport.CloseIdleConnections() }
+func (r *remote) close() { r.pool.close() }
