Check kept connections that were never used; count new ones until placed

A connection that was opened for a caller who left was later used without a look at its socket, so that a request could be written to a connection that the server had closed. Between opening a connection and handing it over, another one was opened for the same waiter. Change: every connection that was idle is checked. A new connection counts as being opened until a waiter or the list of idle ones has it. Ruled out: discarding connections that nobody awaits, which would repeat the TLS handshake after each burst.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -140,7 +140,6 @@
 		return
 	}
 	if x.sent == nil {
-		l.used = true
 		p.put(host, l)
 		return
 	}
@@ -154,7 +153,6 @@
 	select {
 	case err := <-sent:
 		if err == nil {
-			l.used = true
 			p.put(host, l)
 			return
 		}
--- a/proxy/link.go
+++ b/proxy/link.go
@@ -23,12 +23,12 @@
 	out  *bufio.Writer
 	raw  syscall.RawConn // nil: the connection cannot be inspected
 	left int64           // bytes that may still be read
-	used bool            // it has carried a request
-	idle time.Time       // when it became idle
+	kept bool            // it may have ended since it was opened or used
+	idle time.Time       // when it was opened or last used
 }
 
 func newLink(conn net.Conn) *link {
-	l := &link{countedConn: &countedConn{Conn: conn}, left: math.MaxInt64}
+	l := &link{countedConn: &countedConn{Conn: conn}, left: math.MaxInt64, idle: time.Now()}
 	l.in, l.out = bufio.NewReaderSize(l, linkBuffer), bufio.NewWriterSize(l.countedConn, linkBuffer)
 	if secure, ok := conn.(*tls.Conn); ok {
 		conn = secure.NetConn()
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -47,7 +47,7 @@
 func (p *pool) get(ctx context.Context, host string) (*link, error) {
 	for {
 		l, err := p.next(ctx, host)
-		if err != nil || !l.used || p.fresh(l) && l.usable() {
+		if err != nil || !l.kept || p.fresh(l) && l.usable() {
 			return l, err
 		}
 		p.discard(host, l)
@@ -98,14 +98,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	conn, err := p.dial(ctx, host)
-	p.mu.Lock()
-	h.opening--
 	if err == nil {
-		p.mu.Unlock()
-		p.put(host, newLink(conn))
+		p.place(host, newLink(conn), true)
 		return
 	}
+	p.mu.Lock()
 	defer p.mu.Unlock()
+	h.opening--
 	h.open--
 	// A waiter for whom another connection is being opened goes on waiting.
 	if len(h.waiters) > h.opening {
@@ -132,26 +131,43 @@
 	}
 }
 
-// put hands a connection without a request to a waiter or keeps it.
+// put hands a connection whose request has ended to a waiter or keeps it.
 func (p *pool) put(host string, l *link) {
-	l.idle = time.Now()
+	l.idle, l.kept = time.Now(), true
+	p.place(host, l, false)
+}
+
+// place does so for a new connection too, which counts as being opened until it
+// has a place: otherwise another one would be opened for its waiter.
+func (p *pool) place(host string, l *link, isNew bool) {
+	if !p.placed(host, l, isNew) {
+		p.discard(host, l)
+	}
+}
+
+func (p *pool) placed(host string, l *link, isNew bool) bool {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	h := p.hosts[host]
+	if h == nil {
+		return false
+	}
+	if isNew {
+		h.opening--
+	}
 	switch {
-	case p.closed || h == nil:
+	case p.closed:
 	case len(h.waiters) > 0:
 		h.waiters[0] <- opened{link: l}
 		h.waiters = h.waiters[1:]
-		p.mu.Unlock()
-		return
+		return true
 	case len(h.idle) < p.maxIdle:
+		l.kept = true
 		h.idle = append(h.idle, l)
 		p.sweepLater()
-		p.mu.Unlock()
-		return
+		return true
 	}
-	p.mu.Unlock()
-	p.discard(host, l)
+	return false
 }
 
 // discard closes a connection that is not idle.
--- a/proxy/pool_test.go
+++ b/proxy/pool_test.go
@@ -95,7 +95,6 @@
 	allow <- nil
 	held := <-first
 	second := waiting(t.Context(), t, p)
-	held.link.used = true
 	p.put("a", held.link)
 	if got := <-second; got.link != held.link {
 		t.Fatalf("the waiter got %+v", got)
@@ -212,3 +211,33 @@
 		t.Fatalf("status %s", resp.Status)
 	}
 }
+
+// Guards against a request on a connection that was opened for a caller who left
+// and that the server has closed since: its outcome would be unknown.
+func TestUnusedConnectionsThatEndedAreNotUsed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	p := newPool(func(context.Context, string) (net.Conn, error) { return net.Dial("tcp", l.Addr().String()) }, 0, 2, time.Hour)
+	defer p.close()
+	p.mu.Lock()
+	h := &hostLinks{open: 1, opening: 1}
+	p.hosts["a"] = h
+	p.mu.Unlock()
+	p.opens("a", h)
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	unused := h.idle[0]
+	if !p.fresh(unused) {
+		t.Error("a new connection is too old")
+	}
+	_ = far.Close()
+	until(t, "the end of the connection", func() bool { return !unused.usable() })
+	if got, err := p.get(t.Context(), "a"); err != nil || got == unused {
+		t.Errorf("got %v, %v", got, err)
+	}
+}
