Send an answer of known length at its end, before the records

Cause: net/http sends the buffered answer when the handler returns, which is after the records, metrics and estimates of the request. Change: Writer.End flushes an answer that states its length; it still leaves in one write. The slot is released and the call token revoked before that, through Call.BeforeEnd, so that a caller that sends one request at a time finds the slot free. The configuration version in an answer is read when the answer arrives. Ruled out: flushing after the chains have returned, which keeps the caller waiting for a hedge that lost. Answers of unknown length are unchanged: their end is sent by net/http. Tests changed: a record is now stored just after the answer, so that four tests wait for it (node.record) and check the same contents; TestHedgeLoserIsCancelledAndNeverMixed looks its record up by the id of the answer instead of taking the newest. TestSlotIsFreeWhenTheAnswerEnds fails without BeforeEnd (1 slot taken).

--- a/filter/admission.go
+++ b/filter/admission.go
@@ -1,6 +1,8 @@
 package filter
 
 import (
+	"time"
+
 	"bramleymill/admit"
 	"bramleymill/clock"
 	"bramleymill/errkind"
@@ -35,16 +37,30 @@
 		c.Record.Queued = start.Sub(arrived)
 	}
 	c.Admitted = true
+	released := false
+	// The slot is free before the caller has its answer, so that the next request
+	// of a caller that sends one at a time does not find it taken.
+	c.BeforeEnd = func() {
+		released = true
+		slot.Release(f.duration(c, start))
+	}
 	err := f.next.Serve(c)
-	c.Admitted = false
-	if err != nil {
+	c.Admitted, c.BeforeEnd = false, nil
+	switch {
+	case released:
+	case err != nil:
 		slot.Release(0) // the duration of a failure says nothing about the server
-		return err
+	default:
+		slot.Release(f.duration(c, start))
 	}
+	return err
+}
+
+// duration returns the service time of a request that has been answered.
+func (f *admission) duration(c *Call, start time.Time) time.Duration {
 	end := c.HeadAt
 	if end.IsZero() {
 		end = f.clock.Now()
 	}
-	slot.Release(end.Sub(start))
-	return nil
+	return end.Sub(start)
 }
--- a/filter/answer.go
+++ b/filter/answer.go
@@ -40,6 +40,7 @@
 	ended   atomic.Bool
 	status  int
 	stream  bool
+	sized   bool // the head states the length
 	onBegin func(h http.Header)
 }
 
@@ -99,6 +100,7 @@
 		w.onBegin(h)
 	}
 	w.status, w.stream = head.Status, head.Stream
+	_, w.sized = h["Content-Length"]
 	w.rw.WriteHeader(head.Status)
 	return true
 }
@@ -160,6 +162,11 @@
 		h[http.TrailerPrefix+name] = values
 	}
 	w.ended.Store(true)
+	if w.sized && len(trailer) == 0 {
+		// The caller does not wait for the work that follows the answer: records,
+		// metrics and the release of what the request held.
+		_ = w.Flush() // the receiver may have gone
+	}
 	return nil
 }
 
--- a/filter/call.go
+++ b/filter/call.go
@@ -82,6 +82,10 @@
 	Load       *fleet.LoadReport // came with the answer or refusal
 	Candidates []explain.Candidate
 	Admitted   bool // the server chain holds a slot for the call
+
+	// BeforeEnd is called between the last byte of the backend server's answer
+	// and the end of the answer. It may be nil.
+	BeforeEnd func()
 }
 
 // tried collects the targets of all attempts of a call.
--- a/proxy/backend.go
+++ b/proxy/backend.go
@@ -57,7 +57,7 @@
 		switch {
 		case err == nil:
 			defer x.end()
-			return b.receive(c, resp)
+			return b.receive(c, resp, token)
 		case written:
 			return lost(c, "connection to the backend server broke", err)
 		case x.link == nil || try == maxUnsentRetries:
@@ -76,7 +76,7 @@
 	return h
 }
 
-func (b *backend) receive(c *filter.Call, resp *http.Response) error {
+func (b *backend) receive(c *filter.Call, resp *http.Response, token string) error {
 	c.HeadAt = b.clock.Now()
 	if b.monitor.answered(resp) && c.Meta.Idempotent {
 		// Another server may run it. A non-idempotent request gets the answer
@@ -91,6 +91,7 @@
 	}
 	life := b.monitor.Life()
 	return relay(c, resp, endToEnd(resp.Header), func() error {
+		b.tokens.revoke(token) // it must not outlive the request for its caller
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && b.monitor.Died(c.Ctx, life) {
 			return errkind.New(errkind.ConnectionLost, "the backend server died before the end of an answer without a length")
 		}
--- a/proxy/cluster_test.go
+++ b/proxy/cluster_test.go
@@ -16,6 +16,7 @@
 	"bramleymill/claim"
 	"bramleymill/class"
 	"bramleymill/clock"
+	"bramleymill/explain"
 	"bramleymill/filter"
 	"bramleymill/fleet"
 	"bramleymill/keys"
@@ -151,6 +152,20 @@
 	}
 }
 
+// record returns the record of a request, which is stored just after its answer.
+func (n *node) record(id string) *explain.Record {
+	n.cluster.t.Helper()
+	for {
+		if found := n.Explain().Find(id); len(found) > 0 {
+			return found[0]
+		}
+		if n.cluster.t.Context().Err() != nil {
+			n.cluster.t.Fatalf("node %s has no record of %s", n.name, id)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func (c *cluster) Follow(context.Context, string) error { return nil }
 
 func (c *cluster) Servers(service string) []fleet.Server {
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -100,7 +100,7 @@
 	}
 	for _, confined := range []bool{false, true} {
 		id := expect(t, 502, "connection_lost", "", "POST", entry.caller.URL+"/poison").Header.Get(fleet.HeaderRequestID)
-		if r := entry.Explain().Find(id)[0]; r.Confined != confined {
+		if r := entry.record(id); r.Confined != confined {
 			t.Errorf("confined %v: %+v", confined, r)
 		}
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -308,6 +308,9 @@
 	if err := atEnd(); err != nil {
 		return err
 	}
+	if c.BeforeEnd != nil {
+		c.BeforeEnd()
+	}
 	return c.Answer.End(endToEndTrailer(resp.Trailer))
 }
 
--- a/proxy/hedge_test.go
+++ b/proxy/hedge_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"bramleymill/fleet"
 )
 
 // Guards against mixing the answers of two attempts, and against a losing
@@ -42,10 +44,9 @@
 		t.Fatalf("%v %v %q", resp, err, body)
 	}
 	<-cancelled
-	for _, r := range entry.Explain().Recent("browse", 1) {
-		if len(r.Attempts) != 2 || !r.Attempts[0].Lost && !r.Attempts[1].Lost {
-			t.Errorf("attempts %+v", r.Attempts)
-		}
+	r := entry.record(resp.Header.Get(fleet.HeaderRequestID))
+	if len(r.Attempts) != 2 || !r.Attempts[0].Lost && !r.Attempts[1].Lost {
+		t.Errorf("attempts %+v", r.Attempts)
 	}
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -46,7 +46,7 @@
 	}
 	p.incarnation.Store(uint64(c.Incarnation))
 	p.work.init()
-	p.remote = newRemote(c.ClientTLS, c.KeyGeneration, c.Clock, p.sentReport)
+	p.remote = newRemote(c.ClientTLS, c.KeyGeneration, c.Clock, p.sentReport, p.configSeen)
 	if c.Backend != nil {
 		p.local = newLocalServer(p)
 		p.server = p.serverChain()
@@ -100,9 +100,6 @@
 
 // Attempted passes the end of an attempt on to the metrics.
 func (p *Proxy) Attempted(c *filter.Call, kind errkind.Kind) {
-	if c.Load != nil {
-		p.configSeen(c.Load.ConfigVersion)
-	}
 	var d time.Duration
 	if !c.SentAt.IsZero() {
 		d = p.config.Clock.Now().Sub(c.SentAt)
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -39,12 +39,13 @@
 	clientTLS  *tls.Config
 	generation func() uint64 // of the keys in clientTLS
 	clock      clock.Clock
-	report     func() string // encoded load report of the own backend server
+	report     func() string              // encoded load report of the own backend server
+	seen       func(configVersion uint64) // told of the version in each answer
 	addresses  addresses
 }
 
-func newRemote(clientTLS *tls.Config, generation func() uint64, k clock.Clock, report func() string) *remote {
-	r := &remote{clientTLS: clientTLS, generation: generation, clock: k, report: report}
+func newRemote(clientTLS *tls.Config, generation func() uint64, k clock.Clock, report func() string, seen func(configVersion uint64)) *remote {
+	r := &remote{clientTLS: clientTLS, generation: generation, clock: k, report: report, seen: seen}
 	r.pool = newPool(r.dial, 0, maxIdlePerPeer, idleConnTimeout)
 	return r
 }
@@ -138,7 +139,9 @@
 
 func (r *remote) receive(c *filter.Call, resp *http.Response) error {
 	c.HeadAt = r.clock.Now()
-	c.Load = decodeLoad(resp.Header)
+	if c.Load = decodeLoad(resp.Header); c.Load != nil {
+		r.seen(c.Load.ConfigVersion)
+	}
 	if err := refusal(resp); err != nil {
 		c.HeadAt = time.Time{}
 		return err
--- a/proxy/state_test.go
+++ b/proxy/state_test.go
@@ -85,6 +85,22 @@
 	}
 }
 
+// Guards against a slot that is still taken when the caller has its answer: its
+// next request would be refused at a server without a queue.
+func TestSlotIsFreeWhenTheAnswerEnds(t *testing.T) {
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	server := c.node("a", answer("ok"))
+	for _, n := range []*node{entry, server} {
+		for i := range 100 {
+			expect(t, 200, "", "ok", "GET", n.caller.URL+"/x")
+			if held := server.Admission().InFlight; held != 0 {
+				t.Fatalf("answer %d of node %s: %d slots are taken", i, n.name, held)
+			}
+		}
+	}
+}
+
 // Guards against a record that does not explain what happened to a request.
 func TestRecordsOfARequest(t *testing.T) {
 	c := newCluster(t)
@@ -94,7 +110,7 @@
 	var id string
 	for retried := false; !retried; {
 		id = expect(t, 200, "", "b", "POST", entry.caller.URL+"/x", key, "k"+id).Header.Get(fleet.HeaderRequestID)
-		r := entry.Explain().Find(id)[0]
+		r := entry.record(id)
 		retried = len(r.Attempts) == 2
 		if r.Class != "order" || r.ConfigVersion != 3 || r.ClaimState != "granted" || r.ClaimID == "" || r.Status != 200 || r.Kind != "" || len(r.Candidates) == 0 {
 			t.Fatalf("entry record %+v", r)
@@ -105,9 +121,9 @@
 		c.clock.Advance(time.Minute) // the load report of the draining server grows old
 		c.nodes[1].ready.Add(1)
 	}
-	server := b.Explain().Find(id)
-	if len(server) != 1 || server[0].Side != explain.ServerSide || server[0].AttemptNumber != 2 || server[0].Status != 200 {
-		t.Errorf("server record %+v", server)
+	server := b.record(id)
+	if n := len(b.Explain().Find(id)); n != 1 || server.Side != explain.ServerSide || server.AttemptNumber != 2 || server.Status != 200 {
+		t.Errorf("%d server records, %+v", n, server)
 	}
 }
 
--- a/proxy/trust_test.go
+++ b/proxy/trust_test.go
@@ -52,6 +52,7 @@
 	n := c.node("a", answer("ok"))
 	for sent, kept := range map[string]string{"abc-1": "abc-1", "bad id\t": ""} {
 		id := expect(t, 200, "", "ok", "GET", n.caller.URL+"/x", fleet.HeaderRequestID, sent).Header.Get(fleet.HeaderRequestID)
+		n.record(id)
 		records := n.Explain().Find(id)
 		if id == sent || len(records) != 1 || records[0].CallerID != kept {
 			t.Errorf("sent %q: id %q, records %+v", sent, id, records)
