Pass on the header of an answer without copies

Cause: each node copied the header map of an answer and then each of its values. Change: hop-by-hop headers are removed from the parsed header itself, which no other goroutine holds, and the values are shared with the answer passed on. Ruled out: the same for requests; further attempts need the received header. Measured: BenchmarkCall, 300 calls of each kind: 571 allocations and 54,286 B before, 551 and 50,786 B after, clients and backend server included. The latency is within the noise (two nodes p50 371 and 366 us).

--- a/filter/answer.go
+++ b/filter/answer.go
@@ -170,8 +170,12 @@
 	return nil
 }
 
+// copyHeader adds src to dst, which may share its values.
 func copyHeader(dst, src http.Header) {
 	for name, values := range src {
-		dst[name] = append(dst[name], values...)
+		if have := dst[name]; len(have) > 0 {
+			values = append(have, values...)
+		}
+		dst[name] = values
 	}
 }
--- a/proxy/backend.go
+++ b/proxy/backend.go
@@ -90,7 +90,7 @@
 		return errkind.New(errkind.ConnectionLost, "the backend server switched protocols without being asked")
 	}
 	life := b.monitor.Life()
-	return relay(c, resp, endToEnd(resp.Header), func() error {
+	return relay(c, resp, answerHeader(resp.Header), func() error {
 		b.tokens.revoke(token) // it must not outlive the request for its caller
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && b.monitor.Died(c.Ctx, life) {
 			return errkind.New(errkind.ConnectionLost, "the backend server died before the end of an answer without a length")
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -294,9 +294,6 @@
 func relay(c *filter.Call, resp *http.Response, h http.Header, atEnd func() error) error {
 	defer func() { _ = resp.Body.Close() }()
 	head := filter.Head{Status: resp.StatusCode, Header: h, Trailer: endToEndTrailer(resp.Trailer)}
-	if n := resp.Header["Content-Length"]; n != nil {
-		head.Header["Content-Length"] = n
-	}
 	head.Stream = resp.ContentLength < 0 && c.Request.Method != http.MethodHead
 	c.Status = resp.StatusCode
 	if err := c.Answer.Begin(head); err != nil {
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -44,6 +44,18 @@
 	return out
 }
 
+// answerHeader removes from the header of an answer what endToEnd leaves out. It
+// keeps the length, which is also that of the answer passed on.
+func answerHeader(h http.Header) http.Header {
+	listed := connectionTokens(h)
+	for name := range h {
+		if name != "Content-Length" && (hopByHop[name] || isProjectHeader(name) || listed[name]) {
+			delete(h, name)
+		}
+	}
+	return h
+}
+
 // connectionTokens returns the header names that Connection lists.
 func connectionTokens(h http.Header) map[string]bool {
 	values := h["Connection"]
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -146,7 +146,7 @@
 		c.HeadAt = time.Time{}
 		return err
 	}
-	h := endToEnd(resp.Header)
+	h := answerHeader(resp.Header)
 	h[fleet.HeaderServedBy] = []string{string(c.Target.Node)}
 	return relay(c, resp, h, func() error { return nil })
 }
