Copy small answers through small buffers

Cause: every answer took a buffer of 32 KiB from a pool that each garbage collection empties, so that a node with few requests allocated it again and again. Change: an answer of known length up to 4 KiB takes a buffer of 4 KiB. Ruled out: a buffer kept with each connection, which costs 4 KiB for every idle one.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -17,10 +17,17 @@
 	"bramleymill/fleet"
 )
 
-// copyBytes is the size of the pooled buffers that bodies are copied through.
-const copyBytes = 32 << 10
+// Sizes of the pooled buffers that bodies are copied through. The garbage
+// collector empties the pools, so that a small body takes a small buffer.
+const (
+	copyBytes  = 32 << 10
+	smallBytes = 4 << 10
+)
 
-var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+var (
+	copyBuffers  = sync.Pool{New: func() any { b := make([]byte, copyBytes); return &b }}
+	smallBuffers = sync.Pool{New: func() any { b := make([]byte, smallBytes); return &b }}
+)
 
 // inlineBody is the largest body that is written before the answer is read. It
 // fits into the send buffer of a connection, so that a server that answers
@@ -299,7 +306,7 @@
 	if err := c.Answer.Begin(head); err != nil {
 		return err
 	}
-	if err := copyBody(c, resp.Body); err != nil {
+	if err := copyBody(c, resp.Body, resp.ContentLength); err != nil {
 		return err
 	}
 	if err := atEnd(); err != nil {
@@ -311,13 +318,18 @@
 	return c.Answer.End(endToEndTrailer(resp.Trailer))
 }
 
-func copyBody(c *filter.Call, from io.Reader) error {
-	buf := copyBuffers.Get().(*[copyBytes]byte)
-	defer copyBuffers.Put(buf)
+// copyBody passes on a body of length bytes; -1 means that it is not known.
+func copyBody(c *filter.Call, from io.Reader, length int64) error {
+	buffers := &copyBuffers
+	if length >= 0 && length <= smallBytes {
+		buffers = &smallBuffers
+	}
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
 	for {
-		n, err := from.Read(buf[:])
+		n, err := from.Read(*buf)
 		if n > 0 {
-			if _, werr := c.Answer.Write(buf[:n]); werr != nil {
+			if _, werr := c.Answer.Write((*buf)[:n]); werr != nil {
 				return errkind.New(errkind.CallerGone, "pass on the answer: %w", werr)
 			}
 		}
