Test broken uploads and the reuse of connections after uploads

Cause: the exchange sends a streamed body itself, which no test covered for a body that breaks off and for the connection afterwards. Change: two tests. Ruled out: a caller that only disconnects as the single case, because its context ends the exchange as well; a malformed chunk on an open connection does not. Measured: TestBrokenUploadIsNotComplete does not end when the interruption of the connection is removed; TestConnectionsAreUsedAgainAfterUploads reports 20 connections for 20 uploads when settle never keeps one.

--- /dev/null
+++ b/proxy/upload_test.go
@@ -0,0 +1,80 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// Guards against a backend server that takes the part of a body that its caller
+// broke off for the whole.
+func TestBrokenUploadIsNotComplete(t *testing.T) {
+	ends := make(chan error, 1)
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	server := c.node("a", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/x" {
+			_, err := io.Copy(io.Discard, r.Body)
+			ends <- err
+		}
+	}))
+	for _, n := range []*node{entry, server} {
+		for _, c := range []struct{ head, rest string }{
+			{"Transfer-Encoding: chunked\r\n\r\n20000\r\n", ""},
+			{"Transfer-Encoding: chunked\r\n\r\n20000\r\n", "\r\nno size\r\n"}, // the connection stays open
+			{"Content-Length: 3000000\r\n\r\n", ""},
+		} {
+			conn, err := net.Dial("tcp", n.caller.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			write(conn, "POST /x HTTP/1.1\r\nHost: x\r\n"+c.head+strings.Repeat("x", 0x20000))
+			for server.Admission().InFlight == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			if write(conn, c.rest); c.rest == "" {
+				_ = conn.Close()
+			}
+			if err := <-ends; err == nil {
+				t.Errorf("node %s, %q: the backend server saw a complete body", n.name, c)
+			}
+			_ = conn.Close()
+		}
+	}
+}
+
+// Guards against connections that are lost with each streamed body, and against
+// a body that waits for an answer that waits for the body.
+func TestConnectionsAreUsedAgainAfterUploads(t *testing.T) {
+	var mu sync.Mutex
+	from := map[string]bool{}
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	c.node("a", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		if r.URL.Path != "/x" {
+			return
+		}
+		mu.Lock()
+		from[r.RemoteAddr] = true
+		mu.Unlock()
+		_, _ = io.WriteString(w, strings.Repeat("y", int(n)/1000))
+	}))
+	const uploads, size = 20, 2 << 20
+	for range uploads {
+		// The type of the reader hides the length.
+		resp, body, err := request(t, "POST", entry.caller.URL+"/x", io.LimitReader(strings.NewReader(strings.Repeat("x", size)), size))
+		if err != nil || resp.StatusCode != 200 || len(body) != size/1000 {
+			t.Fatalf("%v, %d bytes, %v, kind %q", resp, len(body), err, resp.Header.Get(fleet.HeaderKind))
+		}
+	}
+	if len(from) == uploads {
+		t.Errorf("%d connections for %d uploads", len(from), uploads)
+	}
+}
