--- a/filter/body.go
+++ b/filter/body.go
@@ -58,7 +58,7 @@
 		return nil, ErrBodyConsumed
 	}
 	if b.complete {
-		// The Transport recognises this reader as one that does not block, and
+		// net/http recognises this reader as one that does not block, and
 		// sends the headers and the body in one write.
 		return io.NopCloser(bytes.NewReader(b.prefix)), nil
 	}
