Open connections to the backend server in advance

Cause: the node kept connections warm but opened none before a request needed one, which adds the 1 ms of opening to that request, again after the backend server has closed idle connections. A request that met such a connection was answered as connection_lost also when its end had arrived before, or when the kernel accepted no byte of the request. Change: 4 connections are opened while the backend server is alive and take the place of a dial. Each is watched and replaced when it is used or ends; a server that closes them at once is dialled with a back-off of 50 ms to 10 s. Those in use, the spares and the one being opened stay within the limit. Ruled out: requests in advance to fill the pool of the Transport, which load the backend server; taking unacknowledged bytes as proof of not run, because a process may read a request and die before the delayed acknowledgement is sent. TestRefusedWriteIsNoWrite fails before.

--- a/proxy/backend.go
+++ b/proxy/backend.go
@@ -26,6 +26,7 @@
 	node    fleet.NodeID
 	address string
 	pool    *pool
+	spares  *spares
 	tokens  *tokens
 	monitor *monitor
 	clock   clock.Clock
@@ -33,17 +34,15 @@
 
 func newBackend(c *Config, t *tokens, m *monitor) *backend {
 	connections := max(1, c.Backend.Connections-spareConnections)
-	b := &backend{node: c.Node, address: c.Backend.Address, tokens: t, monitor: m, clock: c.Clock}
+	b := &backend{node: c.Node, address: c.Backend.Address, tokens: t, monitor: m, clock: c.Clock,
+		spares: newSpares(c.Backend.Address, connections)}
 	// Idle connections are kept warm until the backend server closes them.
-	b.pool = newPool(dialBackend, connections, connections, 0)
+	b.pool = newPool(func(ctx context.Context, address string) (net.Conn, error) {
+		return b.spares.dial(ctx, "tcp", address)
+	}, connections, connections, 0)
 	return b
 }
 
-func dialBackend(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", address)
-}
-
 // Dispatch passes the call to the backend server and its answer on.
 func (b *backend) Dispatch(c *filter.Call) error {
 	token := b.tokens.issue(&filter.Parent{
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
 var errSealed = errors.New("connection was given up before anything was written")
@@ -26,10 +27,49 @@
 	}
 	c.writes++
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if n == 0 && err != nil && c.plain() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.writes-- // the kernel has accepted no byte
+		c.sealed = true
+	}
+	return n, err
+}
+
+// plain reports whether a write that returns no bytes has sent none. A TLS
+// connection may have sent a part of a record.
+func (c *countedConn) plain() bool {
+	switch c.Conn.(type) {
+	case *net.TCPConn, *handedOut:
+		return true
+	}
+	return false
+}
+
+// ended reports whether the peer has closed an idle connection or sent something
+// without a request. It looks at what has arrived without reading it. A connection
+// that cannot be inspected counts as open.
+func (c *countedConn) ended() bool {
+	inspected, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := inspected.SyscallConn()
+	if err != nil {
+		return true
+	}
+	silent := false
+	// Control does not wait for a goroutine that is blocked in Read.
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent = errors.Is(err, syscall.EAGAIN)
+	})
+	return err != nil || !silent
 }
 
-// Writes returns the number of writes that have begun.
+// Writes returns the number of writes that have begun and were not refused whole.
 func (c *countedConn) Writes() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/proxy/conn_test.go
@@ -0,0 +1,97 @@
+package proxy
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// tcpPair returns both ends of a connection.
+func tcpPair(t *testing.T) (client, server *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close(); _ = s.Close() })
+	return c.(*net.TCPConn), s.(*net.TCPConn)
+}
+
+// Guards against an unknown outcome of a request that met a connection which the
+// backend server had closed before the first byte was accepted.
+func TestRefusedWriteIsNoWrite(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		close func(c, s *net.TCPConn)
+	}{
+		{"reset", func(c, s *net.TCPConn) { _ = s.SetLinger(0); _ = s.Close() }},
+		{"closed here", func(c, s *net.TCPConn) { _ = c.Close() }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			client, server := tcpPair(t)
+			conn := &countedConn{Conn: client}
+			if _, err := conn.Write([]byte("first")); err != nil {
+				t.Fatal(err)
+			}
+			before := conn.Writes()
+			tt.close(client, server)
+			awaitEnd(t, conn)
+			if n, err := conn.Write([]byte("request")); n != 0 || err == nil {
+				t.Fatalf("wrote %d bytes: %v", n, err)
+			}
+			if !conn.Unwritten(before) {
+				t.Error("a write of which no byte was accepted counts as written")
+			}
+			if _, err := conn.Write([]byte("late")); err == nil {
+				t.Error("a write after the proof was accepted")
+			}
+		})
+	}
+}
+
+// Guards against counting a write that was accepted as not written.
+func TestAcceptedWriteIsAWrite(t *testing.T) {
+	client, server := tcpPair(t)
+	conn := &countedConn{Conn: client}
+	before := conn.Writes()
+	if _, err := conn.Write([]byte("request")); err != nil {
+		t.Fatal(err)
+	}
+	_ = server.Close() // with unread bytes: resets the connection
+	awaitEnd(t, conn)
+	_, _ = conn.Write([]byte("more"))
+	if conn.Unwritten(before) {
+		t.Error("a request that may have been read counts as not written")
+	}
+}
+
+func awaitEnd(t *testing.T, c *countedConn) {
+	t.Helper()
+	for !c.ended() {
+		if t.Context().Err() != nil {
+			t.Fatal("the end of the connection is not seen")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a connection that is taken for usable after the server has
+// closed it, or for closed while it is open.
+func TestEndOfIdleConnectionIsSeen(t *testing.T) {
+	client, server := tcpPair(t)
+	conn := &countedConn{Conn: &handedOut{TCPConn: client, spares: newSpares("", 1)}}
+	if conn.ended() {
+		t.Error("an open connection counts as ended")
+	}
+	_ = server.Close()
+	awaitEnd(t, conn)
+}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -44,7 +44,8 @@
 }
 
 func (l *localServer) start(ctx context.Context, done *sync.WaitGroup) {
-	done.Add(2)
+	done.Add(3)
+	go func() { defer done.Done(); l.backend.spares.run(ctx, l.monitor.Alive) }()
 	go func() { defer done.Done(); l.monitor.run(ctx) }()
 	go func() { defer done.Done(); l.health.run(ctx) }()
 }
@@ -52,6 +53,7 @@
 // aliveChanged is called when the backend server appears or dies.
 func (l *localServer) aliveChanged() {
 	l.health.restart()
+	l.backend.spares.kick()
 	l.refresh()
 }
 
--- /dev/null
+++ b/proxy/spares_test.go
@@ -0,0 +1,200 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+// acceptor is a server that counts its connections.
+type acceptor struct {
+	listener net.Listener
+	mu       sync.Mutex
+	accepted int
+	most     int // open at the same time
+	open     map[net.Conn]bool
+}
+
+func newAcceptor(t *testing.T) *acceptor {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := &acceptor{listener: l, open: map[net.Conn]bool{}}
+	t.Cleanup(func() { _ = l.Close(); a.closeAll() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			a.mu.Lock()
+			a.accepted++
+			a.open[c] = true
+			a.most = max(a.most, len(a.open))
+			a.mu.Unlock()
+			go func() {
+				_, _ = io.Copy(io.Discard, c)
+				a.mu.Lock()
+				delete(a.open, c)
+				a.mu.Unlock()
+				_ = c.Close()
+			}()
+		}
+	}()
+	return a
+}
+
+func (a *acceptor) closeAll() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.open {
+		_ = c.Close()
+		delete(a.open, c)
+	}
+}
+
+func (a *acceptor) counts() (accepted, open, most int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.accepted, len(a.open), a.most
+}
+
+// awaitOpen blocks until n connections are open.
+func (a *acceptor) awaitOpen(t *testing.T, n int) {
+	t.Helper()
+	for _, open, _ := a.counts(); open != n; _, open, _ = a.counts() {
+		if t.Context().Err() != nil {
+			t.Fatalf("%d connections are open, not %d", open, n)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func runSpares(t *testing.T, a *acceptor, limit int) *spares {
+	s := newSpares(a.listener.Addr().String(), limit)
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { s.run(ctx, func() bool { return true }) })
+	t.Cleanup(func() { cancel(); done.Wait() })
+	return s
+}
+
+func mustDial(t *testing.T, s *spares) net.Conn {
+	t.Helper()
+	c, err := s.dial(t.Context(), "tcp", s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against a request that waits for the opening of a connection, and
+// against spares that are not replaced when they were used or closed.
+func TestConnectionsAreOpenedInAdvance(t *testing.T) {
+	a := newAcceptor(t)
+	s := runSpares(t, a, 100)
+	a.awaitOpen(t, spareTarget)
+	before, _, _ := a.counts()
+	c := mustDial(t, s)
+	if _, err := c.Write([]byte("x")); err != nil {
+		t.Error(err)
+	}
+	if after, _, _ := a.counts(); after > before+1 {
+		t.Errorf("%d connections were opened for one request", after-before)
+	}
+	a.awaitOpen(t, spareTarget+1)
+	_ = c.Close()
+	a.awaitOpen(t, spareTarget)
+	a.closeAll()
+	a.awaitOpen(t, spareTarget)
+}
+
+// Guards against more connections than the backend server allows.
+func TestSparesStayWithinTheLimit(t *testing.T) {
+	const limit = 6
+	a := newAcceptor(t)
+	s := runSpares(t, a, limit)
+	// Held connections are closed at the server before another may be opened.
+	var held sync.Mutex
+	inUse := 0
+	var workers sync.WaitGroup
+	for range limit {
+		workers.Go(func() {
+			for range 50 {
+				c := mustDial(t, s)
+				held.Lock()
+				inUse++
+				if inUse > limit {
+					t.Errorf("%d in use", inUse)
+				}
+				inUse--
+				held.Unlock()
+				_ = c.Close()
+			}
+		})
+	}
+	workers.Wait()
+	s.mu.Lock()
+	out := s.out
+	s.mu.Unlock()
+	if out != 0 {
+		t.Errorf("%d connections count as handed out", out)
+	}
+	a.awaitOpen(t, spareTarget)
+	var all []net.Conn
+	for range limit {
+		all = append(all, mustDial(t, s))
+	}
+	a.awaitOpen(t, limit)
+	for _, c := range all {
+		_ = c.Close()
+	}
+	a.awaitOpen(t, spareTarget)
+}
+
+// Guards against dialling a server in a loop that closes idle connections at once.
+func TestSparesBackOff(t *testing.T) {
+	s := newSpares("", 10)
+	var waits []time.Duration
+	for range 12 {
+		s.young = true
+		waits = append(waits, s.add(nil, io.EOF))
+	}
+	if waits[0] != spareDelay || waits[1] != 2*spareDelay || waits[11] != spareDelayMax {
+		t.Errorf("delays %v", waits)
+	}
+	s.settled(&spare{opened: time.Now().Add(-2 * spareSettled)})
+	if d := s.add(nil, io.EOF); d != spareDelay {
+		t.Errorf("delay %v after a spare has lasted", d)
+	}
+}
+
+// Guards against a first burst of requests that opens all of its connections.
+func TestNodeOpensConnectionsBeforeTheFirstRequest(t *testing.T) {
+	c := newCluster(t)
+	var mu sync.Mutex
+	requests := map[string]int{}
+	b := newRawBackend(t, func(conn net.Conn, r *http.Request, _ int32) bool {
+		mu.Lock()
+		requests[conn.RemoteAddr().String()]++
+		mu.Unlock()
+		return write(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	})
+	n := c.node("a", nil, b.with)
+	for {
+		n.local.backend.spares.mu.Lock()
+		ready := len(n.local.backend.spares.idle)
+		n.local.backend.spares.mu.Unlock()
+		if ready == spareTarget {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	expect(t, 200, "", "ok", "GET", n.caller.URL+"/x")
+}
