Shed load at the only server when overload lasts

Cause: a request that only one server can run was exempt from the overload rule. Under lasting overload the queue grew to 16 times its length, so that every request waited for that long although the same share was refused. Change: the rule holds for such requests after 1 s in which every wait exceeded the target. The queue that a stall leaves behind is gone before.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -101,7 +101,7 @@
 		return Refused, errkind.DeadlineBeforeRun
 	}
 	if r.Sole {
-		return c.enqueueSole(now, wait, w)
+		return c.enqueueSole(now, position, wait, w)
 	}
 	if limit := c.movableWait(now); r.Movable && limit > 0 {
 		if wait > limit {
@@ -130,9 +130,17 @@
 // deadline while it runs has wasted its slot.
 const soleWaitShare = 0.5
 
-// enqueueSole lets a request wait that only this server can run. The rule
-// against long queues does not hold for it, because it cannot be moved.
-func (c *Controller) enqueueSole(now time.Time, wait time.Duration, w waiting) (Verdict, errkind.Kind) {
+// soleIntervals is the number of periods of DelayInterval after which the rule
+// against long queues holds for Sole requests too. A queue that a stall of the
+// process has left is gone by then; one that stays means overload, where a longer
+// wait saves no request.
+const soleIntervals = 10
+
+// enqueueSole lets a request wait that only this server can run.
+func (c *Controller) enqueueSole(now time.Time, position int, wait time.Duration, w waiting) (Verdict, errkind.Kind) {
+	if c.delay.lasts(now, soleIntervals*c.config.DelayInterval) && position > 0 && wait > c.allowedWait(w.rank) {
+		return Refused, errkind.QueueFull
+	}
 	if len(c.queue) >= c.config.QueueLength && float64(wait) > soleWaitShare*float64(w.request.Deadline.Sub(now)) {
 		return Refused, c.fullKind(w.request)
 	}
--- a/admit/estimate.go
+++ b/admit/estimate.go
@@ -34,6 +34,11 @@
 	overloaded bool
 }
 
+// lasts reports whether every wait has exceeded the target for a period.
+func (d *delayRule) lasts(now time.Time, period time.Duration) bool {
+	return !d.above.IsZero() && now.Sub(d.above) >= period
+}
+
 func (d *delayRule) observe(now time.Time, wait time.Duration, c *Config) {
 	if wait <= c.DelayTarget {
 		*d = delayRule{}
