Do not retry when the only server is full

Cause: a refusal for lack of room by the only server that accepts work was followed by a retry, which took a token of the budget and found no other server. Once the budget was used up the answer was retry_budget_exhausted, which hides the reason. Change: such a refusal is answered as it is, and spends no token. Ruled out: keeping the mark in the call, which a hedge copies at the same time.

--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -111,13 +111,17 @@
 		Confined:  c.Meta.Confined && !e.ProvedNotRun(),
 		Remaining: c.Deadline.Sub(now),
 	}
-	if isNoServer(err) || !c.Body.Replayable() || c.Ctx.Err() != nil {
+	if isNoServer(err) || !c.Body.Replayable() || c.Ctx.Err() != nil || r.sole() && fullServer(e.Kind) {
 		return false, failure.Kind
 	}
 	d := p.After(now, failure, c.Attempts)
 	return d.Verb == retry.RetryElsewhere, d.Kind
 }
 
+// fullServer reports whether a server refused an attempt for lack of room. If no
+// other server accepts work, there is nowhere to send it instead.
+func fullServer(k errkind.Kind) bool { return k == errkind.QueueFull || k == errkind.SlotsReserved }
+
 // hasLost reports whether the attempt ended because another one has answered.
 func hasLost(a *Call, err error) bool {
 	return errors.Is(err, ErrLost) || errors.Is(context.Cause(a.Ctx), ErrLost)
@@ -162,6 +166,9 @@
 		kind = errkind.Of(err).Kind
 	}
 	r.mu.Lock()
+	if !a.Meta.Hedge {
+		r.onlyServer = a.Meta.Sole
+	}
 	c.Record.AddCandidates(a.Candidates)
 	c.Record.AddAttempt(explain.Attempt{Number: a.Meta.Attempt, Target: a.Target.Node, Kind: kind,
 		Status: a.Status, Hedge: a.Meta.Hedge, Lost: lost}, start, f.clock.Now())
--- a/filter/race.go
+++ b/filter/race.go
@@ -16,6 +16,8 @@
 	mu      sync.Mutex
 	winner  uint32 // number of the attempt that has begun; zero: none
 	running map[uint32]context.CancelCauseFunc
+
+	onlyServer bool // no server but that of the last attempt accepted work
 }
 
 func (r *race) enter(number uint32, cancel context.CancelCauseFunc) {
@@ -37,6 +39,13 @@
 	return r.winner == 0
 }
 
+// sole reports whether no server but that of the last attempt accepted work.
+func (r *race) sole() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.onlyServer
+}
+
 func (r *race) win(number uint32) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/proxy/queue_test.go
+++ b/proxy/queue_test.go
@@ -43,3 +43,40 @@
 		})
 	}
 }
+
+// Guards against retries in vain, whose exhausted budget hides why work was
+// refused, when the only server is full.
+func TestFullSoleServerIsNotRetried(t *testing.T) {
+	const running, waiting, refused = 1, 16, 8
+	c := newCluster(t)
+	entry := c.node("entry", nil)
+	release := make(chan struct{})
+	n := c.node("a", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }), func(c *Config) {
+		c.Backend.Slots, c.Backend.QueueLength = 2, 1
+	})
+	kinds := make(chan string, running+waiting)
+	send := func() string {
+		resp, _, err := request(t, "GET", entry.caller.URL+"/x", nil)
+		if err != nil {
+			return err.Error()
+		}
+		return resp.Header.Get(fleet.HeaderKind)
+	}
+	for range running + waiting {
+		go func() { kinds <- send() }()
+	}
+	for l := n.Admission(); l.Queued+l.InFlight < running+waiting; l = n.Admission() {
+		time.Sleep(time.Millisecond)
+	}
+	for range refused {
+		if kind := send(); kind != "slots_reserved" {
+			t.Errorf("refused as %q", kind)
+		}
+	}
+	close(release)
+	for range running + waiting {
+		if kind := <-kinds; kind != "" {
+			t.Errorf("waiting request: %q", kind)
+		}
+	}
+}
