Ask other nodes for load that traffic leaves blank

Cause: the replay of policies let nodes ask each other for load reports, which the nodes themselves never did: the decision existed, nothing called it. Change: a node looks every 100 ms for servers of services in use whose load no message has told for 1 s, and asks their nodes over the control transport. The server's node answers within the byte budget of the class document; without one nobody asks. probe.Asks bounds the questions of one node: a server at most once a second, 20 servers a second. The replay uses the same code, and takes the load of the own server without a question as nodes do. Ruled out: leaving the replay as it was; removing the questions from it, which the issue asks for ("probes fill only what traffic leaves blank"); HTTP on the peer listener, which needs a call of its own for each question. Not tuned: the first bounds tried are kept. TestQuestionsFillWhatTrafficLeavesBlank fails without the budget (40 of 40 questions answered) and without the own load. The processor time of the questions was not measured.

--- a/filter/choose.go
+++ b/filter/choose.go
@@ -15,6 +15,7 @@
 	"bramleymill/explain"
 	"bramleymill/fleet"
 	"bramleymill/pick"
+	"bramleymill/probe"
 )
 
 // Choose is the filter that chooses the target of an attempt and learns from
@@ -41,10 +42,37 @@
 	followed atomic.Bool // the directory was asked to complete the list
 	mu       sync.Mutex
 	servers  atomic.Pointer[[]fleet.Server]
+	used     atomic.Int64          // Unix nanoseconds of the last use, to the precision of usePrecision
 	ejected  map[fleet.NodeID]bool // as recorded in the events
 	anyOut   atomic.Bool           // ejected is not empty
 }
 
+// usePrecision keeps the time of the last use from being written by each request.
+const usePrecision = 50 * time.Millisecond
+
+func (p *pool) use(now time.Time) {
+	if t := now.UnixNano(); t-p.used.Load() >= int64(usePrecision) {
+		p.used.Store(t)
+	}
+}
+
+// StaleReports calls f for each ready server of a service in use whose load is
+// worth asking for, because no message has told it lately.
+func (f *Choose) StaleReports(c probe.Config, visit func(service string, s *fleet.Server)) {
+	now := f.clock.Now()
+	f.services.Range(func(_, v any) bool {
+		p := v.(*pool)
+		unused := time.Duration(now.UnixNano() - p.used.Load())
+		for _, s := range f.directory.Servers(p.service) {
+			e := p.balancer.Endpoint(s.Node)
+			if e != nil && s.State == fleet.Ready && c.ReportWanted(e.ReportAge(now), unused) {
+				visit(p.service, &s)
+			}
+		}
+		return true
+	})
+}
+
 // NewChoose returns the filter for a node in zone. The seed decides its random
 // choices.
 func NewChoose(next Handler, d Directory, zone string, k clock.Clock, seed uint64, events *explain.Store) *Choose {
@@ -117,6 +145,7 @@
 	p := f.pool(c.Class.Service)
 	b := p.balancer
 	now := f.clock.Now()
+	p.use(now)
 	exclude := c.tried.excluded()
 	var copies int32
 	if f.bounded(c, now) {
--- a/node/node.go
+++ b/node/node.go
@@ -152,6 +152,7 @@
 	n.crashes = &crashes{client: n.endpoint, member: m, self: nodeID(s), logger: n.logger}
 	n.suspects = suspect.New(suspect.Config{})
 	receiveCrashes(mux, m, n.suspects, n.store, n.logger)
+	answerQuestions(mux, n.path.Load)
 	explain.Register(mux, n.store)
 	if s.RecordFile != "" {
 		if n.recorder, err = newRecorder(s.RecordFile); err != nil {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"bramleymill/errkind"
 	"bramleymill/fleet"
+	"bramleymill/pick"
+	"bramleymill/proxy"
 )
 
 // Guards against a whole path that breaks between its modules: a request to any
@@ -115,3 +118,20 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a node that cannot learn from another one how loaded its server
+// is without sending it work.
+func TestNodeAsksForTheLoadOfAnother(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.bootstrap()
+	f.apply("budget", 1, strings.Replace(testClasses, `{"classes"`, `{"measuring_bytes_per_second":10000,"classes"`, 1))
+	n := f.nodes[0]
+	p := n.path.Load()
+	p.Views("shop") // uses the service
+	for _, s := range n.member.Servers("shop") {
+		f.await("load of "+string(s.Node), func() bool {
+			askForReport(t.Context(), p, n.endpoint, proxy.Question{Service: "shop", Server: s}, n.logger)
+			return slices.ContainsFunc(p.Views("shop"), func(v pick.View) bool { return v.Server.Node == s.Node && v.ReportAge >= 0 })
+		})
+	}
+}
--- a/node/run.go
+++ b/node/run.go
@@ -53,6 +53,7 @@
 		group.Go(l.serve)
 	}
 	group.Go(func() error { n.reportUsage(ctx); return nil })
+	group.Go(func() error { askForReports(ctx, r.proxy, n.endpoint, n.logger); return nil })
 	if n.recorder != nil {
 		group.Go(func() error {
 			// A full disk ends the recording, not the node.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"bramleymill/filter"
 	"bramleymill/fleet"
 	"bramleymill/pick"
+	"bramleymill/probe"
 	"bramleymill/retry"
 	"bramleymill/suspect"
 )
@@ -31,6 +32,9 @@
 
 	incarnation atomic.Uint64
 
+	measuring probe.Config
+	asks      *probe.Asks
+
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -40,7 +44,8 @@
 	if err := c.setDefaults(); err != nil {
 		return nil, err
 	}
-	p := &Proxy{config: c, tokens: newTokens(), store: c.Store}
+	p := &Proxy{config: c, tokens: newTokens(), store: c.Store, measuring: probe.Config{}.WithDefaults()}
+	p.asks = probe.NewAsks(p.measuring)
 	if p.store == nil {
 		p.store = explain.NewStore(c.Node, c.Records, c.Events)
 	}
--- a/proxy/report_test.go
+++ b/proxy/report_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"bramleymill/fleet"
+	"bramleymill/probe"
 )
 
 // Guards against a node that learns of another server's load only from answers
@@ -30,3 +33,52 @@
 		}
 	}
 }
+
+// Guards against servers whose load a node never learns because it sends them
+// nothing, and against questions beyond the measuring budget of the network.
+func TestQuestionsFillWhatTrafficLeavesBlank(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.node("a", answer("a")), c.node("b", answer("b"))
+	age := func(of fleet.NodeID) time.Duration {
+		for _, v := range a.Views("shop") {
+			if v.Server.Node == of {
+				return v.ReportAge
+			}
+		}
+		t.Fatalf("a does not know %s", of)
+		return 0
+	}
+	// useOwn sends requests, long after the last one, until a has served one itself.
+	useOwn := func() {
+		for text := ""; text != "a"; {
+			c.clock.Advance(time.Minute)
+			_, text, _ = request(t, "GET", a.caller.URL+"/x", strings.NewReader(""))
+		}
+	}
+	if q := a.Questions(); len(q) != 0 {
+		t.Errorf("%d questions about a service that is not used", len(q))
+	}
+	useOwn()
+	if q := a.Questions(); len(q) != 0 || age("a") != 0 {
+		t.Errorf("without a budget: %d questions, own load %v old", len(q), age("a"))
+	}
+	c.configure(strings.Replace(testClasses, `{"classes"`, `{"measuring_bytes_per_second":440,"classes"`, 1))
+	b.local.health.step(t.Context()) // adopts the limits
+	useOwn()
+	if q := a.Questions(); len(q) != 1 || q[0].Server.Node != "b" {
+		t.Fatalf("questions %v, want one to b", q)
+	}
+	if q := a.Questions(); len(q) != 0 {
+		t.Errorf("b is asked again at once: %v", q)
+	}
+	granted := 0
+	for range 40 {
+		if r, ok := b.AnswerQuestion(); ok {
+			granted++
+			a.ObserveReport(Question{"shop", b.announcement()}, &r)
+		}
+	}
+	if granted == 0 || granted > probe.LargestProbe/probe.ReportBytes || age("b") != 0 {
+		t.Errorf("%d of 40 questions were answered, the load of b is %v old", granted, age("b"))
+	}
+}
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -7,6 +7,7 @@
 	"bramleymill/errkind"
 	"bramleymill/fleet"
 	"bramleymill/pick"
+	"bramleymill/probe"
 	"bramleymill/retry"
 )
 
@@ -45,6 +46,7 @@
 	zone      string
 	rng       *rand.Rand
 	balancers map[string]*pick.Balancer
+	asks      *probe.Asks
 	policies  []*retry.Policy // by class
 	ready     map[string][]*server
 	lastUse   map[string]time.Duration
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -1,15 +1,13 @@
 package replay
 
 import (
-	"time"
-
 	"bramleymill/fleet"
+	"bramleymill/probe"
 )
 
 // Costs and period of measuring.
 const (
-	checkEvery     = 100 * time.Millisecond
-	nodeProbeBytes = 220 // request and answer between two nodes
+	checkEvery = probe.AskEvery
 )
 
 // measure lets every node measure what piggybacked reports do not tell.
@@ -40,7 +38,14 @@
 		if p == nil || !e.run.options.Probe.ReportWanted(p.ReportAge(e.run.time()), e.run.now-used) {
 			continue
 		}
-		if !s.budget.Bytes(e.run.time(), nodeProbeBytes) {
+		if s == e.own {
+			b.Observe(s.line.Node, e.run.time(), s.report())
+			continue
+		}
+		if !e.asks.Allow(e.run.time(), s.line.Node) {
+			continue
+		}
+		if !s.budget.Bytes(e.run.time(), probe.ReportBytes) {
 			continue
 		}
 		e.run.after(e.hop(s), func() {
--- a/transport/mux.go
+++ b/transport/mux.go
@@ -21,6 +21,7 @@
 	KindsOfConfig  Kind = 400
 	KindsOfSuspect Kind = 500
 	KindsOfExplain Kind = 600
+	KindsOfProbe   Kind = 700
 )
 
 // MaxMessageBytes bounds the encoded size of a message.
