Share the wait for a duration or the end of a context

Cause: five packages had the same function under three names. Change: clock.Sleep. Ruled out: transport/memory, which lets tests replace its wait.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -3,6 +3,7 @@
 package clock
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -41,3 +42,15 @@
 	defer m.mu.Unlock()
 	m.now = m.now.Add(d)
 }
+
+// Sleep waits for d on the system clock and reports whether ctx is still in force.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/filter/suspects.go
+++ b/filter/suspects.go
@@ -89,7 +89,7 @@
 		case r.State != claim.InProgress:
 			return claim.UnlockRequest{}, time.Time{}, errkind.New(errkind.ClaimsUnavailable, "lock for a confined attempt: %s", r.State)
 		}
-		if !sleep(c.Ctx, delay) {
+		if !clock.Sleep(c.Ctx, delay) {
 			return claim.UnlockRequest{}, time.Time{}, errkind.New(errkind.DeadlineBeforeRun, "another suspect request held the lock of %s until the deadline", key.Service)
 		}
 	}
@@ -100,14 +100,3 @@
 	defer cancel()
 	_, _ = f.locks.Unlock(ctx, r) // the lease ends by itself
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/loadgen/run.go
+++ b/loadgen/run.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"bramleymill/clock"
 )
 
 // Runner sends the load of a plan.
@@ -70,7 +72,7 @@
 			next, end := time.Now(), time.Now().Add(d)
 			for n := 0; ; n++ {
 				next = next.Add(time.Duration(rng.ExpFloat64() / s.Rate * float64(time.Second)))
-				if next.After(end) || !sleepUntil(ctx, next) {
+				if next.After(end) || !clock.Sleep(ctx, time.Until(next)) {
 					return
 				}
 				own := rand.New(rand.NewPCG(r.plan.Seed^uint64(n), uint64(i)+1<<32))
@@ -81,14 +83,3 @@
 	streams.Wait()
 	requests.Wait()
 }
-
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/loadgen/send.go
+++ b/loadgen/send.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/fleet"
 	"bramleymill/standin"
@@ -47,7 +48,7 @@
 		o.Sent++
 		o.Verdict, o.Kind, o.Error = answer.verdict, answer.kind, answer.text
 		o.RequestID = answer.requestID
-		if !answer.again() || o.Sent > s.Resends || !sleepUntil(ctx, time.Now().Add(resendPause)) {
+		if !answer.again() || o.Sent > s.Resends || !clock.Sleep(ctx, resendPause) {
 			break
 		}
 	}
--- a/operator/request.go
+++ b/operator/request.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"bramleymill/clock"
 	"bramleymill/errkind"
 )
 
@@ -54,7 +55,7 @@
 	}
 	var f failures
 	for round := range maxRounds {
-		if round > 0 && !sleep(ctx, c.pause) {
+		if round > 0 && !clock.Sleep(ctx, c.pause) {
 			break
 		}
 		again := false
@@ -221,15 +222,3 @@
 	}
 	return answered, &Error{Kind: errkind.Kind(b.Kind), Message: b.Message, Remedy: b.Remedy, Conflict: b.Conflict}
 }
-
-// sleep reports whether the context still runs after d.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/proxy/spares.go
+++ b/proxy/spares.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"bramleymill/clock"
 )
 
 // Spare connections to the backend server.
@@ -137,20 +139,11 @@
 		}
 		conn, err := s.connect(ctx, "tcp", s.address)
 		if delay := s.add(conn, err); delay > 0 {
-			pause(ctx, delay)
+			clock.Sleep(ctx, delay)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // start reports whether a spare is wanted, and counts it as being opened if so.
 func (s *spares) start() bool {
 	s.mu.Lock()
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"bramleymill/clock"
 	"bramleymill/fleet"
 	"bramleymill/raft"
 	"bramleymill/transport"
@@ -243,7 +244,7 @@
 func (c *cluster) eventually(what string, f func() bool) {
 	c.t.Helper()
 	for ctx := c.context(); !f(); {
-		if !sleep(ctx, 5*time.Millisecond) {
+		if !clock.Sleep(ctx, 5*time.Millisecond) {
 			c.t.Fatalf("still not: %s\n%s", what, c.describe())
 		}
 	}
--- a/replica/confirm.go
+++ b/replica/confirm.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/raft"
 )
@@ -29,7 +30,7 @@
 		if g.ctx.Err() != nil {
 			return g.stoppedError()
 		}
-		if !sleep(ctx, retryPause) {
+		if !clock.Sleep(ctx, retryPause) {
 			return errkind.New(errkind.ControlUnavailable, "group %d not confirmed: %w", g.config.Group, err)
 		}
 	}
--- a/replica/group.go
+++ b/replica/group.go
@@ -344,7 +344,7 @@
 		return err
 	}
 	for g.Status().Role == raft.Leader {
-		if !sleep(ctx, pollInterval) {
+		if !clock.Sleep(ctx, pollInterval) {
 			return fmt.Errorf("replica: transfer the leadership of group %d: %w", g.config.Group, ctx.Err())
 		}
 	}
@@ -358,15 +358,3 @@
 	g.config.Host.remove(g)
 	return nil
 }
-
-// sleep waits for d and reports whether ctx is still in force.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/replica/join.go
+++ b/replica/join.go
@@ -9,6 +9,7 @@
 	mathrand "math/rand/v2"
 	"time"
 
+	"bramleymill/clock"
 	"bramleymill/fleet"
 	"bramleymill/raft"
 )
@@ -35,7 +36,7 @@
 	random := mathrand.New(mathrand.NewPCG(g.config.Seed, uint64(g.config.Group)))
 	led := g.config.Clock.Now()
 	pause := joinPause
-	for sleep(g.ctx, pause+time.Duration(random.Int64N(int64(joinPause)))) {
+	for clock.Sleep(g.ctx, pause+time.Duration(random.Int64N(int64(joinPause)))) {
 		v := g.view.Load()
 		now := g.config.Clock.Now()
 		if v.status.Leader != (raft.ID{}) {
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/raft"
 	"bramleymill/transport"
@@ -49,7 +50,7 @@
 		if err == nil || a.final(err) {
 			return result, err
 		}
-		if !sleep(ctx, retryPause) {
+		if !clock.Sleep(ctx, retryPause) {
 			return nil, a.failure(err)
 		}
 	}
--- a/replica/remote.go
+++ b/replica/remote.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/sync/singleflight"
 
+	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/transport"
 )
@@ -64,7 +65,7 @@
 				continue
 			}
 		}
-		if !sleep(ctx, retryPause) {
+		if !clock.Sleep(ctx, retryPause) {
 			return nil, a.failure(err)
 		}
 	}
