--- a/replica/hang_test.go
+++ b/replica/hang_test.go
@@ -108,9 +108,10 @@
 	}
 }
 
-// Guards against a hanging snapshot file, which does not hold up the log, leaving
-// a leader in place that refuses every proposal.
-func TestHangingSnapshotGivesUpLeadership(t *testing.T) {
+// Guards against a hang of an operation beside the log, such as saving a snapshot,
+// that leaves a leader in place which refuses every proposal. That the saving of
+// snapshots is watched is not checked here: its limit of 10 s is too long for a test.
+func TestHangBesideTheLogGivesUpLeadership(t *testing.T) {
 	c, _ := newFaultyCluster(t)
 	leader := c.leader()
 	release := make(chan struct{})
--- a/replica/route.go
+++ b/replica/route.go
@@ -34,8 +34,7 @@
 }
 
 // receive hands messages and the proof that came with them, if any, to the core.
-// slot is nil when the sender waits for no
-// answers.
+// slot is nil when the sender waits for no answers.
 func (g *Group) receive(ctx context.Context, address string, messages []raft.Message, p *proof, slot *answerSlot) {
 	err := g.post(ctx, func(now raft.Reading) {
 		for _, m := range messages {
