--- a/admit/controller.go
+++ b/admit/controller.go
@@ -28,6 +28,7 @@
 // concurrent use. The actions that a method returns are valid until the next call.
 type Controller struct {
 	config   Config
+	stated   Config // as given to NewController; Slots as set last
 	running  map[uint64]running
 	ordinary int // running requests that are not privileged
 	queue    queue
@@ -50,11 +51,28 @@
 func NewController(c Config) *Controller {
 	return &Controller{
 		config:  c.withDefaults(),
+		stated:  c,
 		running: map[uint64]running{},
 		classes: map[string]*estimate{},
 	}
 }
 
+// SetSlots changes the number of slots. The actions concern queued requests.
+func (c *Controller) SetSlots(now time.Time, n int) []Action {
+	c.actions = c.actions[:0]
+	if n == c.stated.Slots || n <= 0 {
+		return nil
+	}
+	c.stated.Slots = n
+	c.config = c.stated.withDefaults()
+	c.expire(now)
+	c.dispatch(now)
+	return c.actions
+}
+
+// SetPace tells the time that work takes at present, relative to the usual time.
+func (c *Controller) SetPace(time.Time, float64) {}
+
 // Offer presents a request under an id that is not in use. The kind is set when
 // the verdict is Refused. The actions concern other requests.
 func (c *Controller) Offer(now time.Time, id uint64, r Request) (Verdict, errkind.Kind, []Action) {
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -142,6 +142,20 @@
 	}
 }
 
+// SetSlots changes the number of slots. Running requests are not affected.
+func (g *Gate) SetSlots(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.perform(g.controller.SetSlots(g.clock.Now(), n))
+}
+
+// SetPace tells the time that work takes at present, relative to the usual time.
+func (g *Gate) SetPace(pace float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.controller.SetPace(g.clock.Now(), pace)
+}
+
 // Load returns the counts for the load report.
 func (g *Gate) Load() Load {
 	g.mu.Lock()
--- a/class/document.go
+++ b/class/document.go
@@ -22,24 +22,29 @@
 
 // Class is one class of work.
 type Class struct {
-	Name            string              `json:"name"`
-	Service         string              `json:"service"`
-	Match           Match               `json:"match"`
-	Idempotent      bool                `json:"idempotent"`
-	InternalOnly    bool                `json:"internal_only,omitempty"`
-	LatencyTarget   strictjson.Duration `json:"latency_target"` // for 99 requests in 100
-	Deadline        strictjson.Duration `json:"deadline"`
-	Urgency         string              `json:"urgency"`
-	ProbesPerSecond float64             `json:"probes_per_second,omitempty"` // budget for each backend server
-	MaxBody         strictjson.Bytes    `json:"max_body,omitempty"`          // buffered for retry or claim
-	Key             string              `json:"key,omitempty"`               // required or optional
-	WhenUnconfirmed string              `json:"when_unconfirmed,omitempty"`  // refuse or serve
+	Name            string              `cbor:"1,keyasint,omitempty" json:"name"`
+	Service         string              `cbor:"2,keyasint,omitempty" json:"service"`
+	Match           Match               `cbor:"3,keyasint,omitempty" json:"match"`
+	Idempotent      bool                `cbor:"4,keyasint,omitempty" json:"idempotent"`
+	InternalOnly    bool                `cbor:"5,keyasint,omitempty" json:"internal_only,omitempty"`
+	LatencyTarget   strictjson.Duration `cbor:"6,keyasint,omitempty" json:"latency_target"` // for 99 requests in 100
+	Deadline        strictjson.Duration `cbor:"7,keyasint,omitempty" json:"deadline"`
+	Urgency         string              `cbor:"8,keyasint,omitempty" json:"urgency"`
+	ProbesPerSecond float64             `cbor:"9,keyasint,omitempty" json:"probes_per_second,omitempty"` // budget for each backend server
+	MaxBody         strictjson.Bytes    `cbor:"10,keyasint,omitempty" json:"max_body,omitempty"`         // buffered for retry or claim
+	Key             string              `cbor:"11,keyasint,omitempty" json:"key,omitempty"`              // required or optional
+	WhenUnconfirmed string              `cbor:"12,keyasint,omitempty" json:"when_unconfirmed,omitempty"` // refuse or serve
+
+	// Shares and Attempts are for classes that are configured as items.
+	Shares   []Share `cbor:"13,keyasint,omitempty" json:"shares,omitempty"`   // in place of Service
+	Attempts int     `cbor:"14,keyasint,omitempty" json:"attempts,omitempty"` // backend servers that one request may reach
 }
 
 // Match states which requests a class takes. The longest path prefix wins.
 type Match struct {
-	Methods    []string `json:"methods"`
-	PathPrefix string   `json:"path_prefix"`
+	Hosts      []string `cbor:"1,keyasint,omitempty" json:"hosts,omitempty"` // for classes that are configured as items
+	Methods    []string `cbor:"2,keyasint,omitempty" json:"methods"`
+	PathPrefix string   `cbor:"3,keyasint,omitempty" json:"path_prefix"`
 }
 
 // Limits and defaults of a class document.
@@ -142,6 +147,9 @@
 	if c.Urgency == "critical" && !c.InternalOnly {
 		errs.Add(at+".urgency", c.Urgency, "critical is for classes with internal_only true, because it may use the reserved slots")
 	}
+	if len(c.Shares) > 0 || c.Attempts != 0 || len(c.Match.Hosts) > 0 {
+		errs.Add(at, c.Name, "shares, attempts and hosts are for classes that are configured as items; remove them")
+	}
 	if c.ProbesPerSecond < 0 || c.ProbesPerSecond > 100 {
 		errs.Add(at+".probes_per_second", c.ProbesPerSecond, "write a number from 0 to 100")
 	}
--- /dev/null
+++ b/class/items.go
@@ -0,0 +1,191 @@
+package class
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"bramleymill/strictjson"
+)
+
+// Share is the part of the requests of a class that goes to one service.
+type Share struct {
+	Service string `cbor:"1,keyasint,omitempty" json:"service"`
+	Share   int    `cbor:"2,keyasint,omitempty" json:"share"` // relative to the other shares of the class
+}
+
+// Service is what operators state about the backend servers of one service.
+type Service struct {
+	Name        string `cbor:"1,keyasint,omitempty" json:"name"`
+	HealthPath  string `cbor:"2,keyasint,omitempty" json:"health_path,omitempty"`
+	Connections int    `cbor:"3,keyasint,omitempty" json:"connections,omitempty"` // accepted by one backend server from all nodes
+}
+
+// Limits bounds what callers may send and how long they may take or stay idle.
+// A zero field sets no limit.
+type Limits struct {
+	HeaderBytes   int64               `cbor:"1,keyasint,omitempty" json:"header_bytes,omitempty"`
+	BodyBytes     int64               `cbor:"2,keyasint,omitempty" json:"body_bytes,omitempty"`
+	HeaderTimeout strictjson.Duration `cbor:"3,keyasint,omitempty" json:"header_timeout,omitempty"`
+	IdleTimeout   strictjson.Duration `cbor:"4,keyasint,omitempty" json:"idle_timeout,omitempty"`
+}
+
+// CheckItem validates a class that is configured as an item of its own. knows
+// reports whether a service is configured. The rules are wider than those of a
+// class document: a host and a prefix identify the class, its name may have any
+// form, and its latency target may exceed its deadline.
+func (c *Class) CheckItem(knows func(service string) bool) error {
+	var errs []error
+	if len(c.Match.Hosts) == 0 {
+		errs = append(errs, errors.New("match.hosts: name the host"))
+	}
+	for _, h := range c.Match.Hosts {
+		if strings.TrimSpace(h) == "" {
+			errs = append(errs, errors.New("match.hosts: an empty host is not allowed"))
+		}
+	}
+	if !strings.HasPrefix(c.Match.PathPrefix, "/") || !strings.HasSuffix(c.Match.PathPrefix, "/") {
+		errs = append(errs, fmt.Errorf("match.path_prefix: %q must begin and end with /", c.Match.PathPrefix))
+	}
+	if d := c.Deadline.Std(); d <= 0 || d > MaxDeadline {
+		errs = append(errs, fmt.Errorf("deadline: %v is not within 0 and %v", d, MaxDeadline))
+	}
+	if c.LatencyTarget.Std() < 0 {
+		errs = append(errs, errors.New("latency_target: must not be negative"))
+	}
+	if c.Attempts < 0 {
+		errs = append(errs, errors.New("attempts: must not be negative"))
+	}
+	if _, ok := urgencies[c.Urgency]; !ok {
+		errs = append(errs, fmt.Errorf("urgency: %q is not low, normal, high or critical", c.Urgency))
+	}
+	return errors.Join(append(errs, c.checkServices(knows)...)...)
+}
+
+func (c *Class) checkServices(knows func(string) bool) (errs []error) {
+	unknown := func(name string) {
+		if !knows(name) {
+			errs = append(errs, fmt.Errorf("service: %q is not configured", name))
+		}
+	}
+	if len(c.Shares) == 0 {
+		unknown(c.Service)
+		return errs
+	}
+	total := 0
+	for _, s := range c.Shares {
+		unknown(s.Service)
+		if s.Share < 0 {
+			errs = append(errs, fmt.Errorf("shares: the share of %q is negative", s.Service))
+		}
+		total += max(s.Share, 0)
+	}
+	if total == 0 {
+		errs = append(errs, errors.New("shares: they add up to zero"))
+	}
+	return errs
+}
+
+// NewItemSet builds the Set of a configuration that consists of items.
+func NewItemSet(version uint64, classes []*Class, services []*Service, limits Limits) *Set {
+	s := &Set{
+		Version:  version,
+		document: &Document{},
+		byName:   make(map[string]*Resolved, len(classes)),
+		hosts:    map[string]map[string]*Resolved{},
+		services: make(map[string]*Service, len(services)),
+		limits:   limits,
+	}
+	for _, v := range services {
+		s.services[v.Name] = v
+	}
+	for _, c := range classes {
+		r := c.resolveItem(limits)
+		s.byName[r.Name] = r
+		for _, h := range c.Match.Hosts {
+			h = strings.ToLower(h)
+			if s.hosts[h] == nil {
+				s.hosts[h] = map[string]*Resolved{}
+			}
+			s.hosts[h][c.Match.PathPrefix] = r
+		}
+	}
+	return s
+}
+
+func (c *Class) resolveItem(limits Limits) *Resolved {
+	r := c.resolve()
+	r.Item = true
+	r.Attempts = uint32(max(c.Attempts, 1))
+	r.ServeStale = true
+	r.BodyLimit = limits.BodyBytes
+	for _, s := range c.Shares {
+		if s.Share <= 0 {
+			continue
+		}
+		part := *r
+		part.Service = s.Service
+		r.total += s.Share
+		r.parts = append(r.parts, &part)
+		r.upTo = append(r.upTo, r.total)
+	}
+	if len(r.parts) == 1 {
+		return r.parts[0]
+	}
+	return r
+}
+
+// Part returns the class of one part of a class whose requests are shared among
+// services: the part in which point, from 0 to below 1, falls. A class with one
+// service is its own part.
+func (r *Resolved) Part(point float64) *Resolved {
+	if len(r.parts) == 0 {
+		return r
+	}
+	at := point * float64(r.total)
+	for i, end := range r.upTo {
+		if at < float64(end) {
+			return r.parts[i]
+		}
+	}
+	return r.parts[len(r.parts)-1]
+}
+
+// Shared reports whether the requests of the class are shared among services.
+func (r *Resolved) Shared() bool { return len(r.parts) > 0 }
+
+// MatchHost returns the class that takes a request to a host, or nil. Among the
+// classes of the host the one with the longest prefix wins. A set that was built
+// from a document knows no hosts and goes by method and path.
+func (s *Set) MatchHost(host, method, path string) *Resolved {
+	if s.hosts == nil {
+		return s.Match(method, path)
+	}
+	prefixes := s.hosts[bareHost(host)]
+	if prefixes == nil {
+		return nil
+	}
+	for end := len(path); end > 0; end-- {
+		if path[end-1] != '/' {
+			continue
+		}
+		if r := prefixes[path[:end]]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// bareHost returns the host of a Host header without its port, in lower case.
+func bareHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.Contains(host[i:], "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// Service returns what is configured for a service, or nil.
+func (s *Set) Service(name string) *Service { return s.services[name] }
+
+// Limits returns the limits for callers.
+func (s *Set) Limits() Limits { return s.limits }
--- a/class/set.go
+++ b/class/set.go
@@ -20,6 +20,13 @@
 	MaxBody       int64
 	KeyRequired   bool
 	ServeStale    bool // serve while the configuration is not confirmed
+
+	Item      bool   // configured as an item: Attempts and BodyLimit are in force
+	Attempts  uint32 // backend servers that one request may reach
+	BodyLimit int64  // of a request; zero: none
+	parts     []*Resolved
+	upTo      []int // sum of the shares up to each part
+	total     int
 }
 
 // Set is an immutable, validated class document of one version.
@@ -29,6 +36,11 @@
 	routes   map[string][]route // by method, longest prefix first
 	byName   map[string]*Resolved
 	probes   map[string]float64 // probes per second for each backend server, by service
+
+	// Of a configuration that consists of items.
+	hosts    map[string]map[string]*Resolved // by host and prefix
+	services map[string]*Service
+	limits   Limits
 }
 
 type route struct {
--- a/cmd/bramleymill/main.go
+++ b/cmd/bramleymill/main.go
@@ -11,6 +11,7 @@
 
 	"bramleymill/cli"
 	"bramleymill/node"
+	"bramleymill/platform"
 	"bramleymill/settings"
 )
 
@@ -21,7 +22,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newNodeCommand(), newCheckSettingsCommand())
+	root.AddCommand(newNodeCommand(), newCheckSettingsCommand(), newPlatformCommand())
 	return root
 }
 
@@ -54,6 +55,15 @@
 	return c
 }
 
+func newPlatformCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "platform",
+		Short: "Run the node that the settings file of the users' platform describes until SIGTERM",
+		Args:  cobra.NoArgs,
+		RunE:  func(c *cobra.Command, _ []string) error { return platform.Run(c.Context()) },
+	}
+}
+
 func runNode(ctx context.Context, file string) error {
 	s, err := settings.Load(file)
 	if err != nil {
--- a/configstate/machine.go
+++ b/configstate/machine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleymill/class"
+	"bramleymill/itemset"
 )
 
 // View is the state that other modules act on. It is immutable.
@@ -16,6 +17,7 @@
 	Document []byte     // as the operator wrote it; nil before the first change
 	Set      *class.Set // nil before the first change
 	Orders   *Orders
+	Items    *itemset.Set // never nil
 }
 
 // Machine holds the configuration. View is lock-free; the other methods are
@@ -42,7 +44,7 @@
 	}
 	m := &Machine{onChange: onChange}
 	m.reset()
-	m.view.Store(&View{Orders: m.orders})
+	m.view.Store(&View{Orders: m.orders, Items: itemset.Empty()})
 	return m
 }
 
@@ -67,7 +69,8 @@
 }
 
 func (m *Machine) answer(o Outcome, message string) Answer {
-	return Answer{Outcome: o, Version: m.docs.current().Version, OrdersVersion: m.orders.Version, Message: cut(message, maxMessageBytes)}
+	return Answer{Outcome: o, Version: m.docs.current().Version, OrdersVersion: m.orders.Version,
+		ItemsRevision: m.View().Items.Revision, Message: cut(message, maxMessageBytes)}
 }
 
 func (m *Machine) change(c *Change) Answer {
@@ -105,7 +108,11 @@
 	if err := c.check(); err != nil {
 		return m.answer(Invalid, err.Error())
 	}
-	if c.Action != ApplyDocument && c.Action != Rollback {
+	switch c.Action {
+	case ApplyDocument, Rollback:
+	case MergeItems:
+		return m.merge(c)
+	default:
 		return m.order(c)
 	}
 	if current := m.docs.current().Version; c.Expected != current {
@@ -121,7 +128,7 @@
 	}
 	v := Version{Version: c.Expected + 1, Time: m.timeOf(c), Operator: c.Operator, ChangeID: c.ID, Document: document, Hash: HashOf(document)}
 	m.docs.add(v)
-	m.publish(&View{Version: v.Version, Document: document, Set: class.NewSet(v.Version, parsed), Orders: m.orders})
+	m.publish(&View{Version: v.Version, Document: document, Set: class.NewSet(v.Version, parsed), Orders: m.orders, Items: m.View().Items})
 	return m.answer(Accepted, "")
 }
 
@@ -152,11 +159,23 @@
 	if next != m.orders {
 		m.orders = next
 		old := m.view.Load()
-		m.publish(&View{Version: old.Version, Document: old.Document, Set: old.Set, Orders: next})
+		m.publish(&View{Version: old.Version, Document: old.Document, Set: old.Set, Orders: next, Items: old.Items})
 	}
 	return m.answer(Accepted, message)
 }
 
+func (m *Machine) merge(c *Change) Answer {
+	old := m.view.Load()
+	next, changed, err := old.Items.Merge(c.Items)
+	if err != nil {
+		return m.answer(Invalid, err.Error())
+	}
+	if changed > 0 {
+		m.publish(&View{Version: old.Version, Document: old.Document, Set: old.Set, Orders: old.Orders, Items: next})
+	}
+	return m.answer(Accepted, fmt.Sprintf("%d of %d items changed", changed, len(c.Items)))
+}
+
 func (m *Machine) publish(v *View) {
 	m.view.Store(v)
 	m.onChange(v)
@@ -185,7 +204,7 @@
 		return fmt.Errorf("the document has %d bytes; use at most %d", len(c.Document), MaxDocumentBytes)
 	}
 	switch c.Action {
-	case ApplyDocument, Rollback, Drain, Undrain, ReleaseSuspect:
+	case ApplyDocument, Rollback, Drain, Undrain, ReleaseSuspect, MergeItems:
 		return nil
 	}
 	return fmt.Errorf("unknown action %q", cut(string(c.Action), MaxNameBytes))
--- a/configstate/messages.go
+++ b/configstate/messages.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"bramleymill/fleet"
+	"bramleymill/itemset"
 )
 
 // Action tells what a change does.
@@ -16,6 +17,7 @@
 	Drain          Action = "drain"    // adds a drain order for a node
 	Undrain        Action = "undrain"  // removes the drain order of a node
 	ReleaseSuspect Action = "release"  // allows a crash suspect to run again
+	MergeItems     Action = "merge"    // sets and drops items by their versions
 )
 
 // Change is one change requested by an operator.
@@ -39,6 +41,8 @@
 	// because the time of log entries falls behind while all control instances
 	// are stopped. Zero: the time of the log entry.
 	Submitted int64 `cbor:"12,keyasint,omitempty" json:"submitted,omitempty"`
+
+	Items []itemset.Item `cbor:"13,keyasint,omitempty" json:"items,omitempty"` // for MergeItems
 }
 
 // Outcome is the decision on a change.
@@ -65,6 +69,8 @@
 	// repeated answer when that version is no longer kept.
 	Document []byte `cbor:"6,keyasint,omitempty" json:"document,omitempty"`
 	Repeated bool   `cbor:"7,keyasint,omitempty" json:"repeated,omitempty"` // the first answer, given again
+	// ItemsRevision is the revision of the items after the decision.
+	ItemsRevision uint64 `cbor:"8,keyasint,omitempty" json:"items_revision,omitempty"`
 }
 
 // Bounds of a change. Changes over them are refused as Invalid; longer texts
--- a/configstate/orders.go
+++ b/configstate/orders.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"regexp"
 	"slices"
+	"strings"
 	"time"
 
 	"bramleymill/fleet"
@@ -118,6 +119,26 @@
 		return cut(string(c.Node), MaxNameBytes)
 	case ReleaseSuspect:
 		return fmt.Sprintf("%s/%016x", cut(c.Service, MaxNameBytes), c.Fingerprint)
+	case MergeItems:
+		return c.itemNames()
 	}
 	return ""
 }
+
+// itemNames lists the items of a change with their versions, as far as they fit.
+func (c *Change) itemNames() string {
+	var b strings.Builder
+	for i := range c.Items {
+		it := &c.Items[i]
+		if b.Len() > MaxReasonBytes {
+			fmt.Fprintf(&b, " and %d more", len(c.Items)-i)
+			break
+		}
+		verb := "set"
+		if it.Dropped {
+			verb = "drop"
+		}
+		fmt.Fprintf(&b, "%s %s %s@%d;", verb, it.Key.Kind, cut(it.Key.Name, MaxNameBytes), it.Version)
+	}
+	return b.String()
+}
--- a/configstate/snapshot.go
+++ b/configstate/snapshot.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"bramleymill/class"
+	"bramleymill/itemset"
 )
 
 // snapshotFormat is raised when the encoding of a snapshot changes.
@@ -17,13 +18,19 @@
 	Checkpoint Checkpoint      `cbor:"5,keyasint"`
 	Entries    []Entry         `cbor:"6,keyasint"`
 	Answers    []*keptAnswer   `cbor:"7,keyasint"`
+	Items      []byte          `cbor:"8,keyasint,omitempty"`
 }
 
 // Snapshot returns the encoded state. Equal states give equal bytes.
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	items, err := m.View().Items.Encode()
+	if err != nil {
+		return nil, fmt.Errorf("encode configuration snapshot: %w", err)
+	}
 	b, err := encoding.Marshal(snapshot{
+		Items:  items,
 		Format: snapshotFormat, Now: m.now, Versions: m.docs.list, Orders: *m.orders,
 		Checkpoint: m.trail.trail.Checkpoint, Entries: m.trail.trail.Entries, Answers: m.answers.queue,
 	})
@@ -50,7 +57,14 @@
 	if err := docs.check(); err != nil {
 		return fmt.Errorf("decode configuration snapshot: %w", err)
 	}
-	view := &View{Orders: &s.Orders}
+	view := &View{Orders: &s.Orders, Items: itemset.Empty()}
+	if len(s.Items) > 0 { // snapshots of earlier releases have none
+		items, err := itemset.Decode(s.Items)
+		if err != nil {
+			return fmt.Errorf("decode configuration snapshot: %w", err)
+		}
+		view.Items = items
+	}
 	if current := docs.current(); current.Version > 0 {
 		parsed, err := class.Parse(current.Document)
 		if err != nil {
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -41,6 +41,7 @@
 	Draining             Kind = "draining"
 	StaleTarget          Kind = "stale_target"
 	BackendDown          Kind = "backend_down"
+	BackendRefused       Kind = "backend_refused"
 	CrashSuspect         Kind = "crash_suspect"
 	DeadlineBeforeRun    Kind = "deadline_before_run"
 	ClaimsUnavailable    Kind = "claims_unavailable"
@@ -83,6 +84,7 @@
 	Draining:             {NotRun, http.StatusServiceUnavailable, time.Second},
 	StaleTarget:          {NotRun, http.StatusServiceUnavailable, time.Second},
 	BackendDown:          {NotRun, http.StatusServiceUnavailable, time.Second},
+	BackendRefused:       {NotRun, http.StatusServiceUnavailable, time.Second},
 	CrashSuspect:         {NotRun, http.StatusServiceUnavailable, 0},
 	DeadlineBeforeRun:    {NotRun, http.StatusServiceUnavailable, time.Second},
 	ClaimsUnavailable:    {NotRun, http.StatusServiceUnavailable, time.Second},
--- a/filter/chain_test.go
+++ b/filter/chain_test.go
@@ -71,7 +71,7 @@
 	k := clock.NewManual(time.Unix(1000, 0))
 	config := &fakeConfig{}
 	next := &passed{}
-	f := NewClassify(next, config)
+	f := NewClassify(next, config, 1)
 	if kind := kindOf(f.Serve(newCall(t, "GET", "", k))); kind != errkind.ConfigAbsent {
 		t.Errorf("without a configuration: %q", kind)
 	}
@@ -117,7 +117,7 @@
 func TestDeadline(t *testing.T) {
 	k := clock.NewManual(time.Unix(1000, 0))
 	next := &passed{}
-	f := NewDeadline(next, k, 3)
+	f := NewDeadline(next, k, 3, fleet.HeaderTimeoutMillis)
 	for _, tt := range []struct {
 		sent   string
 		parent time.Duration
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -21,6 +21,11 @@
 // Choose is the filter that chooses the target of an attempt and learns from
 // how the attempt ended.
 type Choose struct {
+	// FreePlacement lets copies of a request that has not finished run on any
+	// server. Where no more is asked for than to stop a request after some crashes,
+	// a free choice keeps the load of distinct requests even.
+	FreePlacement bool
+
 	next      Handler
 	directory Directory
 	zone      string
@@ -148,7 +153,7 @@
 	p.use(now)
 	exclude := c.tried.excluded()
 	var copies int32
-	if f.bounded(c, now) {
+	if !f.FreePlacement && f.bounded(c, now) {
 		copies = f.running.enter(c.Meta.Fingerprint)
 		defer f.running.leave(c.Meta.Fingerprint)
 	}
@@ -207,7 +212,9 @@
 // learn records whether a backend server survived the request.
 func (f *Choose) learn(c *Call, now time.Time, err error) {
 	if err == nil {
-		f.finished.add(now, c.Meta.Fingerprint)
+		if !f.FreePlacement {
+			f.finished.add(now, c.Meta.Fingerprint)
+		}
 		return
 	}
 	switch errkind.Of(err).Kind {
--- a/filter/classify.go
+++ b/filter/classify.go
@@ -1,18 +1,56 @@
 package filter
 
 import (
+	"math"
+	"math/rand/v2"
 	"net/http"
+	"sync"
+	"sync/atomic"
 
+	"bramleymill/class"
 	"bramleymill/errkind"
 )
 
 type classify struct {
 	next   Handler
 	config Configuration
+	seed   uint64
+	shared sync.Map // class name -> *shareSequence
 }
 
-// NewClassify returns the filter that finds the class of a request.
-func NewClassify(next Handler, config Configuration) Handler { return &classify{next, config} }
+// NewClassify returns the filter that finds the class of a request. The seed
+// decides where the sequences begin by which requests are shared among services.
+func NewClassify(next Handler, config Configuration, seed uint64) Handler {
+	return &classify{next: next, config: config, seed: seed}
+}
+
+// shareSequence gives points from 0 to below 1 that are spread evenly: each step
+// is the golden ratio, so that the parts of a class get their shares within few
+// requests of one node.
+type shareSequence struct {
+	start float64
+	next  atomic.Uint64
+}
+
+func (s *shareSequence) point() float64 {
+	_, frac := math.Modf(s.start + float64(s.next.Add(1)%shareCycle)*math.Phi)
+	return frac
+}
+
+// shareCycle keeps the product exact enough.
+const shareCycle = 1 << 24
+
+// part chooses the service of a request whose class is shared among services.
+func (f *classify) part(r *class.Resolved) *class.Resolved {
+	if !r.Shared() {
+		return r
+	}
+	s, ok := f.shared.Load(r.Name)
+	if !ok {
+		s, _ = f.shared.LoadOrStore(r.Name, &shareSequence{start: rand.New(rand.NewPCG(f.seed, uint64(len(r.Name)))).Float64()})
+	}
+	return r.Part(s.(*shareSequence).point())
+}
 
 func (f *classify) Serve(c *Call) error {
 	if err := rejectUnsupported(c.Request); err != nil {
@@ -22,11 +60,12 @@
 	if set == nil {
 		return errkind.New(errkind.ConfigAbsent, "no confirmed configuration yet")
 	}
-	c.Class = set.Match(c.Request.Method, c.Request.URL.Path)
+	c.Class = set.MatchHost(c.Request.Host, c.Request.Method, c.Request.URL.Path)
 	c.Record.ConfigVersion = set.Version
 	if c.Class == nil {
 		return errkind.New(errkind.NoClass, "no class takes %s %s", c.Request.Method, c.Request.URL.Path)
 	}
+	c.Class = f.part(c.Class)
 	key, err := keyOf(c)
 	if err != nil {
 		return err
--- a/filter/deadline.go
+++ b/filter/deadline.go
@@ -15,14 +15,16 @@
 	next     Handler
 	clock    clock.Clock
 	attempts uint32
+	header   string
 }
 
 // NewDeadline returns the filter that sets the limits of a call: its deadline,
 // its depth and its further attempts. A call below another one inherits
 // them, and neither a caller nor a backend server can extend them. A call at
-// the root of a tree may make attempts further attempts.
-func NewDeadline(next Handler, k clock.Clock, attempts uint32) Handler {
-	return &deadline{next, k, attempts}
+// the root of a tree may make attempts further attempts, unless its class states
+// how many. Callers state in header how long they wait.
+func NewDeadline(next Handler, k clock.Clock, attempts uint32, header string) Handler {
+	return &deadline{next, k, attempts, header}
 }
 
 func (f *deadline) Serve(c *Call) error {
@@ -38,7 +40,11 @@
 			c.Deadline = p.Deadline
 		}
 	}
-	if c.Attempts == nil {
+	switch {
+	case c.Attempts != nil:
+	case c.Class.Item:
+		c.Attempts = retry.NewAttempts(c.Class.Attempts - 1)
+	default:
 		c.Attempts = retry.NewAttempts(f.attempts)
 	}
 	c.Record.Depth = c.Meta.Depth
@@ -60,13 +66,13 @@
 
 func (f *deadline) limit(c *Call) (time.Duration, error) {
 	limit := c.Class.Deadline
-	sent := c.Request.Header.Get(fleet.HeaderTimeoutMillis)
+	sent := c.Request.Header.Get(f.header)
 	if sent == "" {
 		return limit, nil
 	}
 	ms, err := strconv.ParseUint(sent, 10, 32)
 	if err != nil || ms == 0 {
-		return 0, errkind.New(errkind.BadRequest, "%s %q is not a positive number of milliseconds", fleet.HeaderTimeoutMillis, sent)
+		return 0, errkind.New(errkind.BadRequest, "%s %q is not a positive number of milliseconds", f.header, sent)
 	}
 	return min(limit, time.Duration(ms)*time.Millisecond), nil
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -109,6 +109,7 @@
 	Confined      bool          `cbor:"17,keyasint,omitempty"` // single attempt of a crash suspect
 	Movable       bool          `cbor:"18,keyasint,omitempty"` // a refusal would be followed by a retry at another server
 	Sole          bool          `cbor:"19,keyasint,omitempty"` // no other server accepts work of the service
+	From          string        `cbor:"20,keyasint,omitempty"` // service beside whose node the request entered the fleet
 }
 
 // MaxDepth is the deepest call chain that is served.
--- /dev/null
+++ b/itemset/codec.go
@@ -0,0 +1,65 @@
+package itemset
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// maxEncodedBytes bounds what Decode inflates.
+const maxEncodedBytes = 32 << 20
+
+type encodedSet struct {
+	Revision uint64  `cbor:"1,keyasint"`
+	Items    []*Item `cbor:"2,keyasint"`
+}
+
+// Encode returns a compressed form of the set. Equal sets give equal bytes.
+func (s *Set) Encode() ([]byte, error) {
+	plain, err := cbor.Marshal(encodedSet{s.Revision, s.Sorted()})
+	if err != nil {
+		return nil, fmt.Errorf("encode items: %w", err)
+	}
+	var out bytes.Buffer
+	// The fastest level: names and prefixes are random, so that a higher one
+	// saves little.
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, fmt.Errorf("encode items: %w", err)
+	}
+	if _, err := w.Write(plain); err != nil {
+		return nil, fmt.Errorf("encode items: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("encode items: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+// Decode reads the form that Encode writes.
+func Decode(data []byte) (*Set, error) {
+	r := flate.NewReader(bytes.NewReader(data))
+	defer r.Close()
+	plain, err := io.ReadAll(io.LimitReader(r, maxEncodedBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("decode items: %w", err)
+	}
+	if len(plain) > maxEncodedBytes {
+		return nil, fmt.Errorf("decode items: more than %d bytes", maxEncodedBytes)
+	}
+	var e encodedSet
+	if err := cbor.Unmarshal(plain, &e); err != nil {
+		return nil, fmt.Errorf("decode items: %w", err)
+	}
+	s := &Set{Revision: e.Revision, items: make(map[Key]*Item, len(e.Items))}
+	for _, it := range e.Items {
+		if err := it.check(); err != nil {
+			return nil, fmt.Errorf("decode items: %w", err)
+		}
+		s.items[it.Key] = it
+	}
+	return s, nil
+}
--- /dev/null
+++ b/itemset/item.go
@@ -0,0 +1,75 @@
+package itemset
+
+import (
+	"errors"
+	"fmt"
+
+	"bramleymill/class"
+)
+
+// Kind tells what an item configures.
+type Kind uint8
+
+// The kinds of items.
+const (
+	KindClass Kind = iota + 1
+	KindService
+	KindLimits
+)
+
+// String returns the name of k.
+func (k Kind) String() string {
+	switch k {
+	case KindClass:
+		return "class"
+	case KindService:
+		return "service"
+	case KindLimits:
+		return "limits"
+	}
+	return "invalid"
+}
+
+// Key identifies an item. The item of KindLimits has no name.
+type Key struct {
+	Kind Kind   `cbor:"1,keyasint"`
+	Name string `cbor:"2,keyasint,omitempty"`
+}
+
+// Item is one version of an item. Exactly the field that belongs to its kind is
+// set, unless the item is dropped.
+type Item struct {
+	Key     Key            `cbor:"1,keyasint"`
+	Version uint64         `cbor:"2,keyasint"`
+	Dropped bool           `cbor:"3,keyasint,omitempty"`
+	Class   *class.Class   `cbor:"4,keyasint,omitempty"`
+	Service *class.Service `cbor:"5,keyasint,omitempty"`
+	Limits  *class.Limits  `cbor:"6,keyasint,omitempty"`
+
+	// Source is the text in which the operator stated the item, if it cannot be
+	// derived from the other fields. It is returned to operators as it is.
+	Source []byte `cbor:"7,keyasint,omitempty"`
+}
+
+// MaxNameBytes bounds the name of an item.
+const MaxNameBytes = 256
+
+// check validates what does not depend on other items.
+func (i *Item) check() error {
+	if len(i.Key.Name) > MaxNameBytes {
+		return fmt.Errorf("%s: the name has %d bytes; use at most %d", i.Key.Kind, len(i.Key.Name), MaxNameBytes)
+	}
+	if (i.Key.Name == "") != (i.Key.Kind == KindLimits) {
+		return fmt.Errorf("%s: a class and a service need a name, the limits have none", i.Key.Kind)
+	}
+	set := i.Class != nil && i.Key.Kind == KindClass ||
+		i.Service != nil && i.Key.Kind == KindService ||
+		i.Limits != nil && i.Key.Kind == KindLimits
+	if set == i.Dropped {
+		return fmt.Errorf("%s %q: the content does not fit the kind", i.Key.Kind, i.Key.Name)
+	}
+	if i.Limits != nil && (i.Limits.HeaderBytes < 0 || i.Limits.BodyBytes < 0 || i.Limits.HeaderTimeout < 0 || i.Limits.IdleTimeout < 0) {
+		return errors.New("limits: a limit must not be negative")
+	}
+	return nil
+}
--- a/keys/store.go
+++ b/keys/store.go
@@ -45,6 +45,7 @@
 	logLimit *rate.Limiter
 	refused  map[Reason]*atomic.Uint64
 	current  atomic.Pointer[material]
+	trusting bool // every peer that states a name and a role is accepted
 
 	mu        sync.Mutex
 	checked   time.Time
@@ -135,6 +136,9 @@
 // Secret derives a secret for a purpose from the private key. It survives a
 // restart and changes with the key.
 func (s *Store) Secret(purpose string) ([32]byte, error) {
+	if s.trusting {
+		return sha256.Sum256([]byte("bramleymill " + purpose + "\x00" + string(s.current.Load().name))), nil
+	}
 	k, ok := s.material().certificate.PrivateKey.(*ecdsa.PrivateKey)
 	if !ok {
 		return [32]byte{}, errors.New("derive secret: private key is not an ECDSA key")
@@ -151,7 +155,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	if now.Sub(s.checked) >= reloadInterval {
+	if !s.trusting && now.Sub(s.checked) >= reloadInterval {
 		s.checked = now
 		s.reload()
 	}
--- a/keys/tls.go
+++ b/keys/tls.go
@@ -4,6 +4,8 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"fmt"
+	"slices"
 
 	"bramleymill/fleet"
 )
@@ -93,6 +95,13 @@
 }
 
 func (s *Store) check(cs tls.ConnectionState, usage x509.ExtKeyUsage, accepted []fleet.Role, remote string) error {
+	if s.trusting {
+		_, role, err := PeerOf(cs)
+		if err == nil && !slices.Contains(accepted, role) {
+			err = fmt.Errorf("role %q is not accepted here", role)
+		}
+		return err
+	}
 	o := x509.VerifyOptions{CurrentTime: s.clock.Now(), KeyUsages: []x509.ExtKeyUsage{usage}}
 	err := s.material().verify(cs, o, accepted)
 	var r *Refusal
--- /dev/null
+++ b/keys/trusted.go
@@ -0,0 +1,66 @@
+package keys
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"fmt"
+	"log/slog"
+	"math/big"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bramleymill/clock"
+	"bramleymill/fleet"
+)
+
+// NewTrusted returns a Store for a network in which every process is trusted. It
+// makes its own certificate, which lasts as long as the process and depends on no
+// clock, and accepts the name and role that a peer states without a proof. Whoever
+// reaches the network can act as any node.
+func NewTrusted(name fleet.NodeID, role fleet.Role, logger *slog.Logger) (*Store, error) {
+	m, err := selfSigned(name, role)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{
+		clock:    clock.System{},
+		logger:   logger,
+		logLimit: rate.NewLimiter(rate.Every(refusalLogInterval), refusalLogBurst),
+		refused:  map[Reason]*atomic.Uint64{},
+		trusting: true,
+	}
+	s.current.Store(m)
+	return s, nil
+}
+
+func selfSigned(name fleet.NodeID, role fleet.Role) (*material, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("make key: %w", err)
+	}
+	t := &x509.Certificate{
+		SerialNumber: big.NewInt(1),
+		Subject:      pkix.Name{CommonName: string(name), OrganizationalUnit: []string{string(role)}},
+		NotBefore:    time.Unix(0, 0),
+		NotAfter:     time.Date(9999, 1, 1, 0, 0, 0, 0, time.UTC),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, key.Public(), key)
+	if err != nil {
+		return nil, fmt.Errorf("make certificate: %w", err)
+	}
+	leaf, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fmt.Errorf("make certificate: %w", err)
+	}
+	if _, _, err := identity(leaf); err != nil {
+		return nil, err
+	}
+	pair := tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key, Leaf: leaf}
+	return &material{certificate: pair, leaf: leaf, generation: 1, name: name, role: role}, nil
+}
--- a/member/config.go
+++ b/member/config.go
@@ -6,6 +6,7 @@
 
 	"bramleymill/clock"
 	"bramleymill/fleet"
+	"bramleymill/pick"
 	"bramleymill/settings"
 	"bramleymill/transport"
 )
@@ -15,6 +16,9 @@
 	HeartbeatInterval = 500 * time.Millisecond
 	heartbeatJitter   = 0.2
 
+	// slowStart is the warm-up period that selecting nodes assume after ReadySince.
+	slowStart = pick.DefaultSlowStart
+
 	// Lease is how long a node counts as alive after it was last heard.
 	Lease = 3 * time.Second
 	// SuspectAfter is the silence after which a node is probed.
--- a/member/core.go
+++ b/member/core.go
@@ -25,7 +25,8 @@
 	conf        configuration
 	notices     noticeLog
 	joins       bucket
-	synced      bool // a control instance knows what the others hear
+	synced      bool           // a control instance knows what the others hear
+	warmup      *time.Duration // nil: not told
 	leaving     bool
 	superseded  bool
 	probing     int
@@ -149,6 +150,10 @@
 	}
 	if s == fleet.Ready {
 		k.self.ReadySince = now.UnixMilli()
+		if k.warmup != nil {
+			// As if the server had become ready that long before the end of its warm-up.
+			k.self.ReadySince = now.Add(*k.warmup - slowStart).UnixMilli()
+		}
 	}
 	k.self.State = s
 	k.self.Sequence++
--- a/member/member.go
+++ b/member/member.go
@@ -196,6 +196,14 @@
 	m.change(func() { m.core.setState(s, m.clock.Now()) })
 }
 
+// SetWarmup tells for how long the own backend server is still slow after its
+// start. It is announced with the next state.
+func (m *Member) SetWarmup(left time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.core.warmup = &left
+}
+
 // Self returns the own announcement.
 func (m *Member) Self() fleet.Server {
 	m.mu.Lock()
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -11,6 +11,7 @@
 
 	"bramleymill/class"
 	"bramleymill/configstate"
+	"bramleymill/itemset"
 )
 
 // bundle is what the membership distributes as the configuration of one
@@ -19,16 +20,25 @@
 	Version  uint64              `cbor:"1,keyasint"` // of Document, zero before the first
 	Document []byte              `cbor:"2,keyasint,omitempty"`
 	Orders   *configstate.Orders `cbor:"3,keyasint,omitempty"`
+	Items    []byte              `cbor:"4,keyasint,omitempty"` // as itemset.Set.Encode writes them; none before the first
 }
 
-// revision orders bundles. Each accepted change raises exactly one of the two
+// revision orders bundles. Each accepted change raises exactly one of the three
 // versions, so that their sum increases with every change.
 func revision(v *configstate.View) uint64 {
-	return v.Version + v.Orders.Version
+	return v.Version + v.Orders.Version + v.Items.Revision
 }
 
 func encodeBundle(v *configstate.View) ([]byte, error) {
-	b, err := cbor.Marshal(bundle{Version: v.Version, Document: v.Document, Orders: v.Orders})
+	out := bundle{Version: v.Version, Document: v.Document, Orders: v.Orders}
+	if v.Items.Revision > 0 {
+		items, err := v.Items.Encode()
+		if err != nil {
+			return nil, err
+		}
+		out.Items = items
+	}
+	b, err := cbor.Marshal(out)
 	if err != nil {
 		return nil, fmt.Errorf("encode configuration: %w", err)
 	}
@@ -63,7 +73,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if b.Document != nil {
+	switch {
+	case b.Items != nil:
+		c.adoptItems(b)
+	case b.Document != nil:
 		c.adoptClasses(b)
 	}
 	if b.Orders != nil && (c.orders == nil || b.Orders.Version > c.orders.Version) {
@@ -95,3 +108,19 @@
 	c.logger.Info("configuration in force", "version", b.Version, "classes", len(d.Classes))
 	c.onClasses(b.Version)
 }
+
+// adoptItems is called with mu held. A fleet that is configured by items takes no
+// classes from a document. The version of the set is the revision of the items.
+func (c *configuration) adoptItems(b bundle) {
+	items, err := itemset.Decode(b.Items)
+	if err != nil {
+		c.logger.Error("configuration not decoded", "error", err)
+		return
+	}
+	if old := c.set.Load(); old != nil && old.Version >= items.Revision {
+		return
+	}
+	c.set.Store(items.Classes(items.Revision))
+	c.logger.Info("configuration in force", "version", items.Revision, "items", items.Len())
+	c.onClasses(items.Revision)
+}
--- a/node/control.go
+++ b/node/control.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bramleymill/claim"
+	"bramleymill/clock"
 	"bramleymill/configstate"
 	"bramleymill/explain"
 	"bramleymill/member"
@@ -107,6 +108,9 @@
 		SnapshotEvery: s.Control.SnapshotInterval,
 		Host:          c.host,
 		ControlOnly:   group == groupConfiguration,
+		MinVoters:     s.Control.Voters,
+		ReplaceAfter:  s.Control.ReplaceAfter.Std(),
+		ProveReads:    s.TrustedNetwork,
 		OnFailure: func(err error) {
 			c.logger.Error("control role stopped", "group", group, "error", err)
 			c.note(explain.ControlStopped, fmt.Sprintf("group %d: %v", group, err))
@@ -225,6 +229,28 @@
 	}
 }
 
+// bootstrapPause is the time between attempts to start the replicated logs.
+const bootstrapPause = 100 * time.Millisecond
+
+// bootstrap starts the replicated logs without an operator, unless the data
+// folder belongs to a log already.
+func (c *control) bootstrap(ctx context.Context) {
+	for {
+		err := c.Bootstrap(ctx)
+		switch {
+		case err == nil:
+			c.logger.Info("replicated logs started")
+			return
+		case errors.Is(err, replica.ErrHasGroup):
+			return
+		}
+		c.logger.Warn("replicated logs not started yet", "error", err)
+		if !clock.Sleep(ctx, bootstrapPause) {
+			return
+		}
+	}
+}
+
 // close hands leadership over and closes the replicas.
 func (c *control) close(ctx context.Context) error {
 	var config, claims error
--- a/node/node.go
+++ b/node/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"strings"
 	"sync/atomic"
@@ -45,20 +46,36 @@
 	path      atomic.Pointer[proxy.Proxy]
 	seed      uint64
 	seenOrder atomic.Uint64 // version of the orders acted on
+	options   Options
+	stopping  atomic.Bool
 
 	superseded chan fleet.Incarnation
 }
 
+// Options adapt a node to a platform with its own protocols.
+type Options struct {
+	Dialect   *proxy.Dialect // headers of callers and backend servers; nil: the product's own
+	Listeners []Listener     // besides those of the settings
+}
+
+// Listener is a further HTTP listener of a node.
+type Listener struct {
+	Name    string
+	Address string
+	Handler func(*Node) http.Handler
+}
+
 // New opens the keys, the data folder and the control endpoint of a node.
 func New(s *settings.Settings, logger *slog.Logger) (*Node, error) {
-	n := &Node{settings: s, logger: logger.With("node", s.Node), seed: rand.Uint64(), metrics: metrics.New(s.Node),
+	return NewOnPlatform(s, logger, Options{})
+}
+
+// NewOnPlatform is New for a node on a platform with protocols of its own.
+func NewOnPlatform(s *settings.Settings, logger *slog.Logger, options Options) (*Node, error) {
+	n := &Node{settings: s, options: options, logger: logger.With("node", s.Node), seed: rand.Uint64(), metrics: metrics.New(s.Node),
 		superseded: make(chan fleet.Incarnation, 1)}
 	var err error
-	n.keys, err = keys.Load(keys.Config{
-		Files:  keys.Files{Authority: s.Keys.Authority, Certificate: s.Keys.Certificate, PrivateKey: s.Keys.PrivateKey},
-		Logger: n.logger,
-	})
-	if err != nil {
+	if n.keys, err = n.openKeys(); err != nil {
 		return nil, err
 	}
 	if err := n.checkIdentity(); err != nil {
@@ -75,6 +92,21 @@
 	return n, nil
 }
 
+func (n *Node) openKeys() (*keys.Store, error) {
+	s := n.settings
+	if s.TrustedNetwork {
+		role := fleet.RoleNode
+		if s.Control != nil {
+			role = fleet.RoleControl
+		}
+		return keys.NewTrusted(nodeID(s), role, n.logger)
+	}
+	return keys.Load(keys.Config{
+		Files:  keys.Files{Authority: s.Keys.Authority, Certificate: s.Keys.Certificate, PrivateKey: s.Keys.PrivateKey},
+		Logger: n.logger,
+	})
+}
+
 // release closes what New has opened, when the node does not start.
 func (n *Node) release() error {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
@@ -150,7 +182,7 @@
 		wake() // for a change that came before
 	}
 	n.crashes = &crashes{client: n.endpoint, member: m, self: nodeID(s), logger: n.logger}
-	n.suspects = suspect.New(suspect.Config{})
+	n.suspects = suspect.New(n.containment())
 	receiveCrashes(mux, m, n.suspects, n.store, n.logger)
 	answerQuestions(mux, n.path.Load)
 	explain.Register(mux, n.store)
@@ -163,6 +195,20 @@
 	return nil
 }
 
+// crashesOnPlatform is the number of servers that a request may crash before it is
+// refused, where the requests of callers are not confined before.
+const crashesOnPlatform = 3
+
+// containment returns the rules for requests that crash backend servers. On a
+// platform innocent requests in flight at a server that dies go on elsewhere
+// without waiting for each other.
+func (n *Node) containment() suspect.Config {
+	if n.options.Dialect == nil {
+		return suspect.Config{}
+	}
+	return suspect.Config{Crashes: crashesOnPlatform, SuspectAfter: crashesOnPlatform}
+}
+
 func (n *Node) maxChildren() int {
 	if n.settings.Control != nil {
 		return n.settings.Control.MaxChildren
--- /dev/null
+++ b/node/platform.go
@@ -0,0 +1,75 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"time"
+
+	"bramleymill/configstate"
+	"bramleymill/errkind"
+	"bramleymill/itemset"
+	"bramleymill/proxy"
+)
+
+// Ready reports whether the node takes work: it has a configuration and does not
+// stop. A control instance without a backend server is ready when it runs.
+func (n *Node) Ready() bool {
+	if n.stopping.Load() {
+		return false
+	}
+	return n.path.Load() != nil && (n.settings.Backend == nil || n.config.Current() != nil)
+}
+
+// Announce takes what the backend server beside the node says of itself.
+func (n *Node) Announce(service, address string, a proxy.Announcement) error {
+	p := n.path.Load()
+	if p == nil {
+		return errkind.New(errkind.ControlUnavailable, "the node is starting")
+	}
+	return p.Announce(service, address, a)
+}
+
+// MergeItems puts items in force, each unless a higher or equal version of it is
+// held. A nil error acknowledges all of them: they are synced on a majority. An
+// error of kind InvalidDocument refuses the change as a whole.
+func (n *Node) MergeItems(ctx context.Context, operator, origin string, items []itemset.Item) error {
+	if n.control == nil {
+		return errkind.New(errkind.ControlUnavailable, "node %s has no control role", n.settings.Node)
+	}
+	var id [16]byte
+	_, _ = rand.Read(id[:]) // never fails
+	command, err := configstate.EncodeChange(configstate.Change{
+		ID: hex.EncodeToString(id[:]), Action: configstate.MergeItems, Operator: operator, Origin: origin,
+		Submitted: time.Now().UnixNano(), Items: items,
+	})
+	if err != nil {
+		return errkind.New(errkind.BadRequest, "%w", err)
+	}
+	result, err := n.control.config.Propose(ctx, command)
+	if err != nil {
+		n.logger.Warn("items not merged", "operator", operator, "from", origin, "items", len(items), "error", err)
+		return err
+	}
+	a, err := configstate.DecodeAnswer(result)
+	if err != nil {
+		return errkind.New(errkind.OutcomeUnknown, "%w", err)
+	}
+	n.logger.Info("items merged", "operator", operator, "from", origin, "items", len(items), "outcome", a.Outcome,
+		"revision", a.ItemsRevision, "message", a.Message)
+	if a.Outcome != configstate.Accepted {
+		return errkind.New(errkind.InvalidDocument, "%s", a.Message)
+	}
+	return nil
+}
+
+// Items returns the items in force, as proved by a majority.
+func (n *Node) Items(ctx context.Context) (*itemset.Set, error) {
+	if n.control == nil {
+		return nil, errkind.New(errkind.ControlUnavailable, "node %s has no control role", n.settings.Node)
+	}
+	if err := n.control.config.Confirm(ctx); err != nil {
+		return nil, err
+	}
+	return n.control.machine.View().Items, nil
+}
--- a/node/run.go
+++ b/node/run.go
@@ -63,6 +63,9 @@
 			return nil
 		})
 	}
+	if n.control != nil && n.settings.Control.Bootstrap && n.settings.Seeds[0] == n.settings.AdvertisedAddress {
+		group.Go(func() error { n.control.bootstrap(ctx); return nil })
+	}
 	if n.control != nil {
 		group.Go(func() error { n.control.maintainLimits(ctx, n.claims); return nil })
 		group.Go(func() error { n.control.maintainConfirmation(ctx); return nil })
@@ -107,7 +110,10 @@
 		Store:         n.store,
 		StateChanged:  n.member.SetState,
 		ConfigSeen:    n.fetchConfiguration,
-		ClientTLS:     n.keys.PeerClient(),
+		ClientTLS:     n.peerClientTLS(),
+		Dialect:       n.options.Dialect,
+		FreePlacement: n.options.Dialect != nil,
+		Warmed:        n.member.SetWarmup,
 		KeyGeneration: n.keys.LastGeneration,
 		Seed:          n.seed,
 		Log:           n.logger,
@@ -132,6 +138,28 @@
 	n.member.PeerVersion(revision + 1)
 }
 
+// peerClientTLS returns nil in a trusted network, where nodes talk without TLS.
+func (n *Node) peerClientTLS() *tls.Config {
+	if n.settings.TrustedNetwork {
+		return nil
+	}
+	return n.keys.PeerClient()
+}
+
+func (n *Node) peerServerTLS() *tls.Config {
+	if n.settings.TrustedNetwork {
+		return nil
+	}
+	return n.keys.PeerServer()
+}
+
+func (n *Node) peerHandler(p *proxy.Proxy) http.Handler {
+	if n.settings.TrustedNetwork {
+		return p.Peer()
+	}
+	return recheckPeers(p.Peer(), n.keys)
+}
+
 func (n *Node) openListeners(r *running, p *proxy.Proxy) error {
 	s := n.settings
 	add := func(name, address string, h http.Handler, secure *tls.Config) error {
@@ -145,10 +173,15 @@
 		}
 		return err
 	}
+	var extra error
+	for _, l := range n.options.Listeners {
+		extra = errors.Join(extra, add(l.Name, l.Address, l.Handler(n), nil))
+	}
 	return errors.Join(
+		extra,
 		add("caller_address", s.CallerAddress, p.Caller(), nil),
 		add("service_address", s.ServiceAddress, p.Service(), nil),
-		add("peer_address", s.PeerAddress, recheckPeers(p.Peer(), n.keys), n.keys.PeerServer()),
+		add("peer_address", s.PeerAddress, n.peerHandler(p), n.peerServerTLS()),
 		add("metrics_address", s.MetricsAddress, n.metrics.Handler(), nil),
 		add("admin_address", s.AdminAddress, n.adminHandler(), n.keys.AdminServer()),
 	)
@@ -193,15 +226,20 @@
 
 // stop announces the departure, drains, and closes in the reverse order of the start.
 func (n *Node) stop(r *running) error {
-	n.logger.Info("node stopping", "drain_timeout", n.settings.DrainTimeout.Std())
+	n.logger.Info("node stopping", "stop_delay", n.settings.StopDelay.Std(), "drain_timeout", n.settings.DrainTimeout.Std())
+	n.stopping.Store(true)
 	n.member.SetState(fleet.Draining)
+	if delay := n.settings.StopDelay.Std(); delay > 0 {
+		r.proxy.Retire()
+		time.Sleep(delay)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout.Std())
 	defer cancel()
 	report := r.proxy.Drain(ctx)
 	for _, c := range report.CutOff {
 		n.logger.Warn("request cut off", "method", c.Method, "path", c.Path)
 	}
-	time.Sleep(linger)
+	time.Sleep(max(0, linger-n.settings.StopDelay.Std()))
 	n.closeListeners(r)
 	r.proxy.Close()
 	n.step("announce departure", n.member.Leave)
--- a/proxy/backend.go
+++ b/proxy/backend.go
@@ -30,11 +30,17 @@
 	tokens  *tokens
 	monitor *monitor
 	clock   clock.Clock
+	rules   headerRules
+	service string
+	// announced is nil unless the backend server announces itself.
+	announced *announced
+	loaded    func(LoadState) // told of the load in each answer
 }
 
 func newBackend(c *Config, t *tokens, m *monitor) *backend {
 	connections := max(1, c.Backend.Connections-spareConnections)
 	b := &backend{node: c.Node, address: c.Backend.Address, tokens: t, monitor: m, clock: c.Clock,
+		rules: headerRules{c.Dialect}, service: c.Backend.Service, loaded: func(LoadState) {},
 		spares: newSpares(c.Backend.Address, connections)}
 	// Idle connections are kept warm until the backend server closes them.
 	b.pool = newPool(func(ctx context.Context, address string) (net.Conn, error) {
@@ -45,18 +51,21 @@
 
 // Dispatch passes the call to the backend server and its answer on.
 func (b *backend) Dispatch(c *filter.Call) error {
+	if b.rules.dialect != nil {
+		return b.dispatchAs(c, b.rules.dialect)
+	}
 	token := b.tokens.issue(&filter.Parent{
 		RequestID: c.Meta.RequestID, Deadline: c.Deadline, Depth: c.Meta.Depth, Attempts: c.Attempts,
 	})
 	defer b.tokens.revoke(token)
 	for try := 1; ; try++ {
 		x := &exchange{call: c, host: b.address, header: b.header(c, token),
-			expect: c.Body.Expect, expectTimeout: backendExpectTimeout}
+			rules: b.rules, expect: c.Body.Expect, expectTimeout: backendExpectTimeout}
 		resp, written, err := x.roundTrip(b.pool)
 		switch {
 		case err == nil:
 			defer x.end()
-			return b.receive(c, resp, token)
+			return b.receive(x, resp, token)
 		case written:
 			return lost(c, "connection to the backend server broke", err)
 		case x.link == nil || try == maxUnsentRetries:
@@ -67,7 +76,7 @@
 }
 
 func (b *backend) header(c *filter.Call, token string) http.Header {
-	h := endToEnd(c.Request.Header)
+	h := b.rules.endToEnd(c.Request.Header)
 	h[fleet.HeaderCall] = []string{token}
 	h[fleet.HeaderRequestID] = []string{c.Meta.RequestID}
 	left := max(0, c.Deadline.Sub(b.clock.Now()).Milliseconds())
@@ -75,7 +84,8 @@
 	return h
 }
 
-func (b *backend) receive(c *filter.Call, resp *http.Response, token string) error {
+func (b *backend) receive(x *exchange, resp *http.Response, token string) error {
+	c := x.call
 	c.HeadAt = b.clock.Now()
 	if b.monitor.answered(resp) && c.Meta.Idempotent {
 		// Another server may run it. A non-idempotent request gets the answer
@@ -89,7 +99,7 @@
 		return errkind.New(errkind.ConnectionLost, "the backend server switched protocols without being asked")
 	}
 	life := b.monitor.Life()
-	return relay(c, resp, answerHeader(resp.Header), func() error {
+	return x.relay(resp, b.rules.answer(resp.Header), func() error {
 		b.tokens.revoke(token) // it must not outlive the request for its caller
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && b.monitor.Died(c.Ctx, life) {
 			return errkind.New(errkind.ConnectionLost, "the backend server died before the end of an answer without a length")
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -53,13 +53,24 @@
 	// announces, in order: with the first one before New returns, then with each
 	// new one. It must not block. It may be nil.
 	StateChanged func(fleet.ServerState)
+	// Warmed is called before StateChanged with the time for which the backend
+	// server is still slow after its start, if it announces that. It may be nil.
+	Warmed func(left time.Duration)
+
+	// Dialect names the headers of a platform; nil: the product's own.
+	Dialect *Dialect
+	// FreePlacement lets copies of a request run anywhere, also before one of them
+	// has finished. See Choose.
+	FreePlacement bool
 
 	// ConfigSeen is called with the version of a class document that is later than
 	// the own and came with a message of another node. It must not block. It may
 	// be nil.
 	ConfigSeen func(version uint64)
 
-	ClientTLS *tls.Config // for connections to other nodes
+	// ClientTLS is for connections to other nodes. Nil: they are plain, and the
+	// name that a node states is taken for true.
+	ClientTLS *tls.Config
 	// KeyGeneration changes with the keys of ClientTLS. Connections made before are
 	// not used for further requests. It may be nil.
 	KeyGeneration func() uint64
@@ -73,8 +84,14 @@
 }
 
 func (c *Config) setDefaults() error {
-	if c.Node == "" || c.Directory == nil || c.Configuration == nil || c.Claims == nil || c.Locks == nil || c.Crashes == nil || c.ClientTLS == nil {
-		return errors.New("proxy: node, directory, configuration, claims, locks, crashes and client TLS are required")
+	if c.Node == "" || c.Directory == nil || c.Configuration == nil || c.Claims == nil || c.Locks == nil || c.Crashes == nil {
+		return errors.New("proxy: node, directory, configuration, claims, locks and crashes are required")
+	}
+	if c.Backend != nil && c.Backend.Announces && c.Dialect == nil {
+		return errors.New("proxy: a backend server that announces itself needs a dialect")
+	}
+	if c.Warmed == nil {
+		c.Warmed = func(time.Duration) {}
 	}
 	if c.Suspects == nil {
 		c.Suspects = suspect.New(suspect.Config{})
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -1,12 +1,14 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
 	"math"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,7 +48,10 @@
 	call   *filter.Call
 	host   string // names the connections in the pool
 	header http.Header
-	expect bool // the body is sent only when the receiver asks for it
+	rules  headerRules
+	id     string // of the request, which the answer repeats in a dialect
+	skip   int    // answers to other requests that may still be skipped
+	expect bool   // the body is sent only when the receiver asks for it
 	// expectTimeout is the time after which a body that is not asked for is sent.
 	expectTimeout time.Duration
 
@@ -129,7 +134,12 @@
 				close(x.asked)
 			}
 		case resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols:
-			x.call.Answer.Informational(resp.StatusCode, endToEnd(resp.Header))
+			x.call.Answer.Informational(resp.StatusCode, x.rules.endToEnd(resp.Header))
+		case x.skip > 0 && x.rules.dialect.judge(x.id, resp) == stray:
+			x.skip--
+			if err := x.discardAnswer(resp); err != nil {
+				return nil, err
+			}
 		default:
 			x.link.limitReads(math.MaxInt64)
 			return resp, nil
@@ -137,6 +147,25 @@
 	}
 }
 
+// maxStray bounds the answers to other requests that are skipped, and maxStrayBytes
+// the body of each.
+const (
+	maxStray      = 3
+	maxStrayBytes = 1 << 20
+)
+
+// discardAnswer reads an answer that belongs to another request. The own answer
+// follows on the connection.
+func (x *exchange) discardAnswer(resp *http.Response) error {
+	defer func() { _ = resp.Body.Close() }()
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 || resp.Close {
+		return errors.New("an answer to another request ends with the connection")
+	}
+	x.link.limitReads(maxStrayBytes)
+	_, err := io.Copy(io.Discard, resp.Body)
+	return err
+}
+
 // end returns the connection for the next request, or closes it if anything of
 // this one is left on it.
 func (x *exchange) end() {
@@ -221,7 +250,7 @@
 		for name := range in.Trailer {
 			out.Trailer[name] = nil
 		}
-		out.Body = &trailerBody{ReadCloser: r, from: in, to: out.Trailer}
+		out.Body = &trailerBody{ReadCloser: r, rules: x.rules, from: in, to: out.Trailer}
 	}
 	if out.ContentLength == 0 {
 		out.ContentLength = -1 // zero with a body means that the length is not known
@@ -279,15 +308,16 @@
 // the end of its body, to the request that is sent.
 type trailerBody struct {
 	io.ReadCloser
-	from *http.Request
-	to   http.Header
+	rules headerRules
+	from  *http.Request
+	to    http.Header
 }
 
 func (b *trailerBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		for name := range b.to {
-			if v, ok := endToEndTrailer(b.from.Trailer)[name]; ok {
+			if v, ok := b.rules.trailer(b.from.Trailer)[name]; ok {
 				b.to[name] = v
 			}
 		}
@@ -298,15 +328,30 @@
 // relay passes the answer on. An answer that ends early is an error, so that it
 // is never taken for complete. atEnd may find such an early end that the
 // protocol does not show.
-func relay(c *filter.Call, resp *http.Response, h http.Header, atEnd func() error) error {
+func (x *exchange) relay(resp *http.Response, h http.Header, atEnd func() error) error {
+	c := x.call
 	defer func() { _ = resp.Body.Close() }()
-	head := filter.Head{Status: resp.StatusCode, Header: h, Trailer: endToEndTrailer(resp.Trailer)}
+	head := filter.Head{Status: resp.StatusCode, Header: h, Trailer: x.rules.trailer(resp.Trailer)}
 	head.Stream = resp.ContentLength < 0 && c.Request.Method != http.MethodHead
 	c.Status = resp.StatusCode
+	body := io.Reader(resp.Body)
+	if x.rules.dialect != nil && c.Request.Method != http.MethodHead && len(resp.Trailer) == 0 && resp.ContentLength <= wholeAnswer {
+		start := wholeBuffers.Get().(*bytes.Buffer)
+		defer wholeBuffers.Put(start)
+		start.Reset()
+		_, err := io.CopyN(start, resp.Body, wholeAnswer+1)
+		switch {
+		case errors.Is(err, io.EOF):
+			return x.passWhole(head, start.Bytes(), atEnd)
+		case err != nil:
+			return lost(c, "answer broke off", err)
+		}
+		body = io.MultiReader(start, resp.Body)
+	}
 	if err := c.Answer.Begin(head); err != nil {
 		return err
 	}
-	if err := copyBody(c, resp.Body, resp.ContentLength); err != nil {
+	if err := copyBody(c, body, resp.ContentLength); err != nil {
 		return err
 	}
 	if err := atEnd(); err != nil {
@@ -315,7 +360,45 @@
 	if c.BeforeEnd != nil {
 		c.BeforeEnd()
 	}
-	return c.Answer.End(endToEndTrailer(resp.Trailer))
+	return c.Answer.End(x.rules.trailer(resp.Trailer))
+}
+
+// wholeAnswer is the size up to which an answer is read to its end before it is
+// passed on. One that breaks off can then be followed by another attempt.
+const wholeAnswer = 64 << 10
+
+var wholeBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// passWhole passes on an answer that was read to its end.
+func (x *exchange) passWhole(head filter.Head, body []byte, atEnd func() error) error {
+	c := x.call
+	if err := atEnd(); err != nil {
+		return err
+	}
+	if c.BeforeEnd != nil {
+		c.BeforeEnd()
+	}
+	if bodyAllowed(head.Status) {
+		head.Header["Content-Length"] = []string{strconv.Itoa(len(body))}
+	}
+	if _, ok := head.Header["Content-Type"]; !ok {
+		head.Header["Content-Type"] = nil // the server would guess one
+	}
+	head.Stream = false
+	if err := c.Answer.Begin(head); err != nil {
+		return err
+	}
+	if len(body) > 0 {
+		if _, err := c.Answer.Write(body); err != nil {
+			return errkind.New(errkind.CallerGone, "pass on the answer: %w", err)
+		}
+	}
+	return c.Answer.End(nil)
+}
+
+// bodyAllowed reports whether an answer with a status may state a length.
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
 // copyBody passes on a body of length bytes; -1 means that it is not known.
--- a/proxy/fuzz_test.go
+++ b/proxy/fuzz_test.go
@@ -37,7 +37,7 @@
 		h := http.Header{"X-Kept": {"1"}, "Connection": {value}}
 		h[name] = append(h[name], value)
 		h.Add(name, value)
-		out := endToEnd(h)
+		out := headerRules{}.endToEnd(h)
 		for got := range out {
 			if hopByHop[got] || isProjectHeader(got) {
 				t.Errorf("%q passed", got)
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -36,10 +36,9 @@
 }
 
 func (p *Proxy) serveEntry(w http.ResponseWriter, r *http.Request, c *filter.Call) {
-	writer := filter.NewWriter(w, func(h http.Header) {
-		h.Set(fleet.HeaderRequestID, c.Meta.RequestID)
-	})
+	writer := filter.NewWriter(w, func(h http.Header) { p.nameAnswer(h, c) })
 	c.Ctx, c.Request, c.Answer = r.Context(), r, writer
+	c.Meta.From = p.service()
 	c.Record = explain.NewRecord(explain.Entry, "", p.config.Clock.Now())
 	defer p.finishEntry(c, writer)
 	task := p.work.begin(c.Parent != nil)
@@ -55,6 +54,21 @@
 	}
 }
 
+// nameAnswer adds the id of the request: in a dialect the one that the caller sent.
+func (p *Proxy) nameAnswer(h http.Header, c *filter.Call) {
+	d := p.config.Dialect
+	if d == nil {
+		h.Set(fleet.HeaderRequestID, c.Meta.RequestID)
+		return
+	}
+	if id := c.Request.Header.Get(d.RequestID); id != "" {
+		h[http.CanonicalHeaderKey(d.RequestID)] = []string{id}
+	}
+	if p.retiring.Load() {
+		h.Set("Connection", "close") // the node is stopping
+	}
+}
+
 // unreadGrace bounds the time that a server keeps reading a body that nothing
 // needs any more. Closing the connection at once could destroy an answer that
 // the sender of the body has not read yet.
@@ -87,7 +101,7 @@
 	if errors.Is(err, filter.ErrLost) {
 		return
 	}
-	_ = writeError(w, c.Meta.RequestID, e, c.Origin == filter.FromPeer) // the receiver may have gone
+	_ = p.writeError(w, c.Meta.RequestID, e, c.Origin == filter.FromPeer) // the receiver may have gone
 }
 
 type errorBody struct {
@@ -97,7 +111,7 @@
 	Reason    string          `json:"reason,omitempty"` // for nodes only: it may name addresses
 }
 
-func writeError(w filter.Answer, id string, e *errkind.Error, withReason bool) error {
+func (p *Proxy) writeError(w filter.Answer, id string, e *errkind.Error, withReason bool) error {
 	a := errkind.Lookup(e.Kind)
 	body := errorBody{Kind: e.Kind, Outcome: a.Outcome, RequestID: id}
 	if withReason {
@@ -108,6 +122,9 @@
 		return err
 	}
 	h := http.Header{}
+	if d := p.config.Dialect; d != nil {
+		h = d.errorHeader(e)
+	}
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	h.Set(fleet.HeaderKind, string(e.Kind))
@@ -115,7 +132,7 @@
 	if e.Kind == errkind.Draining {
 		h.Set("Connection", "close") // the listener may be closed next
 	}
-	if a.RetryAfter > 0 {
+	if a.RetryAfter > 0 && p.config.Dialect == nil {
 		h.Set("Retry-After", strconv.Itoa(int((a.RetryAfter+time.Second-1)/time.Second)))
 	}
 	if err := w.Begin(filter.Head{Status: a.Status, Header: h}); err != nil {
@@ -168,16 +185,18 @@
 // acceptPeer decodes and checks the metadata of a forwarded call.
 func (p *Proxy) acceptPeer(c *filter.Call) error {
 	r := c.Request
-	name, err := peerName(r.TLS)
-	if err != nil {
-		return errkind.New(errkind.Unauthorized, "%w", err)
-	}
 	meta, err := decodeMeta(r.Header.Get(fleet.HeaderCallMeta))
 	if err != nil {
 		return errkind.New(errkind.BadRequest, "%s: %w", fleet.HeaderCallMeta, err)
 	}
-	if meta.Entry != name {
-		return errkind.New(errkind.Unauthorized, "call of entry node %q came from %q", meta.Entry, name)
+	name := meta.Entry
+	if p.config.ClientTLS != nil {
+		if name, err = peerName(r.TLS); err != nil {
+			return errkind.New(errkind.Unauthorized, "%w", err)
+		}
+		if meta.Entry != name {
+			return errkind.New(errkind.Unauthorized, "call of entry node %q came from %q", meta.Entry, name)
+		}
 	}
 	p.configSeen(meta.ConfigVersion)
 	p.observeSender(name, decodeLoad(r.Header))
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -31,12 +31,12 @@
 }
 
 // endToEnd returns a copy of h without hop-by-hop headers, headers listed in
-// Connection and headers of the project.
-func endToEnd(h http.Header) http.Header {
+// Connection and internal headers.
+func (r headerRules) endToEnd(h http.Header) http.Header {
 	out := make(http.Header, len(h)+4)
 	listed := connectionTokens(h)
 	for name, values := range h {
-		if hopByHop[name] || isProjectHeader(name) || listed[name] {
+		if hopByHop[name] || r.internal(name) || listed[name] {
 			continue
 		}
 		out[name] = values
@@ -44,12 +44,12 @@
 	return out
 }
 
-// answerHeader removes from the header of an answer what endToEnd leaves out. It
+// answer removes from the header of an answer what endToEnd leaves out. It
 // keeps the length, which is also that of the answer passed on.
-func answerHeader(h http.Header) http.Header {
+func (r headerRules) answer(h http.Header) http.Header {
 	listed := connectionTokens(h)
 	for name := range h {
-		if name != "Content-Length" && (hopByHop[name] || isProjectHeader(name) || listed[name]) {
+		if name != "Content-Length" && (hopByHop[name] || r.internal(name) || listed[name]) {
 			delete(h, name)
 		}
 	}
@@ -79,14 +79,14 @@
 	return len(name) >= len(fleet.HeaderPrefix) && strings.EqualFold(name[:len(fleet.HeaderPrefix)], fleet.HeaderPrefix)
 }
 
-// endToEndTrailer returns the trailers that may be passed on.
-func endToEndTrailer(t http.Header) http.Header {
+// trailer returns the trailers that may be passed on.
+func (r headerRules) trailer(t http.Header) http.Header {
 	if len(t) == 0 {
 		return nil
 	}
 	out := make(http.Header, len(t))
 	for name, values := range t {
-		if !hopByHop[name] && !isProjectHeader(name) {
+		if !hopByHop[name] && !r.internal(name) {
 			out[name] = values
 		}
 	}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -22,6 +22,8 @@
 	hints   *drainHints
 	health  *health
 	guard   *filter.CrashGuard
+	// announced is nil unless the backend server announces itself.
+	announced *announced
 
 	mu      sync.Mutex
 	current fleet.ServerState
@@ -40,14 +42,28 @@
 	l.monitor = newMonitor(c.Backend.Address, l.hints, l.aliveChanged, func(life uint64) { l.guard.Report(life) })
 	l.health = newHealth(c, l.monitor, l.hints, l.refresh)
 	l.backend = newBackend(c, p.tokens, l.monitor)
+	if c.Backend.Announces {
+		l.announced = newAnnounced(c, l.refresh)
+		l.backend.announced, l.backend.loaded = l.announced, l.loadTold
+	}
 	return l
 }
 
+// loadTold takes the load in an answer of the backend server.
+func (l *localServer) loadTold(s LoadState) { l.gate.SetPace(s.Pace) }
+
 func (l *localServer) start(ctx context.Context, done *sync.WaitGroup) {
 	done.Add(3)
 	go func() { defer done.Done(); l.backend.spares.run(ctx, l.monitor.Alive) }()
 	go func() { defer done.Done(); l.monitor.run(ctx) }()
-	go func() { defer done.Done(); l.health.run(ctx) }()
+	go func() {
+		defer done.Done()
+		if l.announced != nil {
+			l.announced.run(ctx, l.monitor.Alive)
+		} else {
+			l.health.run(ctx)
+		}
+	}()
 }
 
 // aliveChanged is called when the backend server appears or dies.
@@ -75,6 +91,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	next := l.derive()
+	if l.announced != nil {
+		l.noteAnnounced(next)
+	}
 	if next == l.current {
 		return
 	}
@@ -95,6 +114,8 @@
 		return fleet.Down
 	case !alive:
 		return fleet.Starting
+	case l.announced != nil:
+		return l.derived()
 	case l.hints.draining():
 		return fleet.Draining
 	case !l.health.ready():
@@ -103,6 +124,33 @@
 	return fleet.Ready
 }
 
+// derived returns the state of a server that accepts connections and announces
+// itself.
+func (l *localServer) derived() fleet.ServerState {
+	switch a := l.announced.known(); {
+	case a == nil || a.State == fleet.Starting:
+		return fleet.Starting
+	case a.State == fleet.Ready:
+		return fleet.Ready
+	}
+	return fleet.Draining
+}
+
+// noteAnnounced applies what an announcement says besides the state. The caller
+// holds mu.
+func (l *localServer) noteAnnounced(next fleet.ServerState) {
+	a := l.announced.known()
+	if a == nil {
+		return
+	}
+	if a.Slots > 0 {
+		l.gate.SetSlots(a.Slots)
+	}
+	if next == fleet.Ready && l.current != fleet.Ready {
+		l.config.Warmed(a.Warmup)
+	}
+}
+
 func (l *localServer) apply(s fleet.ServerState) {
 	if l.drained {
 		return // Gate.Drain decides
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -31,6 +31,7 @@
 	reports atomic.Uint64 // sequence of load reports
 
 	incarnation atomic.Uint64
+	retiring    atomic.Bool
 
 	measuring probe.Config
 	asks      *probe.Asks
@@ -52,6 +53,7 @@
 	p.incarnation.Store(uint64(c.Incarnation))
 	p.work.init()
 	p.remote = newRemote(c.ClientTLS, c.KeyGeneration, c.Clock, p.sentReport, p.configSeen)
+	p.remote.rules = p.rules()
 	if c.Backend != nil {
 		p.local = newLocalServer(p)
 		p.server = p.serverChain()
@@ -66,18 +68,29 @@
 	return p, nil
 }
 
+func (p *Proxy) rules() headerRules { return headerRules{p.config.Dialect} }
+
+// timeoutHeader names the header in which callers state how long they wait.
+func (p *Proxy) timeoutHeader() string {
+	if d := p.config.Dialect; d != nil {
+		return d.Timeout
+	}
+	return fleet.HeaderTimeoutMillis
+}
+
 func (p *Proxy) entryChain() filter.Handler {
 	c, k := &p.config, p.config.Clock
 	var h filter.Handler = filter.NewForward(p.remote, filter.HandlerFunc(p.serveLocal), c.Node, k)
 	p.choose = filter.NewChoose(h, c.Directory, c.Zone, k, c.Seed, p.store)
+	p.choose.FreePlacement = c.FreePlacement
 	h = filter.NewAttempts(p.choose, k, p)
 	h = filter.NewClaims(h, c.Claims)
 	h = filter.NewSuspects(h, c.Suspects, c.Locks, k)
 	h = filter.NewBodyFilter(h, k)
-	h = filter.NewDeadline(h, k, retry.DefaultAttempts)
+	h = filter.NewDeadline(h, k, retry.DefaultAttempts, p.timeoutHeader())
 	h = filter.NewInternalOnly(h)
 	h = filter.NewConfirmed(h, c.Configuration)
-	h = filter.NewClassify(h, c.Configuration)
+	h = filter.NewClassify(h, c.Configuration, c.Seed)
 	return filter.NewRequestID(h, c.Node, c.Incarnation, k)
 }
 
@@ -169,6 +182,10 @@
 	return p.choose.Balancer(service).Views(p.config.Clock.Now())
 }
 
+// Retire makes callers use other connections: each answer from now on ends its
+// connection. Work is still taken until Drain.
+func (p *Proxy) Retire() { p.retiring.Store(true) }
+
 // State returns the state of the backend server that the node announces.
 func (p *Proxy) State() fleet.ServerState {
 	if p.local == nil {
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -42,6 +42,7 @@
 	report     func() string              // encoded load report of the own backend server
 	seen       func(configVersion uint64) // told of the version in each answer
 	addresses  addresses
+	rules      headerRules
 }
 
 func newRemote(clientTLS *tls.Config, generation func() uint64, k clock.Clock, report func() string, seen func(configVersion uint64)) *remote {
@@ -65,6 +66,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.clientTLS == nil {
+		return raw, nil
+	}
 	conn := tls.Client(raw, r.clientTLS)
 	if err := r.handshake(ctx, conn, fleet.NodeID(node)); err != nil {
 		_ = raw.Close()
@@ -103,7 +107,7 @@
 		return errkind.New(errkind.Internal, "%w", err)
 	}
 	for try := 1; ; try++ {
-		x := &exchange{call: c, host: r.poolName(&c.Target), header: endToEnd(c.Request.Header),
+		x := &exchange{call: c, host: r.poolName(&c.Target), header: r.rules.endToEnd(c.Request.Header), rules: r.rules,
 			expect: true, expectTimeout: expectTimeout}
 		x.header[fleet.HeaderCallMeta] = []string{meta}
 		if load := r.report(); load != "" {
@@ -117,7 +121,7 @@
 		case err == nil:
 			defer x.end()
 			c.Attempts.Return(min(lent, unused(resp.Header)))
-			return r.receive(c, resp)
+			return r.receive(x, resp)
 		case written:
 			// What was lent may have been used.
 			return lost(c, "connection to "+string(c.Target.Node)+" broke", err)
@@ -137,7 +141,8 @@
 	return uint32(n)
 }
 
-func (r *remote) receive(c *filter.Call, resp *http.Response) error {
+func (r *remote) receive(x *exchange, resp *http.Response) error {
+	c := x.call
 	c.HeadAt = r.clock.Now()
 	if c.Load = decodeLoad(resp.Header); c.Load != nil {
 		r.seen(c.Load.ConfigVersion)
@@ -146,9 +151,11 @@
 		c.HeadAt = time.Time{}
 		return err
 	}
-	h := answerHeader(resp.Header)
-	h[fleet.HeaderServedBy] = []string{string(c.Target.Node)}
-	return relay(c, resp, h, func() error { return nil })
+	h := r.rules.answer(resp.Header)
+	if r.rules.dialect == nil {
+		h[fleet.HeaderServedBy] = []string{string(c.Target.Node)}
+	}
+	return x.relay(resp, h, func() error { return nil })
 }
 
 func decodeLoad(h http.Header) *fleet.LoadReport {
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -199,7 +199,7 @@
 	r := Read{Index: n.commit, Term: n.hard.Term}
 	r.LogTerm, _ = n.log.term(r.Index)
 	l := &n.lead
-	if l.leaseGivenUp || n.now.Mono >= l.confirmedAt+n.timing.lease() || l.confirmed == 0 {
+	if n.proveReads || l.leaseGivenUp || n.now.Mono >= l.confirmedAt+n.timing.lease() || l.confirmed == 0 {
 		r.Round = n.startRound()
 	}
 	return r, true
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -169,6 +169,12 @@
 		case old >= 0:
 			c.Voters = slices.Delete(c.Voters, old, old+1)
 			c.Learners = slices.Insert(c.Learners, 0, m) // first in line for the free place
+		case len(c.Voters) >= n.voters && n.silentVoter() >= 0:
+			// The learner takes the free place in a change of its own: majorities of
+			// memberships that differ by two voters need not overlap.
+			silent := n.silentVoter()
+			c.Voters = slices.Delete(c.Voters, silent, silent+1)
+			c.Learners = slices.Insert(c.Learners, 0, m)
 		case len(c.Voters) < MaxVoters && n.survivesLossOf(c.Voters):
 			c.Voters = append(c.Voters, m)
 		default:
@@ -180,6 +186,25 @@
 	}
 }
 
+// silentVoter returns the index of the voter that has been silent for longest, if
+// for long enough to be replaced, or -1.
+func (n *Node) silentVoter() int {
+	if n.replace == 0 {
+		return -1
+	}
+	found, longest := -1, n.replace
+	for i, v := range n.conf.Voters {
+		p := n.lead.progress[v.ID]
+		if v.ID == n.id || p == nil {
+			continue
+		}
+		if silence := n.now.Mono - max(p.heardAt, n.lead.electedAt); silence >= longest {
+			found, longest = i, silence
+		}
+	}
+	return found
+}
+
 // survivesLossOf reports whether a further voter may be added to voters: without
 // it a majority of the larger membership answers, so that its loss right after
 // the change does not block the group. A group of one cannot meet this.
--- a/raft/node.go
+++ b/raft/node.go
@@ -37,6 +37,17 @@
 	ID     ID
 	Timing Timing
 	Seed   uint64 // of the election timeouts
+
+	// ReplaceAfter is the silence after which a voter gives its place to a learner
+	// that has caught up. Zero: only an operator replaces a voter whose disk is not
+	// known to be lost.
+	ReplaceAfter time.Duration
+	// Voters is the number of voters below which a learner is added without
+	// replacing a silent voter. Zero: MaxVoters.
+	Voters int
+	// ProveReads makes every read wait for a majority. Without it a read may rely
+	// on the lease, which needs a clock that goes on while the machine is suspended.
+	ProveReads bool
 }
 
 // Stored is what the disk of a replica holds at start.
@@ -50,6 +61,9 @@
 // Node is the core of one replica. It is not safe for concurrent use.
 type Node struct {
 	id          ID
+	replace     time.Duration // Config.ReplaceAfter
+	voters      int           // Config.Voters
+	proveReads  bool
 	timing      Timing
 	random      *rand.Rand
 	now         Reading
@@ -92,10 +106,13 @@
 // of a leader before a restart and that leader's lease still counts on it.
 func New(c Config, s Stored, now Reading) *Node {
 	n := &Node{
-		id: c.ID, timing: c.Timing, now: now, role: Follower,
+		id: c.ID, timing: c.Timing, now: now, role: Follower, replace: c.ReplaceAfter, voters: c.Voters, proveReads: c.ProveReads,
 		random: rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15)),
 		hard:   s.HardState, snapshot: s.Snapshot, heardAt: now.Mono,
 	}
+	if n.voters == 0 {
+		n.voters = MaxVoters
+	}
 	n.log = memoryLog{baseIndex: s.Base.Index, baseTerm: s.Base.Term, baseTime: s.Base.Time}
 	n.log.append(s.Entries...)
 	n.stable = n.log.lastIndex()
--- a/replica/config.go
+++ b/replica/config.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"path/filepath"
+	"time"
 
 	"bramleymill/clock"
 	"bramleymill/fleet"
@@ -45,7 +46,14 @@
 	// A replica whose disk hangs gives up leadership and takes part in nothing.
 	OnDisk func(DiskEvent)
 	Timing raft.Timing // zero: raft.DefaultTiming
-	Files  wal.FS      // nil: the file system of the machine
+	// ReplaceAfter and ProveReads are those of raft.Config.
+	ReplaceAfter time.Duration
+	ProveReads   bool
+	// MinVoters is the number of voters that a group needs before it takes its
+	// first command, so that nothing is accepted by a group that is still growing.
+	// While a voter is being replaced, one less is enough.
+	MinVoters int
+	Files     wal.FS // nil: the file system of the machine
 }
 
 func (c *Config) complete() error {
--- a/replica/group.go
+++ b/replica/group.go
@@ -52,6 +52,7 @@
 	addresses map[raft.ID]string // of senders that are not members
 	diskFull  error
 	role      raft.Role
+	formed    bool // the group has had MinVoters voters
 }
 
 // Open opens the replica stored in the folder of c, or makes an empty one. An
@@ -92,7 +93,8 @@
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.origin = c.Host.monotonicOrigin(c.Clock)
 	id := raft.ID{Node: c.Node, Disk: g.storage.disk}
-	g.node = raft.New(raft.Config{ID: id, Timing: c.Timing, Seed: c.Seed}, have, g.reading())
+	g.node = raft.New(raft.Config{ID: id, Timing: c.Timing, Seed: c.Seed, ReplaceAfter: c.ReplaceAfter, Voters: c.MinVoters, ProveReads: c.ProveReads},
+		have, g.reading())
 	g.applier = newApplier(g, have.Snapshot)
 	g.publish()
 }
--- a/replica/propose.go
+++ b/replica/propose.go
@@ -129,6 +129,9 @@
 	if g.diskFull != nil {
 		return nil, errkind.New(errkind.ControlUnavailable, "%w", g.diskFull)
 	}
+	if voters := len(g.node.Status().Configuration.Voters); voters < g.config.MinVoters && !(g.formed && voters == g.config.MinVoters-1) {
+		return nil, errkind.New(errkind.ControlUnavailable, "the group has %d of %d voters", voters, g.config.MinVoters)
+	}
 	if g.applier.pending() >= maxPending {
 		return nil, errkind.New(errkind.ControlUnavailable, "%d proposals are waiting", maxPending)
 	}
--- a/replica/status.go
+++ b/replica/status.go
@@ -24,6 +24,7 @@
 	v.termStart, _ = g.node.Established()
 	v.commitTerm = g.node.CommitTerm()
 	g.view.Store(v)
+	g.formed = g.formed || len(v.status.Configuration.Voters) >= g.config.MinVoters
 	if v.status.Role != g.role {
 		if g.role == raft.Leader {
 			g.applier.abandon()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -26,8 +26,14 @@
 	Seeds             []string            `json:"seeds"` // peer addresses of control instances
 	Keys              Keys                `json:"keys"`
 	DrainTimeout      strictjson.Duration `json:"drain_timeout,omitempty"`
-	RecordFile        string              `json:"record_file,omitempty"` // decision record for replay
-	LogLevel          string              `json:"log_level,omitempty"`
+	// StopDelay is the time for which a node that stops still takes work from
+	// callers, after it has told that it is not ready.
+	StopDelay  strictjson.Duration `json:"stop_delay,omitempty"`
+	RecordFile string              `json:"record_file,omitempty"` // decision record for replay
+	// TrustedNetwork makes nodes talk without keys: whoever reaches the network can
+	// act as any node. It needs no keys and no admin_address.
+	TrustedNetwork bool   `json:"trusted_network,omitempty"`
+	LogLevel       string `json:"log_level,omitempty"`
 }
 
 // Backend describes the backend server beside the node.
@@ -41,6 +47,9 @@
 	LoadPath     string              `json:"load_path,omitempty"`
 	CheckEvery   strictjson.Duration `json:"check_every,omitempty"`
 	ServiceToken string              `json:"service_token_file,omitempty"`
+	// Announces states that the backend server announces its instance, state and
+	// slots to the node. Slots then only holds until the first announcement.
+	Announces bool `json:"announces,omitempty"`
 }
 
 // Control gives the node the control role.
@@ -51,6 +60,16 @@
 	MaxClaimBytes    strictjson.Bytes    `json:"max_claim_bytes,omitempty"`
 	ClaimRetention   strictjson.Duration `json:"claim_retention,omitempty"`
 	SnapshotInterval int                 `json:"snapshot_interval,omitempty"` // log entries between snapshots
+
+	// Voters is the number of control instances with a vote that the replicated
+	// logs need before they accept a change. Zero: an operator starts the logs.
+	Voters int `json:"voters,omitempty"`
+	// Bootstrap starts the logs at the first start of the fleet, on the instance
+	// that the first of the seeds names.
+	Bootstrap bool `json:"bootstrap,omitempty"`
+	// ReplaceAfter is the silence after which a control instance gives its vote to
+	// another one that waits for a place. Zero: an operator replaces it.
+	ReplaceAfter strictjson.Duration `json:"replace_after,omitempty"`
 }
 
 // Keys names the key files of the node.
@@ -81,11 +100,16 @@
 	if err := strictjson.Decode(data, &s); err != nil {
 		return nil, err
 	}
+	return &s, s.Complete()
+}
+
+// Complete validates settings and fills in defaults.
+func (s *Settings) Complete() error {
 	if err := s.validate(); err != nil {
-		return nil, err
+		return err
 	}
 	s.setDefaults()
-	return &s, nil
+	return nil
 }
 
 func (s *Settings) validate() error {
@@ -93,9 +117,9 @@
 	checkName(&errs, "node", s.Node)
 	checkName(&errs, "region", s.Region)
 	checkName(&errs, "zone", s.Zone)
-	checkAddress(&errs, "caller_address", s.CallerAddress, true)
+	checkAddress(&errs, "caller_address", s.CallerAddress, !s.TrustedNetwork || s.Backend != nil)
 	checkAddress(&errs, "peer_address", s.PeerAddress, true)
-	checkAddress(&errs, "admin_address", s.AdminAddress, true)
+	checkAddress(&errs, "admin_address", s.AdminAddress, !s.TrustedNetwork)
 	checkAddress(&errs, "advertised_address", s.AdvertisedAddress, false)
 	checkAddress(&errs, "service_address", s.ServiceAddress, false)
 	checkAddress(&errs, "metrics_address", s.MetricsAddress, false)
@@ -106,9 +130,14 @@
 	for i, a := range s.Seeds {
 		checkAddress(&errs, fmt.Sprintf("seeds[%d]", i), a, true)
 	}
-	checkFile(&errs, "keys.authority", s.Keys.Authority)
-	checkFile(&errs, "keys.certificate", s.Keys.Certificate)
-	checkFile(&errs, "keys.private_key", s.Keys.PrivateKey)
+	if !s.TrustedNetwork {
+		checkFile(&errs, "keys.authority", s.Keys.Authority)
+		checkFile(&errs, "keys.certificate", s.Keys.Certificate)
+		checkFile(&errs, "keys.private_key", s.Keys.PrivateKey)
+	}
+	if s.StopDelay < 0 {
+		errs.Add("stop_delay", s.StopDelay, `use a positive time such as "2s"`)
+	}
 	if s.DrainTimeout < 0 {
 		errs.Add("drain_timeout", s.DrainTimeout, `use a positive time such as "10s"`)
 	}
@@ -168,6 +197,9 @@
 	if c.DataFolder == "" {
 		errs.Add("control.data_folder", nil, "name the folder for the replicated log")
 	}
+	if c.Voters < 0 || c.ReplaceAfter < 0 {
+		errs.Add("control", nil, "voters and replace_after must not be negative")
+	}
 	if c.MaxChildren < 0 || c.MaxClaims < 0 || c.MaxClaimBytes < 0 || c.ClaimRetention < 0 || c.SnapshotInterval < 0 {
 		errs.Add("control", nil, "limits must not be negative")
 	}
--- a/suspect/table.go
+++ b/suspect/table.go
@@ -9,10 +9,13 @@
 
 // Config holds the limits of a Table. The zero value of a field selects its default.
 type Config struct {
-	Crashes    int           // crashes after which a fingerprint is refused
-	SuspectFor time.Duration // suspicion ends this long after the last crash
-	RefuseFor  time.Duration // refusal ends this long after the last crash
-	MaxEntries int
+	Crashes int // crashes after which a fingerprint is refused
+	// SuspectAfter is the number of crashes after which a fingerprint is confined.
+	// From Crashes on it is never confined.
+	SuspectAfter int
+	SuspectFor   time.Duration // suspicion ends this long after the last crash
+	RefuseFor    time.Duration // refusal ends this long after the last crash
+	MaxEntries   int
 }
 
 // Defaults of Config.
@@ -27,6 +30,9 @@
 	if c.Crashes <= 0 {
 		c.Crashes = DefaultCrashes
 	}
+	if c.SuspectAfter <= 0 {
+		c.SuspectAfter = 1
+	}
 	if c.SuspectFor <= 0 {
 		c.SuspectFor = DefaultSuspectFor
 	}
@@ -120,6 +126,9 @@
 	if len(e.crashes) >= t.config.Crashes {
 		return Refuse
 	}
+	if len(e.crashes) < t.config.SuspectAfter {
+		return Clear
+	}
 	return Suspect
 }
 
