--- a/configstate/machine.go
+++ b/configstate/machine.go
@@ -17,7 +17,7 @@
 	Document []byte     // as the operator wrote it; nil before the first change
 	Set      *class.Set // nil before the first change
 	Orders   *Orders
-	Items    *itemset.Set // never nil
+	Items    *itemset.Set // never nil in a View of a Machine
 }
 
 // Machine holds the configuration. View is lock-free; the other methods are
--- a/member/config.go
+++ b/member/config.go
@@ -31,8 +31,10 @@
 	ConfirmationBound = 10 * time.Second
 	// A node looks for a parent with a younger confirmation beyond this age. A
 	// tree of depth 3 stays below it with one lost heartbeat.
-	staleConfirmation = 4 * time.Second
-	exploreInterval   = 2 * time.Second
+	staleConfirmation = 2500 * time.Millisecond
+	exploreInterval   = 500 * time.Millisecond
+	// failedFor is how long an address that did not answer comes after the others.
+	failedFor = 3 * time.Second
 
 	minRejoin = 50 * time.Millisecond
 	maxRejoin = time.Second
@@ -51,7 +53,7 @@
 	joinBurst         = 20
 
 	// Two failed heartbeats and the longest back-off fit into the lease.
-	heartbeatTimeout  = 500 * time.Millisecond
+	heartbeatTimeout  = 400 * time.Millisecond
 	notifyTimeout     = 500 * time.Millisecond
 	pingTimeout       = 400 * time.Millisecond
 	probeTimeout      = 600 * time.Millisecond
--- a/member/core.go
+++ b/member/core.go
@@ -124,16 +124,21 @@
 	k.joins = bucket{tokens: joinBurst, at: now}
 	k.up.init(k, c.Seeds, now)
 	k.notices.init()
-	for _, a := range c.Seeds {
-		if k.control() && a != c.Self.PeerAddress {
-			k.peers[a] = &peer{address: a, next: now}
-		}
-	}
+	k.addPeers(c.Seeds, now)
 	k.synced = len(k.peers) == 0
 	k.announce(now)
 	return k
 }
 
+// addPeers makes a control instance exchange with further ones.
+func (k *core) addPeers(addresses []string, now time.Time) {
+	for _, a := range addresses {
+		if k.control() && a != k.self.PeerAddress && k.peers[a] == nil {
+			k.peers[a] = &peer{address: a, next: now}
+		}
+	}
+}
+
 func (k *core) control() bool { return k.source != nil }
 
 // announce puts the own announcement into the registry after a change.
--- a/member/member.go
+++ b/member/member.go
@@ -204,6 +204,14 @@
 	m.core.warmup = &left
 }
 
+// AddSeeds adds addresses of control instances to those that are known.
+func (m *Member) AddSeeds(addresses []string) {
+	m.change(func() {
+		m.core.addSeeds(addresses)
+		m.core.addPeers(addresses, m.clock.Now())
+	})
+}
+
 // Self returns the own announcement.
 func (m *Member) Self() fleet.Server {
 	m.mu.Lock()
--- a/member/upstream.go
+++ b/member/upstream.go
@@ -26,7 +26,8 @@
 	exploreAt  time.Time
 	inFlight   bool
 	failures   int
-	left       bool // the parent has the announcement of leaving
+	failed     map[string]time.Time // when an address did not answer as a parent
+	left       bool                 // the parent has the announcement of leaving
 }
 
 func (u *upstream) init(k *core, seeds []string, now time.Time) {
@@ -68,7 +69,7 @@
 		if now.Before(u.next) {
 			return out
 		}
-		return k.heartbeatTo(out, k.nextCandidate(), false, now)
+		return k.heartbeatTo(out, k.nextCandidate(now), false, now)
 	}
 	if now.Before(u.next) && !u.urgency.due(u.last, now, minHeartbeatGap) {
 		return k.dueExploration(out, now)
@@ -76,16 +77,21 @@
 	return k.heartbeatTo(out, u.address, false, now)
 }
 
-// nextCandidate takes an address that a parent named, or else a random seed. When
-// seeds do not answer, every other attempt goes to a node that is known, because
-// only the links to the control instances may be cut.
-func (k *core) nextCandidate() string {
+// nextCandidate takes an address that a parent named, or else a random seed among
+// those that have not failed lately. When all seeds have failed, every other
+// attempt goes to a node that is known, because only the links to the control
+// instances may be cut.
+func (k *core) nextCandidate(now time.Time) string {
 	u := &k.up
 	if len(u.candidates) > 0 {
 		a := u.candidates[0]
 		u.candidates = u.candidates[1:]
 		return a
 	}
+	untried := u.untried(now)
+	if len(untried) > 0 {
+		return untried[k.random.IntN(len(untried))]
+	}
 	if u.failures%2 == 1 {
 		if a := k.knownAddress(); a != "" {
 			return a
@@ -94,6 +100,30 @@
 	return u.seeds[k.random.IntN(len(u.seeds))]
 }
 
+// untried returns the seeds that have not failed lately.
+func (u *upstream) untried(now time.Time) []string {
+	var out []string
+	for _, s := range u.seeds {
+		if at, ok := u.failed[s]; !ok || now.Sub(at) >= failedFor {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// noteFailed remembers that an address did not answer.
+func (u *upstream) noteFailed(address string, now time.Time) {
+	if u.failed == nil {
+		u.failed = map[string]time.Time{}
+	}
+	for a, at := range u.failed {
+		if now.Sub(at) >= failedFor {
+			delete(u.failed, a)
+		}
+	}
+	u.failed[address] = now
+}
+
 func (k *core) knownAddress() string {
 	var known []string
 	for _, e := range k.reg.sorted() {
@@ -115,7 +145,11 @@
 		return out
 	}
 	u.exploreAt = now.Add(k.jitter(exploreInterval, 0.5))
-	return k.heartbeatTo(out, u.seeds[k.random.IntN(len(u.seeds))], true, now)
+	seeds := u.untried(now)
+	if len(seeds) == 0 {
+		seeds = u.seeds
+	}
+	return k.heartbeatTo(out, seeds[k.random.IntN(len(seeds))], true, now)
 }
 
 func (k *core) heartbeatTo(out []action, address string, explore bool, now time.Time) []action {
@@ -187,15 +221,20 @@
 	u := &k.up
 	k.stats.HeartbeatsFailed++
 	u.failures++
-	if u.address == "" || address != u.address {
-		u.next = now.Add(k.rejoinDelay())
+	if u.address != "" && address == u.address && u.failures < maxFailures {
+		u.next = now.Add(retryAfterFailure)
 		return
 	}
-	if u.failures >= maxFailures {
-		k.detach(now.Add(k.rejoinDelay()))
+	u.noteFailed(address, now)
+	next := now.Add(k.rejoinDelay())
+	if len(u.untried(now)) > 0 {
+		next = now.Add(k.between(0, minRejoin)) // no one else waits for the same address
+	}
+	if u.address != "" && address == u.address {
+		k.detach(next)
 		return
 	}
-	u.next = now.Add(retryAfterFailure)
+	u.next = next
 }
 
 func (k *core) refused(a sendHeartbeat, reply *heartbeatReply, now time.Time) {
@@ -267,7 +306,11 @@
 }
 
 func (k *core) explored(a sendHeartbeat, reply *heartbeatReply, err error, now time.Time) {
-	if err != nil || !reply.Confirmed || k.up.address == "" {
+	if err != nil {
+		k.up.noteFailed(a.address, now)
+		return
+	}
+	if !reply.Confirmed || k.up.address == "" {
 		return
 	}
 	if now.Sub(a.sent)+reply.Age+HeartbeatInterval < k.conf.age(now) {
--- a/node/configuration.go
+++ b/node/configuration.go
@@ -26,12 +26,16 @@
 // revision orders bundles. Each accepted change raises exactly one of the three
 // versions, so that their sum increases with every change.
 func revision(v *configstate.View) uint64 {
-	return v.Version + v.Orders.Version + v.Items.Revision
+	sum := v.Version + v.Orders.Version
+	if v.Items != nil {
+		sum += v.Items.Revision
+	}
+	return sum
 }
 
 func encodeBundle(v *configstate.View) ([]byte, error) {
 	out := bundle{Version: v.Version, Document: v.Document, Orders: v.Orders}
-	if v.Items.Revision > 0 {
+	if v.Items != nil && v.Items.Revision > 0 {
 		items, err := v.Items.Encode()
 		if err != nil {
 			return nil, err
--- a/node/node.go
+++ b/node/node.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,8 @@
 	seenOrder atomic.Uint64 // version of the orders acted on
 	options   Options
 	stopping  atomic.Bool
+	reloads   sync.Mutex // held while settings are reloaded
+	seeds     []string   // in use
 
 	superseded chan fleet.Incarnation
 }
@@ -72,7 +75,7 @@
 
 // NewOnPlatform is New for a node on a platform with protocols of its own.
 func NewOnPlatform(s *settings.Settings, logger *slog.Logger, options Options) (*Node, error) {
-	n := &Node{settings: s, options: options, logger: logger.With("node", s.Node), seed: rand.Uint64(), metrics: metrics.New(s.Node),
+	n := &Node{settings: s, options: options, seeds: s.Seeds, logger: logger.With("node", s.Node), seed: rand.Uint64(), metrics: metrics.New(s.Node),
 		superseded: make(chan fleet.Incarnation, 1)}
 	var err error
 	if n.keys, err = n.openKeys(); err != nil {
--- a/replica/group.go
+++ b/replica/group.go
@@ -41,6 +41,7 @@
 	halted sync.Once
 
 	view    atomic.Pointer[view]
+	seeds   atomic.Pointer[[]string]
 	failure atomic.Pointer[error]
 	joining atomic.Pointer[error] // why the last attempt to join failed
 	disk    *diskWatch
@@ -70,6 +71,7 @@
 		config: c, storage: s, inputs: make(chan input, maxInputs),
 		answers: map[raft.ID][]*answerSlot{}, addresses: map[raft.ID]string{}, disk: c.Host.disk,
 	}
+	g.seeds.Store(&c.Seeds)
 	if have.Snapshot.Index > 0 {
 		if err := c.Machine.Restore(have.data); err != nil {
 			_ = s.log.Close()
--- a/replica/join.go
+++ b/replica/join.go
@@ -66,9 +66,10 @@
 		}
 		return nil
 	}
-	targets := make([]string, 0, len(g.config.Seeds)+1)
-	for _, i := range random.Perm(len(g.config.Seeds)) {
-		if a := g.config.Seeds[i]; a != g.config.Address {
+	seeds := *g.seeds.Load()
+	targets := make([]string, 0, len(seeds)+1)
+	for _, i := range random.Perm(len(seeds)) {
+		if a := seeds[i]; a != g.config.Address {
 			targets = append(targets, a)
 		}
 	}
@@ -95,6 +96,9 @@
 	return last
 }
 
+// SetSeeds replaces the addresses to ask for the group.
+func (g *Group) SetSeeds(seeds []string) { g.seeds.Store(&seeds) }
+
 func (g *Group) askToJoin(s raft.Status, address string) (*joinReply, error) {
 	ctx, cancel := context.WithTimeout(g.ctx, joinTimeout)
 	defer cancel()
