Avoid servers in a slow phase and refuse what misses its target

Cause: servers slow down to a quarter for phases of some 300 ms and tell so with each answer; requests were sent there all the same, a fifth of the slots was kept for calls that no caller can prove, and the queue served requests after their target while later ones missed theirs. Change: load reports carry the pace; a node refuses movable requests in a slow phase; service times are learned at the usual pace; four fifths of the slots are used; a request that cannot meet its target is refused at once, and a refusal before the backend server costs no retry budget.

--- a/admit/config.go
+++ b/admit/config.go
@@ -18,6 +18,11 @@
 	DelayInterval    time.Duration
 	InternalWait     time.Duration // longest wait of an internal request; up to twice that for early deadlines
 	EstimateTrust    time.Duration // age at which a service-time estimate counts half
+	// Fill is the share of the slots that is used, for servers that become slow
+	// when they are nearly full. Zero: all.
+	Fill float64
+	// NoReserve keeps no slots for privileged requests.
+	NoReserve bool
 }
 
 // Defaults of Config.
@@ -36,6 +41,9 @@
 
 func (c Config) withDefaults() Config {
 	c.Slots = max(c.Slots, 1)
+	if c.Fill > 0 {
+		c.Slots = max(1, int(c.Fill*float64(c.Slots)))
+	}
 	if c.SpareConnections == 0 {
 		c.SpareConnections = DefaultSpareConnections
 	}
@@ -46,6 +54,9 @@
 		c.Reserved = max(1, c.Slots/DefaultReservedShare)
 	}
 	c.Reserved = min(c.Reserved, c.Slots-1)
+	if c.NoReserve {
+		c.Reserved = 0
+	}
 	c.QueueLength = max(c.QueueLength, 0)
 	setDefault(&c.DelayTarget, DefaultDelayTarget)
 	setDefault(&c.DelayInterval, DefaultDelayInterval)
@@ -72,8 +83,12 @@
 	Movable bool
 	// Sole is set when no other backend server accepts work of the service. Such
 	// a request waits while it can meet its deadline: a refusal would end it.
-	Sole  bool
-	Hedge bool // second attempt of a request that is running elsewhere; never queued
+	Sole bool
+	// Target is the time by which the answer is worth waiting for. A request that
+	// cannot meet it is refused at once, and in the queue it comes after those that
+	// can. Zero: only Deadline counts.
+	Target time.Time
+	Hedge  bool // second attempt of a request that is running elsewhere; never queued
 }
 
 // privileged reports whether r may use the reserved slots.
--- a/admit/controller.go
+++ b/admit/controller.go
@@ -37,11 +37,13 @@
 	service  estimate
 	classes  map[string]*estimate
 	delay    delayRule
+	pace     pace
 	actions  []Action
 }
 
 type running struct {
 	started    time.Time
+	work       time.Duration // reading of the work clock at started
 	deadline   time.Time
 	privileged bool
 	class      string
@@ -71,7 +73,7 @@
 }
 
 // SetPace tells the time that work takes at present, relative to the usual time.
-func (c *Controller) SetPace(time.Time, float64) {}
+func (c *Controller) SetPace(now time.Time, pace float64) { c.pace.set(now, pace) }
 
 // Offer presents a request under an id that is not in use. The kind is set when
 // the verdict is Refused. The actions concern other requests.
@@ -85,6 +87,9 @@
 	}
 	c.expire(now)
 	c.dispatch(now)
+	if r.Movable && !r.Target.IsZero() && c.pace.slow(now) {
+		return Refused, errkind.ServerSlow, c.actions
+	}
 	if c.slotFor(r) && c.overtakes(r) {
 		if c.remainingTooShort(now, r) {
 			return Refused, errkind.DeadlineBeforeRun, c.actions
@@ -118,6 +123,9 @@
 	if now.Add(wait + c.classTime(now, r.Class)).After(r.Deadline) {
 		return Refused, errkind.DeadlineBeforeRun
 	}
+	if !r.Target.IsZero() {
+		return c.enqueueForTarget(now, position, wait, w)
+	}
 	if r.Sole {
 		return c.enqueueSole(now, position, wait, w)
 	}
@@ -137,6 +145,23 @@
 	return Queued, ""
 }
 
+// enqueueForTarget lets a request wait that is expected to meet its target.
+func (c *Controller) enqueueForTarget(now time.Time, position int, wait time.Duration, w waiting) (Verdict, errkind.Kind) {
+	r := w.request
+	limit := c.movableWait(now)
+	if r.Movable && limit > 0 && wait > limit {
+		return Refused, c.fullKind(r)
+	}
+	if now.Add(wait + c.classTime(now, r.Class)).After(r.Target) {
+		return Refused, errkind.QueueFull
+	}
+	if len(c.queue) >= c.config.QueueLength && !c.evict(w.rank, true) {
+		return Refused, c.fullKind(r)
+	}
+	c.queue.insert(position, w)
+	return Queued, ""
+}
+
 // soleQueueFactor is the number of times that Sole requests may exceed
 // QueueLength. It bounds memory; the deadline bounds the wait. A process that
 // gets no processor for some 10 ms finds more arrivals than QueueLength at once,
@@ -219,8 +244,9 @@
 		c.ordinary--
 	}
 	if served > 0 {
-		c.service.add(now, served)
-		c.class(r.class).add(now, served)
+		base := c.pace.usual(now, served, r)
+		c.service.add(now, base)
+		c.class(r.class).add(now, base)
 	}
 	c.expire(now)
 	c.dispatch(now)
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -14,12 +14,17 @@
 	ServiceTime time.Duration // zero: unknown
 	ServiceAge  time.Duration // since the newest evidence for ServiceTime
 	Closed      errkind.Kind  // empty: open
+	Pace        float64       // see fleet.LoadReport
+	PaceAge     time.Duration
 }
 
 // Load returns the current counts.
 func (c *Controller) Load(now time.Time) Load {
 	service, age := c.reportedTime(now)
+	pace, paceAge := c.pace.told(now)
 	return Load{
+		Pace:        pace,
+		PaceAge:     paceAge,
 		InFlight:    len(c.running),
 		Queued:      len(c.queue),
 		Slots:       c.config.Slots,
@@ -49,7 +54,7 @@
 	overdue, keep := 0, 1.0
 	for _, r := range c.running {
 		usual := c.usualTime(r.class)
-		if elapsed := now.Sub(r.started); float64(elapsed) > overdueFactor*float64(usual) {
+		if elapsed := c.pace.usual(now, now.Sub(r.started), r); float64(elapsed) > overdueFactor*float64(usual) {
 			excess += elapsed - usual
 			overdue++
 			keep *= 1 - overdueWeight
@@ -80,7 +85,7 @@
 }
 
 func (c *Controller) run(now time.Time, id uint64, r Request) {
-	c.running[id] = running{now, r.Deadline, r.privileged(), r.Class}
+	c.running[id] = running{now, c.pace.clock(now), r.Deadline, r.privileged(), r.Class}
 	if !r.privileged() {
 		c.ordinary++
 	}
@@ -88,10 +93,19 @@
 
 // dispatch starts queued requests while slots are free. A request that can no
 // longer meet its deadline is refused, because running it would waste a slot.
+// Requests that miss their target start after those that can meet it.
 func (c *Controller) dispatch(now time.Time) {
+	c.dispatchIf(now, func(w *waiting) bool {
+		t := w.request.Target
+		return t.IsZero() || now.Add(c.classTime(now, w.request.Class)).Before(t)
+	})
+	c.dispatchIf(now, func(*waiting) bool { return true })
+}
+
+func (c *Controller) dispatchIf(now time.Time, wanted func(*waiting) bool) {
 	for i := 0; i < len(c.queue) && len(c.running) < c.config.Slots; {
 		w := &c.queue[i]
-		if !c.slotFor(w.request) {
+		if !c.slotFor(w.request) || !wanted(w) {
 			i++
 			continue
 		}
@@ -173,7 +187,7 @@
 	if e == nil {
 		return 0
 	}
-	return e.value(now, c.config.EstimateTrust)
+	return c.pace.expected(now, e.value(now, c.config.EstimateTrust))
 }
 
 // expectedWait returns the time until a request at a position of the queue
@@ -183,7 +197,7 @@
 	if !r.privileged() {
 		slots -= c.config.Reserved
 	}
-	return time.Duration(position+1) * c.service.value(now, c.config.EstimateTrust) / time.Duration(slots)
+	return time.Duration(position+1) * c.pace.expected(now, c.service.value(now, c.config.EstimateTrust)) / time.Duration(slots)
 }
 
 // hopelessShare is the share of the mean service time below which the time left
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -42,6 +42,7 @@
 	StaleTarget          Kind = "stale_target"
 	BackendDown          Kind = "backend_down"
 	BackendRefused       Kind = "backend_refused"
+	ServerSlow           Kind = "server_slow"
 	CrashSuspect         Kind = "crash_suspect"
 	DeadlineBeforeRun    Kind = "deadline_before_run"
 	ClaimsUnavailable    Kind = "claims_unavailable"
@@ -85,6 +86,7 @@
 	StaleTarget:          {NotRun, http.StatusServiceUnavailable, time.Second},
 	BackendDown:          {NotRun, http.StatusServiceUnavailable, time.Second},
 	BackendRefused:       {NotRun, http.StatusServiceUnavailable, time.Second},
+	ServerSlow:           {Overloaded, http.StatusServiceUnavailable, time.Second},
 	CrashSuspect:         {NotRun, http.StatusServiceUnavailable, 0},
 	DeadlineBeforeRun:    {NotRun, http.StatusServiceUnavailable, time.Second},
 	ClaimsUnavailable:    {NotRun, http.StatusServiceUnavailable, time.Second},
--- a/filter/admission.go
+++ b/filter/admission.go
@@ -21,7 +21,12 @@
 
 func (f *admission) Serve(c *Call) error {
 	arrived := f.clock.Now()
+	var target time.Time
+	if c.Meta.TargetLeft > 0 {
+		target = c.Deadline.Add(c.Meta.TargetLeft - c.Meta.Remaining)
+	}
 	slot, refused := f.gate.Acquire(c.Ctx, admit.Request{
+		Target:  target,
 		Urgency: c.Meta.Urgency, Internal: c.Meta.Internal, Deadline: c.Deadline, Class: c.Meta.Class,
 		Movable: c.Meta.Movable, Sole: c.Meta.Sole, Hedge: c.Meta.Hedge,
 	})
--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -114,10 +114,30 @@
 	if isNoServer(err) || !c.Body.Replayable() || c.Ctx.Err() != nil || r.sole() && fullServer(e.Kind) {
 		return false, failure.Kind
 	}
+	if c.Class.Item && unreached(e.Kind) {
+		// No backend server was reached: such an attempt counts neither against the
+		// budget nor against those of the class.
+		c.moves++
+		return c.moves <= maxMoves && failure.Remaining > 0, failure.Kind
+	}
 	d := p.After(now, failure, c.Attempts)
 	return d.Verb == retry.RetryElsewhere, d.Kind
 }
 
+// maxMoves bounds the attempts of a request that reach no backend server.
+const maxMoves = 4
+
+// unreached reports whether a server node refused an attempt, or could not be
+// reached, before the backend server was called.
+func unreached(k errkind.Kind) bool {
+	switch k {
+	case errkind.ServerSlow, errkind.QueueFull, errkind.SlotsReserved, errkind.Draining, errkind.StaleTarget,
+		errkind.BackendDown, errkind.DeadlineBeforeRun:
+		return true
+	}
+	return false
+}
+
 // fullServer reports whether a server refused an attempt for lack of room. If no
 // other server accepts work, there is nowhere to send it instead.
 func fullServer(k errkind.Kind) bool { return k == errkind.QueueFull || k == errkind.SlotsReserved }
@@ -146,7 +166,7 @@
 	lane := &lane{race: r}
 	a := c.attempt(ctx, lane)
 	a.Meta.Hedge = hedge
-	a.Meta.Movable = c.Class.Idempotent && !c.Meta.Confined && c.Body.Replayable() && f.policy(c.Class.Name).CanMove(c.Attempts)
+	a.Meta.Movable = c.Class.Item && c.moves < maxMoves && c.Body.Replayable() || c.Class.Idempotent && !c.Meta.Confined && c.Body.Replayable() && f.policy(c.Class.Name).CanMove(c.Attempts)
 	lane.number = a.Meta.Attempt
 	r.enter(lane.number, cancel)
 	start := f.clock.Now()
--- a/filter/call.go
+++ b/filter/call.go
@@ -68,6 +68,7 @@
 	BeforeSend func(c *Call) error
 
 	tried  *tried
+	moves  int    // attempts of a class that is configured as an item that reached no backend server
 	passes uint32 // times that the call went through the claims filter before
 	Trial
 }
--- a/filter/forward.go
+++ b/filter/forward.go
@@ -33,6 +33,10 @@
 	if c.Meta.Remaining <= 0 {
 		return errkind.New(errkind.DeadlineBeforeRun, "the deadline passed before the attempt was sent")
 	}
+	if c.Class.Item {
+		// A target that has passed leaves the least time that is not zero.
+		c.Meta.TargetLeft = max(c.Meta.Remaining-c.Deadline.Sub(c.Started.Add(c.Class.LatencyTarget)), 1)
+	}
 	c.SentAt = f.clock.Now()
 	if c.Target.Node == f.self {
 		c.Local = true
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -75,6 +75,10 @@
 	ConfigVersion uint64        `cbor:"8,keyasint"`
 	ServiceAge    time.Duration `cbor:"9,keyasint,omitempty"`  // since the newest evidence for ServiceTime
 	Service       string        `cbor:"10,keyasint,omitempty"` // set on requests: service of the sender's backend server
+	// Pace is the time that work takes at the server at present, relative to
+	// ServiceTime. Zero: not known.
+	Pace    float64       `cbor:"11,keyasint,omitempty"`
+	PaceAge time.Duration `cbor:"12,keyasint,omitempty"` // since the server told Pace
 }
 
 // Urgency orders classes in the queue of a backend server. Higher goes first.
@@ -109,7 +113,10 @@
 	Confined      bool          `cbor:"17,keyasint,omitempty"` // single attempt of a crash suspect
 	Movable       bool          `cbor:"18,keyasint,omitempty"` // a refusal would be followed by a retry at another server
 	Sole          bool          `cbor:"19,keyasint,omitempty"` // no other server accepts work of the service
-	From          string        `cbor:"20,keyasint,omitempty"` // service beside whose node the request entered the fleet
+	// TargetLeft is the time left until the latency target of the class, for classes
+	// whose requests are refused rather than answered late. Zero: none.
+	TargetLeft time.Duration `cbor:"21,keyasint,omitempty"`
+	From       string        `cbor:"20,keyasint,omitempty"` // service beside whose node the request entered the fleet
 }
 
 // MaxDepth is the deepest call chain that is served.
--- a/pick/load.go
+++ b/pick/load.go
@@ -32,6 +32,8 @@
 
 	service   atomicFloat // service time in nanoseconds; zero until the first answer
 	serviceAt atomic.Int64
+	pace      atomicFloat // time that work takes relative to service; zero: not known
+	paceAt    atomic.Int64
 	failures  atomicFloat // recent failure rate
 	failureAt atomic.Int64
 	trialAt   atomic.Int64
@@ -143,6 +145,10 @@
 		l.service.Store(float64(r.ServiceTime))
 		l.serviceAt.Store(now - int64(max(r.ServiceAge, 0)))
 	}
+	if r.Pace > 0 {
+		l.pace.Store(r.Pace)
+		l.paceAt.Store(now - int64(max(r.PaceAge, 0)))
+	}
 	l.baseline.Store(l.started.Load())
 	l.reportAt.Store(now)
 	l.draining.Store(r.Draining)
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"bramleymill/admit"
 	"bramleymill/errkind"
 	"bramleymill/fleet"
 )
@@ -160,7 +161,7 @@
 func (b *Balancer) cost(e *Endpoint, t int64) float64 {
 	c := &b.config
 	l := e.load
-	service := b.serviceTime(l, t)
+	service := l.paced(b.serviceTime(l, t), t)
 	c0 := float64(e.zone.nanos.Load()) + (l.ahead(t, int64(c.ReportTrust))/float64(l.slots.Load())+1)*service
 	if warm := t - e.readyAt; warm < int64(c.SlowStart) {
 		c0 *= 1 + (c.SlowStartFactor-1)*(1-float64(max(warm, 0))/float64(c.SlowStart))
@@ -168,6 +169,19 @@
 	return c0 + l.failureRate(t, int64(c.FailureTrust))*float64(c.FailurePenalty)
 }
 
+// paceHalf is the age at which what a server has told of a slow phase counts half.
+const paceHalf = int64(150 * time.Millisecond)
+
+// paced returns the time that work of a service time takes at the present pace.
+func (l *load) paced(service float64, t int64) float64 {
+	pace := l.pace.Load()
+	if pace <= 1 {
+		return service
+	}
+	slowed := float64(admit.Slowed(time.Duration(service), pace))
+	return service + (slowed-service)*decay(t-l.paceAt.Load(), paceHalf)
+}
+
 // outstandingFactor is the expected service time of a server in multiples of the
 // age of its oldest outstanding request, which has still to end.
 const outstandingFactor = 1.5
