Ask a server for its pace before a movable request

Change: before a movable request is admitted, the node asks the health endpoint when no answer has told the pace for 40 ms; hedges aim at the latency target.

--- a/filter/admission.go
+++ b/filter/admission.go
@@ -1,6 +1,7 @@
 package filter
 
 import (
+	"context"
 	"time"
 
 	"bramleymill/admit"
@@ -9,14 +10,17 @@
 )
 
 type admission struct {
-	next  Handler
-	gate  *admit.Gate
-	clock clock.Clock
+	next    Handler
+	gate    *admit.Gate
+	clock   clock.Clock
+	refresh func(context.Context)
 }
 
 // NewAdmission returns the filter that waits for a slot of the backend server.
-func NewAdmission(next Handler, g *admit.Gate, k clock.Clock) Handler {
-	return &admission{next, g, k}
+// refresh, which may be nil, brings what is known of the pace of the server up to
+// date before a request that could run elsewhere is admitted.
+func NewAdmission(next Handler, g *admit.Gate, k clock.Clock, refresh func(context.Context)) Handler {
+	return &admission{next, g, k, refresh}
 }
 
 func (f *admission) Serve(c *Call) error {
@@ -24,6 +28,9 @@
 	var target time.Time
 	if c.Meta.TargetLeft > 0 {
 		target = c.Deadline.Add(c.Meta.TargetLeft - c.Meta.Remaining)
+		if c.Meta.Movable && f.refresh != nil {
+			f.refresh(c.Ctx)
+		}
 	}
 	slot, refused := f.gate.Acquire(c.Ctx, admit.Request{
 		Target:  target,
--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -32,16 +32,32 @@
 	return &attempts{next: next, clock: k, observer: o}
 }
 
-func (f *attempts) policy(class string) *retry.Policy {
+func (f *attempts) policy(class string, item bool) *retry.Policy {
 	if p, ok := f.policies.Load(class); ok {
 		return p.(*retry.Policy)
 	}
-	p, _ := f.policies.LoadOrStore(class, retry.New(f.clock.Now(), retry.Config{}))
+	p, _ := f.policies.LoadOrStore(class, retry.New(f.clock.Now(), f.config(item)))
 	return p.(*retry.Policy)
 }
 
+// Shares of further attempts for classes that are configured as items. All nodes
+// together stay below a fifth of the requests of a service, with the calls that
+// repeated requests make again.
+const (
+	itemRetryRatio = 0.05
+	itemHedgeRatio = 0.10
+	itemReserve    = 1
+)
+
+func (f *attempts) config(item bool) retry.Config {
+	if !item {
+		return retry.Config{}
+	}
+	return retry.Config{RetryRatio: itemRetryRatio, HedgeRatio: itemHedgeRatio, RetryReserve: itemReserve, HedgeReserve: itemReserve}
+}
+
 func (f *attempts) Serve(c *Call) error {
-	p := f.policy(c.Class.Name)
+	p := f.policy(c.Class.Name, c.Class.Item)
 	p.Began()
 	if c.tried == nil { // a confined attempt continues the numbers of the first
 		c.tried = &tried{}
@@ -65,7 +81,7 @@
 // first makes the first attempt and its hedge. The hedge starts from a timer, so
 // that a request that is not slow costs no goroutine.
 func (f *attempts) first(c *Call, p *retry.Policy, r *race) error {
-	delay, ok := p.HedgeDelay(c.Class.Idempotent, c.Class.InternalOnly, c.Deadline.Sub(f.clock.Now()))
+	delay, ok := f.hedgeDelay(c, p)
 	if !ok || c.Meta.Confined || !c.Body.Whole() {
 		return f.try(c, r, false)
 	}
@@ -73,7 +89,12 @@
 		if !r.open() || !p.Hedge(f.clock.Now(), c.Attempts) {
 			return errNoHedge
 		}
-		return f.try(c, r, true)
+		err := f.try(c, r, true)
+		if c.Class.Item && err != nil && unreached(errkind.Of(err).Kind) {
+			p.HedgeUnsent()
+			c.Attempts.Return(1)
+		}
+		return err
 	})
 	err := f.try(c, r, false)
 	if errors.Is(err, ErrLost) || !h.stop() {
@@ -84,6 +105,14 @@
 	return err
 }
 
+func (f *attempts) hedgeDelay(c *Call, p *retry.Policy) (time.Duration, bool) {
+	now := f.clock.Now()
+	if c.Class.Item {
+		return p.HedgeForTarget(c.Class.Idempotent, c.Started.Add(c.Class.LatencyTarget).Sub(now))
+	}
+	return p.HedgeDelay(c.Class.Idempotent, c.Class.InternalOnly, c.Deadline.Sub(now))
+}
+
 // better returns nil if either attempt answered. The error of an attempt that
 // began to answer comes first, because its bytes were passed on.
 func better(first, hedge error) error {
@@ -166,14 +195,14 @@
 	lane := &lane{race: r}
 	a := c.attempt(ctx, lane)
 	a.Meta.Hedge = hedge
-	a.Meta.Movable = c.Class.Item && c.moves < maxMoves && c.Body.Replayable() || c.Class.Idempotent && !c.Meta.Confined && c.Body.Replayable() && f.policy(c.Class.Name).CanMove(c.Attempts)
+	a.Meta.Movable = c.Class.Item && c.moves < maxMoves && c.Body.Replayable() || c.Class.Idempotent && !c.Meta.Confined && c.Body.Replayable() && f.policy(c.Class.Name, c.Class.Item).CanMove(c.Attempts)
 	lane.number = a.Meta.Attempt
 	r.enter(lane.number, cancel)
 	start := f.clock.Now()
 	err := f.next.Serve(a)
 	if err == nil && !a.HeadAt.IsZero() {
 		// The time that the caller takes for the body is no latency of the class.
-		f.policy(c.Class.Name).Answered(a.HeadAt, a.HeadAt.Sub(start))
+		f.policy(c.Class.Name, c.Class.Item).Answered(a.HeadAt, a.HeadAt.Sub(start))
 	}
 	f.note(c, a, r, start, err)
 	return err
--- a/proxy/announced.go
+++ b/proxy/announced.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"sync"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"bramleymill/errkind"
 	"bramleymill/fleet"
 )
@@ -45,6 +48,7 @@
 	changed func()
 	client  *http.Client
 	wake    chan struct{}
+	asking  singleflight.Group
 
 	mu      sync.Mutex
 	current *Announcement // nil: not known
@@ -54,7 +58,7 @@
 
 func newAnnounced(c *Config, changed func()) *announced {
 	return &announced{config: c, changed: changed, wake: make(chan struct{}, 1),
-		client: &http.Client{Timeout: identifyTimeout, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}}
+		client: &http.Client{Timeout: identifyTimeout, Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}}}
 }
 
 // take adopts an announcement unless it is older than what is known. An older one
@@ -160,25 +164,49 @@
 	}
 }
 
-// ask makes one request to the health endpoint.
+// ask identifies the backend server.
 func (a *announced) ask(ctx context.Context) {
+	h, err := a.health(ctx)
+	if err == nil && h.instance != "" {
+		a.identified(h.instance, h.good, h.load.Slots, h.told)
+	}
+}
+
+// healthAnswer is the answer of the health endpoint.
+type healthAnswer struct {
+	instance string
+	good     bool
+	load     LoadState
+	told     bool // load is set
+}
+
+// health makes one request to the health endpoint. Callers at the same time share
+// one.
+func (a *announced) health(ctx context.Context) (healthAnswer, error) {
+	v, err, _ := a.asking.Do("", func() (any, error) { return a.request(context.WithoutCancel(ctx)) })
+	if err != nil {
+		return healthAnswer{}, err
+	}
+	return v.(healthAnswer), nil
+}
+
+func (a *announced) request(ctx context.Context) (healthAnswer, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.config.Backend.Address+a.healthPath(), nil)
 	if err != nil {
-		a.config.Log.Error("health request not made", "error", err)
-		return
+		return healthAnswer{}, err
 	}
 	resp, err := a.client.Do(req)
 	a.config.Metrics.Probed(err == nil && resp.StatusCode == http.StatusOK)
 	if err != nil {
-		return // the next look follows
+		return healthAnswer{}, err
 	}
-	_ = resp.Body.Close()
-	instance := resp.Header.Get(a.config.Dialect.Instance)
-	if instance == "" {
-		return
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.CopyN(io.Discard, resp.Body, maxHealthBytes); err != nil && !errors.Is(err, io.EOF) {
+		return healthAnswer{}, err
 	}
-	load, told := parseLoad(resp.Header.Get(a.config.Dialect.Load))
-	a.identified(instance, resp.StatusCode == http.StatusOK, load.Slots, told)
+	h := healthAnswer{instance: resp.Header.Get(a.config.Dialect.Instance), good: resp.StatusCode == http.StatusOK}
+	h.load, h.told = parseLoad(resp.Header.Get(a.config.Dialect.Load))
+	return h, nil
 }
 
 // healthPath returns the configured path of the service.
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -53,6 +53,38 @@
 // loadTold takes the load in an answer of the backend server.
 func (l *localServer) loadTold(s LoadState) { l.gate.SetPace(s.Pace) }
 
+// Parameters of the questions for the pace of the backend server.
+const (
+	// paceFresh is the age up to which the pace is not asked for. Slow phases last
+	// some 100 ms.
+	paceFresh = 40 * time.Millisecond
+	// paceWait bounds the wait for an answer.
+	paceWait = 20 * time.Millisecond
+)
+
+// refreshPace asks the backend server for its pace unless an answer has told it
+// lately. A server that never tells its pace is not asked.
+func (l *localServer) refreshPace(ctx context.Context) {
+	load := l.gate.Load()
+	if load.Pace == 0 || load.PaceAge < paceFresh {
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if h, err := l.announced.health(ctx); err == nil && h.told {
+			l.loadTold(h.load)
+		}
+	}()
+	t := time.NewTimer(paceWait)
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (l *localServer) start(ctx context.Context, done *sync.WaitGroup) {
 	done.Add(3)
 	go func() { defer done.Done(); l.backend.spares.run(ctx, l.monitor.Alive) }()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -99,7 +99,11 @@
 	var h filter.Handler = filter.NewDispatch(l.backend, k)
 	l.guard = filter.NewCrashGuard(h, filter.CrashGuardConfig{Node: c.Node, Incarnation: c.Incarnation,
 		Service: c.Backend.Service, Suspects: c.Suspects, Publisher: c.Crashes, Liveness: l.monitor, Events: p.store, Clock: k})
-	h = filter.NewAdmission(l.guard, l.gate, k)
+	var refresh func(context.Context)
+	if l.announced != nil {
+		refresh = l.refreshPace
+	}
+	h = filter.NewAdmission(l.guard, l.gate, k, refresh)
 	h = filter.NewDownReport(h, l.guard)
 	h = filter.NewDuplicates(h, k)
 	return filter.NewPeerCheck(h, c.Node, p.Incarnation, k)
--- a/retry/latency.go
+++ b/retry/latency.go
@@ -20,13 +20,14 @@
 	hedgeQuantile    = 95
 )
 
-// Latency estimates the recent p95 of a class. It is safe for concurrent use.
+// Latency estimates the recent median and p95 of a class. It is safe for concurrent use.
 type Latency struct {
 	mu      sync.Mutex
 	window  *hdrhistogram.WindowedHistogram
 	rotated time.Time
 	samples int
 
+	p50 atomic.Int64
 	p95 atomic.Int64
 }
 
@@ -56,10 +57,17 @@
 		return
 	}
 	if merged := l.window.Merge(); merged.TotalCount() >= latencyMinimum {
+		l.p50.Store(merged.ValueAtQuantile(50))
 		l.p95.Store(merged.ValueAtQuantile(hedgeQuantile))
 	}
 }
 
+// Median returns the recent median and whether it is known.
+func (l *Latency) Median() (time.Duration, bool) {
+	micros := l.p50.Load()
+	return time.Duration(micros) * time.Microsecond, micros > 0
+}
+
 // P95 returns the recent 95th percentile and whether it is known.
 func (l *Latency) P95() (time.Duration, bool) {
 	micros := l.p95.Load()
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -187,6 +187,25 @@
 	return delay, delay < remaining
 }
 
+// hedgeMargin is the time in multiples of the median that is left for a hedge
+// when it is sent to meet a latency target.
+const hedgeMargin = 1.25
+
+// HedgeForTarget returns how long to wait for the first attempt of a request that
+// has left until its latency target: a hedge that is sent then still has a fair
+// chance to meet it.
+func (p *Policy) HedgeForTarget(idempotent bool, left time.Duration) (time.Duration, bool) {
+	median, known := p.latency.Median()
+	if !idempotent || !known {
+		return 0, false
+	}
+	delay := left - time.Duration(hedgeMargin*float64(median))
+	return max(delay, median), left > 2*median
+}
+
+// HedgeUnsent gives back the token of a hedge that reached no backend server.
+func (p *Policy) HedgeUnsent() { p.hedges.Return() }
+
 // Hedge reports whether a hedge may be sent now that its delay has passed. When
 // it returns true it has taken one of the attempts and one token.
 func (p *Policy) Hedge(now time.Time, attempts *Attempts) bool {
