Let urgent requests wait until their deadline

Cause: calls that a backend server makes were refused when they missed their own latency target; the request that needs them then fails. Change: only requests of low urgency are refused for their target.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -145,14 +145,16 @@
 	return Queued, ""
 }
 
-// enqueueForTarget lets a request wait that is expected to meet its target.
+// enqueueForTarget lets a request wait that is expected to meet its target. One
+// of more than low urgency waits until its deadline: it is served before the
+// others, and the request of another server may depend on it.
 func (c *Controller) enqueueForTarget(now time.Time, position int, wait time.Duration, w waiting) (Verdict, errkind.Kind) {
 	r := w.request
 	limit := c.movableWait(now)
 	if r.Movable && limit > 0 && wait > limit {
 		return Refused, c.fullKind(r)
 	}
-	if now.Add(wait + c.classTime(now, r.Class)).After(r.Target) {
+	if w.rank <= fleet.UrgencyLow && now.Add(wait+c.classTime(now, r.Class)).After(r.Target) {
 		return Refused, errkind.QueueFull
 	}
 	if len(c.queue) >= c.config.QueueLength && !c.evict(w.rank, true) {
