Give up machines that do not answer on a trusted network

Cause: dialling a machine without power took up to a second, and a connection to one that lost power during a request hung until the deadline. Change: dial for 200 ms; unacknowledged bytes and keep-alive probes end silent connections between nodes.

--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -9,8 +9,11 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/filter"
@@ -33,9 +36,40 @@
 	expectTimeout = time.Hour
 )
 
+// Times after which a machine that does not answer is given up on a trusted
+// network, whose round trips take milliseconds.
+const (
+	trustedDialTimeout = 200 * time.Millisecond
+	// unackedTimeout outlasts two transmissions of a lost packet.
+	unackedTimeout = 800 * time.Millisecond
+	// A machine that lost power says nothing about requests that it was running.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+)
+
+// peerDialer returns the dialer for connections to other nodes.
+func peerDialer(trusted bool) *net.Dialer {
+	if !trusted {
+		return &net.Dialer{}
+	}
+	return &net.Dialer{
+		Timeout:         trustedDialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+		ControlContext: func(_ context.Context, _, _ string, c syscall.RawConn) error {
+			var set error
+			err := c.Control(func(fd uintptr) {
+				set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			})
+			return errors.Join(err, set)
+		},
+	}
+}
+
 // remote sends attempts to other nodes over mutual TLS.
 type remote struct {
 	pool       *pool
+	dialer     *net.Dialer
 	clientTLS  *tls.Config
 	generation func() uint64 // of the keys in clientTLS
 	clock      clock.Clock
@@ -46,7 +80,7 @@
 }
 
 func newRemote(clientTLS *tls.Config, generation func() uint64, k clock.Clock, report func() string, seen func(configVersion uint64)) *remote {
-	r := &remote{clientTLS: clientTLS, generation: generation, clock: k, report: report, seen: seen}
+	r := &remote{dialer: peerDialer(clientTLS == nil), clientTLS: clientTLS, generation: generation, clock: k, report: report, seen: seen}
 	r.pool = newPool(r.dial, 0, maxIdlePerPeer, idleConnTimeout)
 	return r
 }
@@ -61,8 +95,7 @@
 		return nil, fmt.Errorf("no address for %s", name)
 	}
 	node, _, _ := strings.Cut(name, ".")
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", address)
+	raw, err := r.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
