Hedge overdue requests also when their target is missed

Cause: a hedge was planned only while twice the median was left until the target, so that katalog-citanie was never hedged (9 repeats in 14,000). Change: a hedge goes out when a request is overdue or when the target is at stake; the median is known after 10 samples.

--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -53,7 +53,7 @@
 	if !item {
 		return retry.Config{}
 	}
-	return retry.Config{RetryRatio: itemRetryRatio, HedgeRatio: itemHedgeRatio, RetryReserve: itemReserve, HedgeReserve: itemReserve}
+	return retry.Config{RetryRatio: itemRetryRatio, HedgeRatio: itemHedgeRatio, RetryReserve: itemReserve, HedgeReserve: itemReserve, Sparse: true}
 }
 
 func (f *attempts) Serve(c *Call) error {
@@ -108,7 +108,7 @@
 func (f *attempts) hedgeDelay(c *Call, p *retry.Policy) (time.Duration, bool) {
 	now := f.clock.Now()
 	if c.Class.Item {
-		return p.HedgeForTarget(c.Class.Idempotent, c.Started.Add(c.Class.LatencyTarget).Sub(now))
+		return p.HedgeForTarget(c.Class.Idempotent, c.Started.Add(c.Class.LatencyTarget).Sub(now), c.Deadline.Sub(now))
 	}
 	return p.HedgeDelay(c.Class.Idempotent, c.Class.InternalOnly, c.Deadline.Sub(now))
 }
--- a/retry/latency.go
+++ b/retry/latency.go
@@ -18,6 +18,10 @@
 	latencyMinimum   = 20 // samples before a quantile is given
 	latencyRecompute = 16 // samples between two computations of the quantile
 	hedgeQuantile    = 95
+
+	// Of classes with few requests a node.
+	sparseMinimum   = 10
+	sparseRecompute = 4
 )
 
 // Latency estimates the recent median and p95 of a class. It is safe for concurrent use.
@@ -27,6 +31,8 @@
 	rotated time.Time
 	samples int
 
+	minimum, recompute int
+
 	p50 atomic.Int64
 	p95 atomic.Int64
 }
@@ -37,9 +43,18 @@
 		window: hdrhistogram.NewWindowed(latencyWindows, int64(latencyLowest/time.Microsecond),
 			int64(latencyHighest/time.Microsecond), latencyDigits),
 		rotated: now,
+		minimum: latencyMinimum, recompute: latencyRecompute,
 	}
 }
 
+// NewSparseLatency returns a Latency that gives its first estimate after fewer
+// samples.
+func NewSparseLatency(now time.Time) *Latency {
+	l := NewLatency(now)
+	l.minimum, l.recompute = sparseMinimum, sparseRecompute
+	return l
+}
+
 // Record adds the duration of a successful request.
 func (l *Latency) Record(now time.Time, d time.Duration) {
 	l.mu.Lock()
@@ -53,10 +68,10 @@
 		return // only for values outside the range, which the line above excludes
 	}
 	l.samples++
-	if l.samples%latencyRecompute != 0 {
+	if l.samples%l.recompute != 0 {
 		return
 	}
-	if merged := l.window.Merge(); merged.TotalCount() >= latencyMinimum {
+	if merged := l.window.Merge(); merged.TotalCount() >= int64(l.minimum) {
 		l.p50.Store(merged.ValueAtQuantile(50))
 		l.p95.Store(merged.ValueAtQuantile(hedgeQuantile))
 	}
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -14,6 +14,7 @@
 	RetryReserve int     // retries available without recent traffic
 	HedgeReserve int
 	MinHedge     time.Duration // shortest delay of a hedge
+	Sparse       bool          // the node sees few requests of the class
 }
 
 // Defaults of Config.
@@ -58,11 +59,15 @@
 // New returns a Policy without history.
 func New(now time.Time, c Config) *Policy {
 	c = c.withDefaults()
+	latency := NewLatency(now)
+	if c.Sparse {
+		latency = NewSparseLatency(now)
+	}
 	return &Policy{
 		config:  c,
 		retries: NewBudget(now, c.RetryRatio, c.RetryReserve),
 		hedges:  NewBudget(now, c.HedgeRatio, c.HedgeReserve),
-		latency: NewLatency(now),
+		latency: latency,
 	}
 }
 
@@ -187,20 +192,24 @@
 	return delay, delay < remaining
 }
 
-// hedgeMargin is the time in multiples of the median that is left for a hedge
-// when it is sent to meet a latency target.
-const hedgeMargin = 1.25
+// Multiples of the median latency that decide when a request with a latency
+// target is hedged.
+const (
+	hedgeMargin  = 1.25 // left until the target when the hedge is sent
+	hedgeOverdue = 1.4  // age from which the first attempt is taken for slow
+)
 
-// HedgeForTarget returns how long to wait for the first attempt of a request that
-// has left until its latency target: a hedge that is sent then still has a fair
-// chance to meet it.
-func (p *Policy) HedgeForTarget(idempotent bool, left time.Duration) (time.Duration, bool) {
+// HedgeForTarget returns how long to wait for the first attempt of a request with
+// the given times left until its latency target and its deadline. A hedge that is
+// sent then has a fair chance to meet the target, or else the deadline.
+func (p *Policy) HedgeForTarget(idempotent bool, target, deadline time.Duration) (time.Duration, bool) {
 	median, known := p.latency.Median()
 	if !idempotent || !known {
 		return 0, false
 	}
-	delay := left - time.Duration(hedgeMargin*float64(median))
-	return max(delay, median), left > 2*median
+	m := float64(median)
+	delay := max(target-time.Duration(hedgeMargin*m), time.Duration(hedgeOverdue*m))
+	return delay, delay+median < deadline
 }
 
 // HedgeUnsent gives back the token of a hedge that reached no backend server.
