Send the last move of a request to the best of all servers

Cause: a request that every server had refused for its pace waited at the one that was chosen last, which is the worst. Change: after three refusals all servers are candidates again.

--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -147,6 +147,11 @@
 		// No backend server was reached: such an attempt counts neither against the
 		// budget nor against those of the class.
 		c.moves++
+		if c.moves == maxMoves {
+			// Every server that was asked is busy. The last attempt goes to the best of
+			// all, which may let it wait.
+			c.tried.restart()
+		}
 		return c.moves <= maxMoves && failure.Remaining > 0, failure.Kind
 	}
 	d := p.After(now, failure, c.Attempts)
@@ -154,7 +159,7 @@
 }
 
 // maxMoves bounds the attempts of a request that reach no backend server.
-const maxMoves = 4
+const maxMoves = 3
 
 // unreached reports whether a server node refused an attempt, or could not be
 // reached, before the backend server was called.
