Let only urgent requests run in a slow phase

Cause: the last move of a request was refused for the pace when its class was idempotent and run when it was not, by an accident of two conditions.

--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -9,6 +9,7 @@
 	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/explain"
+	"bramleymill/fleet"
 	"bramleymill/retry"
 )
 
@@ -200,7 +201,7 @@
 	lane := &lane{race: r}
 	a := c.attempt(ctx, lane)
 	a.Meta.Hedge = hedge
-	a.Meta.Movable = c.Class.Item && c.moves < maxMoves && c.Body.Replayable() || c.Class.Idempotent && !c.Meta.Confined && c.Body.Replayable() && f.policy(c.Class.Name, c.Class.Item).CanMove(c.Attempts)
+	a.Meta.Movable = f.movable(c)
 	lane.number = a.Meta.Attempt
 	r.enter(lane.number, cancel)
 	start := f.clock.Now()
@@ -213,6 +214,19 @@
 	return err
 }
 
+// movable reports whether another attempt would follow a refusal by the server node.
+func (f *attempts) movable(c *Call) bool {
+	switch {
+	case c.Meta.Confined || !c.Body.Replayable():
+		return false
+	case c.Class.Item:
+		// A caller whose request has low urgency better comes back than has it run
+		// in a slow phase, at the cost of others.
+		return c.moves < maxMoves || c.Class.Urgency <= fleet.UrgencyLow
+	}
+	return c.Class.Idempotent && f.policy(c.Class.Name, false).CanMove(c.Attempts)
+}
+
 func (f *attempts) note(c, a *Call, r *race, start time.Time, err error) {
 	var kind errkind.Kind
 	lost := err != nil && hasLost(a, err)
