Give up waiting half way from the target to the deadline

Change: an urgent request waits until half the time between its target and its deadline, after which its caller can still come back.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -146,15 +146,21 @@
 }
 
 // enqueueForTarget lets a request wait that is expected to meet its target. One
-// of more than low urgency waits until its deadline: it is served before the
-// others, and the request of another server may depend on it.
+// of more than low urgency may be late by lateShare of the time between its target
+// and its deadline: it is served before the others, and the request of another
+// server may depend on it.
 func (c *Controller) enqueueForTarget(now time.Time, position int, wait time.Duration, w waiting) (Verdict, errkind.Kind) {
 	r := w.request
 	limit := c.movableWait(now)
 	if r.Movable && limit > 0 && wait > limit {
 		return Refused, c.fullKind(r)
 	}
-	if w.rank <= fleet.UrgencyLow && now.Add(wait+c.classTime(now, r.Class)).After(r.Target) {
+	latest := r.Target
+	if w.rank > fleet.UrgencyLow {
+		latest = latest.Add(time.Duration(lateShare * float64(r.Deadline.Sub(r.Target))))
+		w.giveUp = earlier(w.giveUp, latest)
+	}
+	if now.Add(wait + c.classTime(now, r.Class)).After(latest) {
 		return Refused, errkind.QueueFull
 	}
 	if len(c.queue) >= c.config.QueueLength && !c.evict(w.rank, true) {
@@ -164,6 +170,10 @@
 	return Queued, ""
 }
 
+// lateShare bounds the waiting of urgent requests. One that is given up near its
+// deadline leaves its caller no time to come back.
+const lateShare = 0.5
+
 // soleQueueFactor is the number of times that Sole requests may exceed
 // QueueLength. It bounds memory; the deadline bounds the wait. A process that
 // gets no processor for some 10 ms finds more arrivals than QueueLength at once,
