Log requests that were refused, retried or failed

Each such request gets a line at its entry node and one at each server node that refused it, with the load and its age; at most 40 lines a second and side.

--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -87,6 +87,7 @@
 	now := p.config.Clock.Now()
 	c.Record.End(now, w.Status())
 	p.store.Add(c.Record)
+	p.requests.finished(now, c, w.Status())
 	p.config.Metrics.Finished(c.Meta.Class, c.Record.Kind, w.Status(), c.Record.Duration)
 }
 
@@ -179,7 +180,7 @@
 	defer task.end()
 	c.Ctx = task.bind(c.Ctx)
 	task.describe(c)
-	return p.server.Serve(c)
+	return p.runAttempt(c)
 }
 
 // acceptPeer decodes and checks the metadata of a forwarded call.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,6 +33,7 @@
 
 	incarnation atomic.Uint64
 	retiring    atomic.Bool
+	requests    *requestLog
 
 	measuring probe.Config
 	asks      *probe.Asks
@@ -50,6 +52,7 @@
 	if p.store == nil {
 		p.store = explain.NewStore(c.Node, c.Records, c.Events)
 	}
+	p.requests = newRequestLog(&p.config)
 	p.incarnation.Store(uint64(c.Incarnation))
 	p.work.init()
 	p.remote = newRemote(c.ClientTLS, c.KeyGeneration, c.Clock, p.sentReport, p.configSeen)
@@ -114,12 +117,21 @@
 	if p.server == nil {
 		return errkind.New(errkind.StaleTarget, "node %s has no backend server", p.config.Node)
 	}
-	err := p.server.Serve(c)
+	err := p.runAttempt(c)
 	report := p.LoadReport()
 	c.Load = &report
 	return err
 }
 
+// runAttempt runs the server chain.
+func (p *Proxy) runAttempt(c *filter.Call) error {
+	err := p.server.Serve(c)
+	if err != nil && !errors.Is(err, filter.ErrLost) {
+		p.requests.refused(p.config.Clock.Now(), c, p.local, err)
+	}
+	return err
+}
+
 // Attempted passes the end of an attempt on to the metrics.
 func (p *Proxy) Attempted(c *filter.Call, kind errkind.Kind) {
 	var d time.Duration
--- /dev/null
+++ b/proxy/requestlog.go
@@ -0,0 +1,159 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bramleymill/errkind"
+	"bramleymill/explain"
+	"bramleymill/filter"
+)
+
+// Bounds of the log of requests. Under overload most requests are refused, and a
+// line for each would cost more than the refusal.
+const (
+	requestLinesPerSecond = 40
+	requestLinesBurst     = 400
+)
+
+// requestLog writes a line for each request that was not simply answered by its
+// first server, up to a rate. Lines beyond it are counted, and the next line
+// states how many were left out.
+type requestLog struct {
+	log     *slog.Logger
+	entry   limitedLines
+	server  limitedLines
+	dialect *Dialect
+}
+
+type limitedLines struct {
+	limit *rate.Limiter
+	left  atomic.Int64 // lines left out since the last one
+}
+
+func newRequestLog(c *Config) *requestLog {
+	lines := func() limitedLines {
+		return limitedLines{limit: rate.NewLimiter(requestLinesPerSecond, requestLinesBurst)}
+	}
+	return &requestLog{log: c.Log, entry: lines(), server: lines(), dialect: c.Dialect}
+}
+
+// allow reports whether a line may be written, with the number of lines that were
+// left out before it.
+func (l *limitedLines) allow(now time.Time) (left int64, ok bool) {
+	if !l.limit.AllowN(now, 1) {
+		l.left.Add(1)
+		return 0, false
+	}
+	return l.left.Swap(0), true
+}
+
+// callerID returns the id by which the caller knows the request.
+func (r *requestLog) callerID(c *filter.Call) string {
+	if r.dialect != nil && c.Request != nil {
+		return c.Request.Header.Get(r.dialect.RequestID)
+	}
+	return c.Record.CallerID
+}
+
+// finished logs the end of a request at its entry node.
+func (r *requestLog) finished(now time.Time, c *filter.Call, status int) {
+	rec := c.Record
+	if rec.Kind == "" && len(rec.Attempts) <= 1 && status < http.StatusInternalServerError {
+		return
+	}
+	left, ok := r.entry.allow(now)
+	if !ok {
+		return
+	}
+	r.log.LogAttrs(context.Background(), slog.LevelInfo, "request",
+		slog.String("id", r.callerID(c)),
+		slog.String("request", rec.RequestID),
+		slog.String("class", rec.Class),
+		slog.Uint64("config", rec.ConfigVersion),
+		slog.Int("status", status),
+		slog.String("kind", string(rec.Kind)),
+		slog.String("outcome", outcomeOf(rec.Kind)),
+		slog.Duration("duration", rec.Duration),
+		slog.String("attempts", describeAttempts(rec)),
+		slog.String("reason", rec.Reason),
+		slog.Int64("lines_left_out", left))
+}
+
+func outcomeOf(k errkind.Kind) string {
+	if k == "" {
+		return "answered"
+	}
+	return string(errkind.Lookup(k).Outcome)
+}
+
+// describeAttempts lists the attempts of a request as TARGET:RESULT@START+DURATION,
+// and what was known of the chosen servers.
+func describeAttempts(rec *explain.Record) string {
+	var b strings.Builder
+	for i, a := range rec.Attempts {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		result := string(a.Kind)
+		switch {
+		case a.Lost:
+			result = "lost"
+		case result == "":
+			result = fmt.Sprint(a.Status)
+		}
+		hedge := ""
+		if a.Hedge {
+			hedge = "hedge:"
+		}
+		fmt.Fprintf(&b, "%s%s:%s@%v+%v", hedge, a.Target, result, a.Start.Round(time.Millisecond), a.Duration.Round(time.Millisecond))
+	}
+	for _, k := range rec.Candidates {
+		if k.Chosen {
+			fmt.Fprintf(&b, " chosen=%s load=%d age=%v cost=%v", k.Node, k.Reported, k.Age.Round(time.Millisecond), k.Cost.Round(time.Millisecond))
+		}
+	}
+	return b.String()
+}
+
+// refused logs an attempt that this node, as the server node, did not pass on to
+// an answer, with the load by which it was decided.
+func (r *requestLog) refused(now time.Time, c *filter.Call, l *localServer, err error) {
+	left, ok := r.server.allow(now)
+	if !ok {
+		return
+	}
+	load := l.gate.Load()
+	instance := ""
+	if l.announced != nil {
+		if a := l.announced.known(); a != nil {
+			instance = a.Instance
+		}
+	}
+	r.log.LogAttrs(context.Background(), slog.LevelInfo, "attempt",
+		slog.String("id", r.callerID(c)),
+		slog.String("request", c.Meta.RequestID),
+		slog.String("class", c.Meta.Class),
+		slog.String("entry", string(c.Meta.Entry)),
+		slog.Int("number", int(c.Meta.Attempt)),
+		slog.String("kind", string(errkind.Of(err).Kind)),
+		slog.String("state", l.state().String()),
+		slog.String("instance", instance),
+		slog.Int("running", load.InFlight),
+		slog.Int("queued", load.Queued),
+		slog.Int("slots", load.Slots),
+		slog.Duration("service_time", load.ServiceTime),
+		slog.Float64("pace", load.Pace),
+		slog.Duration("pace_age", load.PaceAge),
+		slog.Duration("left", c.Meta.Remaining),
+		slog.Bool("movable", c.Meta.Movable),
+		slog.String("error", err.Error()),
+		slog.Int64("lines_left_out", left))
+}
