Test the platform mode

Items, dialect, announcements, moves, pace, voters, trusted networks and a whole fleet in one process. Found by the tests: a request that began before the first report of the pace was learned with its slow phase in it; a group of three voters took a fourth one.

--- a/admit/pace.go
+++ b/admit/pace.go
@@ -16,9 +16,10 @@
 // pace follows the time that work takes at a server whose machine is shared. The
 // work clock advances by the work done: slower than the time in slow phases.
 type pace struct {
-	now  float64 // zero: not known
-	at   time.Time
-	work time.Duration
+	now    float64 // zero: not known
+	at     time.Time
+	work   time.Duration // reading of the work clock at at
+	origin time.Time     // at which the work clock began
 }
 
 // set takes what the server has told.
@@ -31,10 +32,13 @@
 }
 
 // clock returns the reading of the work clock. Between two reports the pace of
-// the former is assumed, and without any the usual one.
+// the former is assumed, and before the first one the usual pace.
 func (p *pace) clock(now time.Time) time.Duration {
+	if p.origin.IsZero() {
+		p.origin = now
+	}
 	if p.at.IsZero() {
-		return 0
+		return now.Sub(p.origin)
 	}
 	return p.work + time.Duration(float64(now.Sub(p.at))/p.now)
 }
@@ -43,7 +47,7 @@
 // usual pace.
 func (p *pace) usual(now time.Time, took time.Duration, r running) time.Duration {
 	elapsed := now.Sub(r.started)
-	if p.at.IsZero() || r.work == 0 || elapsed <= 0 {
+	if p.at.IsZero() || elapsed <= 0 {
 		return took
 	}
 	return time.Duration(float64(took) * float64(p.clock(now)-r.work) / float64(elapsed))
--- /dev/null
+++ b/admit/target_test.go
@@ -0,0 +1,129 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+var t0 = time.Unix(5000, 0)
+
+func at(ms int) time.Time { return t0.Add(time.Duration(ms) * time.Millisecond) }
+
+// loaded returns a controller with one slot that is in use, whose class "work"
+// usually takes 100 ms.
+func loaded() *Controller {
+	c := NewController(Config{Slots: 1, QueueLength: 10, NoReserve: true})
+	c.Offer(at(0), 1, Request{Class: "work", Deadline: at(10000)})
+	c.Done(at(100), 1, 100*time.Millisecond)
+	c.Offer(at(100), 2, Request{Class: "work", Deadline: at(10000)})
+	return c
+}
+
+// Guards against requests that wait although they will miss their target, and
+// against urgent ones that are refused although they could still be answered.
+func TestQueueGoesByTarget(t *testing.T) {
+	for _, c := range []struct {
+		name             string
+		urgency          fleet.Urgency
+		target, deadline int
+		want             errkind.Kind
+	}{
+		{"meets its target", fleet.UrgencyLow, 310, 1000, ""},
+		{"misses its target", fleet.UrgencyLow, 290, 1000, errkind.QueueFull},
+		{"urgent and late", fleet.UrgencyNormal, 290, 1000, ""},
+		{"urgent and too late", fleet.UrgencyNormal, 150, 400, errkind.QueueFull},
+		{"hopeless", fleet.UrgencyNormal, 150, 250, errkind.DeadlineBeforeRun},
+	} {
+		verdict, kind, _ := loaded().Offer(at(100), 3, Request{Class: "work", Urgency: c.urgency, Target: at(c.target), Deadline: at(c.deadline)})
+		if kind != c.want || (verdict == Queued) != (c.want == "") {
+			t.Errorf("%s: verdict %d kind %q, want %q", c.name, verdict, kind, c.want)
+		}
+	}
+}
+
+// Guards against a slot for a request that is late already while one waits that
+// can still meet its target.
+func TestLateRequestsStartLast(t *testing.T) {
+	c := loaded()
+	c.Offer(at(100), 3, Request{Class: "work", Urgency: fleet.UrgencyNormal, Target: at(305), Deadline: at(2000)})
+	c.Offer(at(100), 4, Request{Class: "work", Urgency: fleet.UrgencyNormal, Target: at(600), Deadline: at(3000)})
+	actions := c.Done(at(250), 2, 0) // request 3 ends at 350 at the earliest
+	if len(actions) != 1 || actions[0] != (Action{ID: 4}) {
+		t.Errorf("actions %+v, want the start of 4", actions)
+	}
+}
+
+// Guards against an urgent request that is held until its deadline: its caller
+// would have no time left to come back.
+func TestUrgentRequestIsGivenUpBeforeItsDeadline(t *testing.T) {
+	c := loaded()
+	c.Offer(at(100), 3, Request{Class: "work", Urgency: fleet.UrgencyNormal, Target: at(400), Deadline: at(1000)})
+	if actions := c.Tick(at(699)); len(actions) != 0 {
+		t.Errorf("given up too early: %+v", actions)
+	}
+	if actions := c.Tick(at(701)); len(actions) != 1 || actions[0].Kind != errkind.QueueFull {
+		t.Errorf("actions %+v, want a refusal", actions)
+	}
+}
+
+// Guards against work that starts in a slow phase although it can run elsewhere,
+// and against a report of a slow phase that is believed for ever.
+func TestMovableRequestAvoidsSlowPhase(t *testing.T) {
+	c := NewController(Config{Slots: 4, NoReserve: true})
+	offer := func(now int, movable bool) errkind.Kind {
+		_, kind, _ := c.Offer(at(now), uint64(now)*2+1, Request{Class: "work", Movable: movable, Target: at(now + 500), Deadline: at(now + 900)})
+		return kind
+	}
+	c.SetPace(at(0), 4)
+	if k := offer(1, true); k != errkind.ServerSlow {
+		t.Errorf("movable request in a slow phase: %q", k)
+	}
+	if k := offer(2, false); k != "" {
+		t.Errorf("request without another server: %q", k)
+	}
+	if k := offer(int(paceTrust.Milliseconds())+1, true); k != "" {
+		t.Errorf("after the report has aged: %q", k)
+	}
+	c.SetPace(at(500), 1)
+	if k := offer(501, true); k != "" {
+		t.Errorf("at the usual pace: %q", k)
+	}
+}
+
+// Guards against service times that mix the length of the work with the pace of
+// the machine.
+func TestServiceTimeIsLearnedAtTheUsualPace(t *testing.T) {
+	c := NewController(Config{Slots: 2, NoReserve: true})
+	c.SetPace(at(0), 4)
+	c.Offer(at(0), 1, Request{Class: "work", Deadline: at(10000)})
+	c.SetPace(at(200), 1) // 200 ms in the slow phase do 50 ms of work
+	c.Done(at(250), 1, 250*time.Millisecond)
+	if got := c.Load(at(250)).ServiceTime; got != 100*time.Millisecond {
+		t.Errorf("service time %v, want 100ms", got)
+	}
+}
+
+// Guards against more requests at a server than the stated share of its slots,
+// also after the number of slots has changed.
+func TestFillBoundsTheSlots(t *testing.T) {
+	c := NewController(Config{Slots: 6, Fill: 0.8, NoReserve: true})
+	if got := c.Load(at(0)).Slots; got != 4 {
+		t.Errorf("%d of 6 slots used, want 4", got)
+	}
+	c.SetSlots(at(0), 11)
+	if got := c.Load(at(0)).Slots; got != 8 {
+		t.Errorf("%d of 11 slots used, want 8", got)
+	}
+}
+
+// Guards against queued requests that do not start when slots are added.
+func TestMoreSlotsStartQueuedRequests(t *testing.T) {
+	c := loaded()
+	c.Offer(at(100), 3, Request{Class: "work", Target: at(900), Deadline: at(1000)})
+	if actions := c.SetSlots(at(110), 2); len(actions) != 1 || actions[0] != (Action{ID: 3}) {
+		t.Errorf("actions %+v, want the start of 3", actions)
+	}
+}
--- /dev/null
+++ b/filter/item_test.go
@@ -0,0 +1,137 @@
+package filter
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"bramleymill/class"
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/strictjson"
+)
+
+// itemSet is a configuration of items: a class with shares and one of low urgency.
+func itemSet() *class.Set {
+	of := func(name, urgency string, idempotent bool) *class.Class {
+		return &class.Class{Name: name, Service: "shop", Match: class.Match{Hosts: []string{"shop.example"}, PathPrefix: "/" + name + "/"},
+			Idempotent: idempotent, Deadline: strictjson.Duration(time.Second), LatencyTarget: strictjson.Duration(500 * time.Millisecond),
+			Urgency: urgency, Attempts: 2}
+	}
+	split := of("split", "normal", true)
+	split.Shares = []class.Share{{Service: "shop", Share: 90}, {Service: "other", Share: 10}, {Service: "none", Share: 0}}
+	return class.NewItemSet(4, []*class.Class{split, of("browse", "low", true), of("order", "high", false)}, nil, class.Limits{})
+}
+
+func itemCall(t testing.TB, name string, k clock.Clock) *Call {
+	c := newCall(t, "GET", "", k)
+	c.Request.Host, c.Request.URL.Path = "shop.example", "/"+name+"/x"
+	c.Class = itemSet().MatchHost("shop.example", "GET", "/"+name+"/x")
+	c.Body = NewBody(c.Request)
+	c.Meta.Idempotent = c.Class.Idempotent
+	c.Deadline = k.Now().Add(time.Second)
+	return c
+}
+
+// Guards against shares that are met only after many requests, or by some nodes
+// only: each node sends few requests of a class.
+func TestRequestsAreSharedAmongServices(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	for seed := range uint64(20) {
+		counts := map[string]int{}
+		f := NewClassify(HandlerFunc(func(c *Call) error { counts[c.Class.Service]++; return nil }), &fakeConfig{set: itemSet()}, seed)
+		const requests = 60
+		for range requests {
+			if err := f.Serve(itemCall(t, "split", k)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := float64(counts["shop"]) / requests; math.Abs(got-0.9) > 0.035 || counts["none"] > 0 {
+			t.Fatalf("seed %d: shares %v", seed, counts)
+		}
+	}
+}
+
+// refusing answers each attempt with the next kind of a list; the empty kind succeeds.
+type refusing struct {
+	kinds   []errkind.Kind
+	movable []bool
+	numbers []uint32
+}
+
+func (r *refusing) Serve(c *Call) error {
+	r.movable, r.numbers = append(r.movable, c.Meta.Movable), append(r.numbers, c.Meta.Attempt)
+	k := errkind.Kind("")
+	if n := len(r.movable); n <= len(r.kinds) {
+		k = r.kinds[n-1]
+	}
+	if k == "" {
+		return nil
+	}
+	return errkind.New(k, "test")
+}
+
+// Guards against refusals by server nodes that use up the attempts or the budget
+// of a class, against endless moves, and against a repetition of work that may
+// have run.
+func TestMovesOfItemClasses(t *testing.T) {
+	slow := errkind.ServerSlow
+	for _, c := range []struct {
+		name, class string
+		kinds       []errkind.Kind
+		attempts    int
+		want        errkind.Kind
+	}{
+		{"moves until a server takes it", "order", []errkind.Kind{slow, errkind.QueueFull, errkind.Draining}, 4, ""},
+		{"ends after the last move", "order", []errkind.Kind{slow, slow, slow, slow, slow, slow}, maxMoves + 1, slow},
+		{"one repetition after a backend server's refusal", "order", []errkind.Kind{errkind.BackendRefused, errkind.BackendRefused, ""}, 2, errkind.BackendRefused},
+		{"no repetition of what may have run", "order", []errkind.Kind{errkind.ConnectionLost, ""}, 1, errkind.ConnectionLost},
+		{"one repetition of idempotent work", "browse", []errkind.Kind{errkind.ConnectionLost, errkind.ConnectionLost, ""}, 2, errkind.ConnectionLost},
+		{"no move of a request that crashes servers", "browse", []errkind.Kind{errkind.CrashSuspect, ""}, 1, errkind.CrashSuspect},
+	} {
+		k := clock.NewManual(time.Unix(1000, 0))
+		next := &refusing{kinds: c.kinds}
+		f := NewDeadline(NewAttempts(next, k, nil), k, 3, fleet.HeaderTimeoutMillis)
+		err := f.Serve(itemCall(t, c.class, k))
+		if kindOf(err) != c.want || len(next.movable) != c.attempts {
+			t.Errorf("%s: %d attempts, kind %q; want %d, %q", c.name, len(next.movable), kindOf(err), c.attempts, c.want)
+		}
+		for i, n := range next.numbers {
+			if n != uint32(i+1) {
+				t.Errorf("%s: attempt numbers %v", c.name, next.numbers)
+			}
+		}
+	}
+}
+
+// Guards against urgent requests that are refused for the pace wherever they go,
+// and against requests of low urgency that run in a slow phase.
+func TestLastMoveOfUrgentRequestsIsNotRefusedForThePace(t *testing.T) {
+	for name, wantLast := range map[string]bool{"order": false, "browse": true} {
+		k := clock.NewManual(time.Unix(1000, 0))
+		next := &refusing{kinds: []errkind.Kind{errkind.ServerSlow, errkind.ServerSlow, errkind.ServerSlow}}
+		f := NewDeadline(NewAttempts(next, k, nil), k, 3, fleet.HeaderTimeoutMillis)
+		if err := f.Serve(itemCall(t, name, k)); err != nil {
+			t.Fatal(err)
+		}
+		if n := len(next.movable); n != maxMoves+1 || !next.movable[0] || next.movable[n-1] != wantLast {
+			t.Errorf("%s: movable %v, want the last %t", name, next.movable, wantLast)
+		}
+	}
+}
+
+// Guards against a wait that callers state in the header of another dialect.
+func TestDeadlineReadsTheHeaderOfTheDialect(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	next := &passed{}
+	c := itemCall(t, "browse", k)
+	c.Request.Header.Set("Wait", "70")
+	c.Request.Header.Set(fleet.HeaderTimeoutMillis, "5")
+	if err := NewDeadline(next, k, 3, "Wait").Serve(c); err != nil {
+		t.Fatal(err)
+	}
+	if left := next.last.Deadline.Sub(k.Now()); left != 70*time.Millisecond || next.last.Attempts.Left() != 1 {
+		t.Errorf("%v and %d further attempts left, want 70ms and 1", left, next.last.Attempts.Left())
+	}
+}
--- /dev/null
+++ b/itemset/itemset_test.go
@@ -0,0 +1,192 @@
+package itemset
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bramleymill/class"
+	"bramleymill/strictjson"
+)
+
+func service(name string, version uint64) Item {
+	return Item{Key: Key{KindService, name}, Version: version, Service: &class.Service{Name: name}}
+}
+
+func route(name string, version uint64, deadline time.Duration, shares ...class.Share) Item {
+	c := &class.Class{Name: name, Match: class.Match{Hosts: []string{"shop.example"}, PathPrefix: "/" + name + "/"},
+		Deadline: strictjson.Duration(deadline), Urgency: "normal", Attempts: 2, Shares: shares}
+	if len(shares) == 0 {
+		c.Service = "shop"
+	}
+	return Item{Key: Key{KindClass, name}, Version: version, Class: c}
+}
+
+func drop(name string, version uint64) Item {
+	return Item{Key: Key{KindClass, name}, Version: version, Dropped: true}
+}
+
+type failer interface {
+	Helper()
+	Fatal(args ...any)
+}
+
+func merge(t failer, s *Set, change ...Item) *Set {
+	t.Helper()
+	next, _, err := s.Merge(change)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+// Guards against items that depend on the order in which changes arrive, or on
+// how often: a change may be sent again, to any control instance, after others.
+func TestMergeDoesNotDependOnOrderOrRepetition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var changes [][]Item
+		for i := range rapid.IntRange(1, 8).Draw(t, "changes") {
+			name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")
+			version := uint64(3*i + 1)
+			if rapid.Bool().Draw(t, "drop") {
+				changes = append(changes, []Item{drop(name, version)})
+			} else {
+				changes = append(changes, []Item{route(name, version, time.Duration(version)*time.Second)})
+			}
+		}
+		apply := func(order []int) *Set {
+			s := merge(t, Empty(), service("shop", 1))
+			for _, i := range order {
+				s = merge(t, s, changes[i]...)
+			}
+			return s
+		}
+		inOrder := make([]int, len(changes))
+		for i := range inOrder {
+			inOrder[i] = i
+		}
+		twice := append(rapid.Permutation(inOrder).Draw(t, "order"), rapid.Permutation(inOrder).Draw(t, "again")...)
+		want, got := apply(inOrder).Sorted(), apply(twice).Sorted()
+		if fmt.Sprint(describe(want)) != fmt.Sprint(describe(got)) {
+			t.Fatalf("got %v, want %v", describe(got), describe(want))
+		}
+	})
+}
+
+func describe(items []*Item) (out []string) {
+	for _, it := range items {
+		text := fmt.Sprintf("%s %s@%d dropped=%t", it.Key.Kind, it.Key.Name, it.Version, it.Dropped)
+		if it.Class != nil {
+			text += fmt.Sprint(" ", it.Class.Deadline.Std())
+		}
+		out = append(out, text)
+	}
+	return out
+}
+
+// Guards against content that replaces what is held under the same version.
+func TestSameVersionNeverReplaces(t *testing.T) {
+	s := merge(t, Empty(), service("shop", 1), route("a", 5, time.Second))
+	same := merge(t, s, route("a", 5, 2*time.Second))
+	if it, _ := same.Item(Key{KindClass, "a"}); it.Class.Deadline.Std() != time.Second || same != s {
+		t.Errorf("version 5 now has a deadline of %v", it.Class.Deadline.Std())
+	}
+	older := merge(t, merge(t, s, drop("a", 7)), route("a", 6, time.Second))
+	if it, _ := older.Item(Key{KindClass, "a"}); !it.Dropped {
+		t.Error("an older version brought a dropped item back")
+	}
+}
+
+// Guards against a part of an invalid change in force, and against valid changes
+// that are refused.
+func TestChangeIsValidAsAWhole(t *testing.T) {
+	s := merge(t, Empty(), service("shop", 1), service("gone", 1), route("a", 5, time.Second))
+	s = merge(t, s, route("old", 2, time.Second, class.Share{Service: "gone", Share: 1}))
+	s = merge(t, s, Item{Key: Key{KindService, "gone"}, Version: 2, Dropped: true})
+	long := class.MaxDeadline + time.Second
+	noHost := route("b", 9, time.Second)
+	noHost.Class.Match.Hosts = []string{" "}
+	wrongKind := service("x", 3)
+	wrongKind.Key.Kind = KindLimits
+	for name, c := range map[string]struct {
+		items []Item
+		error string
+	}{
+		"unknown service":               {[]Item{route("b", 9, time.Second, class.Share{Service: "nowhere", Share: 1})}, "nowhere"},
+		"service in the same change":    {[]Item{service("new", 1), route("b", 9, time.Second, class.Share{Service: "new", Share: 1})}, ""},
+		"dropped service":               {[]Item{route("b", 9, time.Second, class.Share{Service: "gone", Share: 1})}, "gone"},
+		"shares of zero":                {[]Item{route("b", 9, time.Second, class.Share{Service: "shop"})}, "add up to zero"},
+		"deadline over the limit":       {[]Item{route("b", 9, long)}, "deadline"},
+		"no host":                       {[]Item{noHost}, "host"},
+		"content of another kind":       {[]Item{wrongKind}, "limits"},
+		"repetition of an accepted one": {[]Item{route("old", 2, time.Second, class.Share{Service: "gone", Share: 1})}, ""},
+	} {
+		next, _, err := s.Merge(append(c.items, route("c", 9, time.Second)))
+		if c.error == "" && err != nil || c.error != "" && (err == nil || !strings.Contains(err.Error(), c.error)) {
+			t.Errorf("%s: error %v, want %q", name, err, c.error)
+		}
+		if _, ok := next.Item(Key{KindClass, "c"}); ok != (err == nil) {
+			t.Errorf("%s: the valid part of the change is in force: %t", name, ok)
+		}
+	}
+}
+
+// Guards against a set that loses or invents something on its way to a node.
+func TestEncodeAndDecode(t *testing.T) {
+	limited := Item{Key: Key{Kind: KindLimits}, Version: 4, Limits: &class.Limits{BodyBytes: 7}, Source: []byte("text")}
+	s := merge(t, Empty(), service("shop", 1), route("a", 5, time.Second), drop("b", 6), limited)
+	data, err := s.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if fmt.Sprint(describe(back.Sorted())) != fmt.Sprint(describe(s.Sorted())) || back.Revision != s.Revision {
+		t.Errorf("got %v, want %v", describe(back.Sorted()), describe(s.Sorted()))
+	}
+	if it, _ := back.Item(limited.Key); string(it.Source) != "text" || it.Limits.BodyBytes != 7 {
+		t.Errorf("limits are %+v", it)
+	}
+	again, err := back.Encode()
+	if err != nil || !bytes.Equal(again, data) {
+		t.Errorf("equal sets give different bytes, error %v", err)
+	}
+	for cut := range len(data) {
+		if _, err := Decode(data[:cut]); err == nil {
+			t.Fatalf("%d of %d bytes are taken for a set", cut, len(data))
+		}
+	}
+}
+
+// Guards against routes that match another host or a shorter prefix, and against
+// dropped ones that still match.
+func TestClassesMatchHostAndLongestPrefix(t *testing.T) {
+	inner := route("a/deep", 3, time.Second)
+	other := route("other", 3, time.Second)
+	other.Class.Match = class.Match{Hosts: []string{"b.example"}, PathPrefix: "/a/"}
+	s := merge(t, Empty(), service("shop", 1), route("a", 5, time.Second), inner, other, drop("gone", 2))
+	set := s.Classes(1)
+	for _, c := range []struct{ host, path, want string }{
+		{"shop.example", "/a/x", "a"},
+		{"SHOP.example:80", "/a/deep/x", "a/deep"},
+		{"shop.example", "/a/deep", "a"},
+		{"b.example", "/a/deep/x", "other"},
+		{"shop.example", "/a", ""},
+		{"c.example", "/a/x", ""},
+		{"shop.example", "/gone/x", ""},
+	} {
+		got := ""
+		if r := set.MatchHost(c.host, "GET", c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s is of class %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/logsink/logsink_test.go
@@ -0,0 +1,50 @@
+package logsink
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// slowOutput blocks its first Write until it is released.
+type slowOutput struct {
+	mu      sync.Mutex
+	text    bytes.Buffer
+	entered chan struct{}
+	release chan struct{}
+	once    sync.Once
+}
+
+func (o *slowOutput) Write(p []byte) (int, error) {
+	o.once.Do(func() { close(o.entered); <-o.release })
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(p)
+}
+
+// Guards against a node that waits for its log output, and against lines that are
+// lost without a trace.
+func TestSlowOutputDropsLinesAndCountsThem(t *testing.T) {
+	out := &slowOutput{entered: make(chan struct{}), release: make(chan struct{})}
+	s := New(out)
+	_, _ = s.Write([]byte("first\n"))
+	<-out.entered
+	line := []byte(strings.Repeat("x", 1<<10) + "\n")
+	const lines = 2 * MaxBufferedBytes / (1 << 10)
+	for range lines {
+		if _, err := s.Write(line); err != nil {
+			t.Fatal(err)
+		}
+	}
+	dropped := s.Dropped()
+	close(out.release)
+	s.Close()
+	kept := strings.Count(out.text.String(), string(line))
+	if dropped == 0 || uint64(kept)+dropped != lines {
+		t.Errorf("%d lines kept and %d dropped of %d", kept, dropped, lines)
+	}
+	if !strings.HasPrefix(out.text.String(), "first\n") || !strings.Contains(out.text.String(), "log lines dropped") {
+		t.Error("the output does not tell that lines were dropped")
+	}
+}
--- /dev/null
+++ b/member/failover_test.go
@@ -0,0 +1,51 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// Guards against a node that asks a dead control instance again while others have
+// not been asked, and stays without a parent and new configuration for seconds.
+func TestNodeFindsALiveControlInstance(t *testing.T) {
+	s := newSim(t, 5, 8)
+	s.startNodes(6, "shop")
+	s.settle("shop", 6)
+	s.stop(controlName(0))
+	s.stop(controlName(1))
+	s.setVersion(2)
+	took := s.runUntil(3*time.Second, "version 2 at all nodes", func() bool { return s.everywhere(2) })
+	t.Logf("in force everywhere after %v", took)
+}
+
+// Guards against control instances of changed seeds that nobody asks.
+func TestAddedSeedsAreAsked(t *testing.T) {
+	s := newSim(t, 2, 8)
+	known := s.seeds
+	s.seeds = []string{"addr-nowhere"}
+	m := s.start(nodeName(0), "shop", nil)
+	s.run(2 * time.Second)
+	if m.Parent() != "" {
+		t.Fatal("the node has a parent that it cannot know")
+	}
+	m.AddSeeds(known)
+	s.runUntil(3*time.Second, "a parent", func() bool { return m.Parent() != "" })
+}
+
+// Guards against a server that is taken for cold after its node was started again,
+// and for warm right after its own start.
+func TestWarmupIsAnnounced(t *testing.T) {
+	s := newSim(t, 1, 8)
+	m := s.start(nodeName(0), "shop", nil)
+	for _, c := range []struct{ left, want time.Duration }{{0, 5 * time.Second}, {3 * time.Second, 2 * time.Second}} {
+		m.SetState(fleet.Draining) // so that the next state is a change
+		m.SetWarmup(c.left)
+		m.SetState(fleet.Ready)
+		warm := s.clock.Now().Sub(time.UnixMilli(m.Self().ReadySince))
+		if diff := warm - c.want; diff < -10*time.Millisecond || diff > 10*time.Millisecond {
+			t.Errorf("with %v left the server counts as ready for %v, want %v", c.left, warm, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/pick/pace_test.go
@@ -0,0 +1,33 @@
+package pick
+
+import (
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+// Guards against the choice of a server that has told that it is in a slow phase,
+// and against avoiding it after the report has aged.
+func TestSlowPhaseRaisesTheCost(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{})
+	b.Update(now, []fleet.Server{
+		{Node: "a", Incarnation: 1, State: fleet.Ready, Slots: 10},
+		{Node: "b", Incarnation: 1, State: fleet.Ready, Slots: 10},
+	}, "")
+	report := func(node fleet.NodeID, queue int, pace float64, age time.Duration) {
+		b.Observe(node, now, &fleet.LoadReport{Incarnation: 1, Sequence: 1, InFlight: queue, Slots: 10,
+			ServiceTime: 100 * time.Millisecond, Pace: pace, PaceAge: age})
+	}
+	report("a", 1, 4, 0)
+	report("b", 6, 1, 0)
+	cost := func(node fleet.NodeID, at time.Time) time.Duration { return b.View(b.Endpoint(node), at).Cost }
+	if a, other := cost("a", now), cost("b", now); a <= other {
+		t.Errorf("a server in a slow phase costs %v, a busy one %v", a, other)
+	}
+	later := now.Add(3 * time.Second)
+	if a, other := cost("a", later), cost("b", later); a >= other {
+		t.Errorf("3 s after its slow phase a server costs %v, the busier one %v", a, other)
+	}
+}
--- /dev/null
+++ b/proxy/dialect_test.go
@@ -0,0 +1,271 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramleymill/class"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+	"bramleymill/settings"
+	"bramleymill/strictjson"
+)
+
+var testDialect = Dialect{RequestID: "X-Id", Timeout: "X-Wait", ExpectInstance: "X-Expect", CallerService: "X-From",
+	Load: "X-Load", NotRun: "X-Not-Run", Instance: "X-Instance", Stamp: "X-Stamp"}
+
+// platformCluster returns a cluster whose classes are items: reads and orders of
+// the service shop.
+func platformCluster(t testing.TB) *cluster {
+	c := newCluster(t)
+	of := func(name string, idempotent bool) *class.Class {
+		return &class.Class{Name: name, Service: "shop", Match: class.Match{Hosts: []string{"127.0.0.1"}, PathPrefix: "/" + name + "/"},
+			Idempotent: idempotent, Deadline: strictjson.Duration(time.Minute), LatencyTarget: strictjson.Duration(time.Minute),
+			Urgency: "normal", Attempts: 2}
+	}
+	c.classes.Store(class.NewItemSet(4, []*class.Class{of("read", true), of("order", false)},
+		[]*class.Service{{Name: "shop", HealthPath: "/well"}}, class.Limits{}))
+	return c
+}
+
+// platformNode adds a node whose backend server announces itself and runs script.
+// Requests to the health endpoint are answered with the name of the instance.
+func (c *cluster) platformNode(name string, script func(conn net.Conn, r *http.Request, n int32) bool) *node {
+	var work atomic.Int32
+	instance := "i-" + name
+	raw := newRawBackend(c.t, func(conn net.Conn, r *http.Request, _ int32) bool {
+		if r.URL.Path == "/well" {
+			return write(conn, "HTTP/1.1 200 OK\r\nX-Instance: "+instance+"\r\nX-Load: 0,0,4,100\r\nContent-Length: 0\r\n\r\n")
+		}
+		return script(conn, r, work.Add(1))
+	})
+	return c.node(name, nil, func(config *Config) {
+		config.Dialect = &testDialect
+		config.FreePlacement = true
+		config.Backend = &settings.Backend{Service: "shop", Address: raw.listener.Addr().String(), Slots: 4, Connections: 32,
+			QueueLength: 20, HealthPath: "/health", Announces: true}
+	})
+}
+
+// complete writes an answer that is well formed for the request.
+func complete(conn net.Conn, r *http.Request, status int, body string, header ...string) bool {
+	return write(conn, fmt.Sprintf("HTTP/1.1 %d x\r\nX-Id: %s\r\nX-Stamp: s\r\nContent-Length: %d\r\n%s\r\n%s",
+		status, r.Header.Get("X-Id"), len(body), strings.Join(header, ""), body))
+}
+
+// Guards against requests that reach a backend server with a changed id, without
+// their caller's service, instance or time, and against answers whose headers are
+// lost on their way through two nodes.
+func TestHeadersPassInTheDialect(t *testing.T) {
+	c := platformCluster(t)
+	var seen atomic.Pointer[http.Request]
+	c.platformNode("n1", func(conn net.Conn, r *http.Request, _ int32) bool {
+		seen.Store(r)
+		return complete(conn, r, 200, "hello", "X-Other: kept\r\n")
+	})
+	entry := c.node("n2", nil, func(config *Config) { config.Dialect = &testDialect })
+	resp := expect(t, 200, "", "hello", "PUT", entry.caller.URL+"/order/7?q=1", "X-Id", "abc", "X-Wait", "5000", "X-From", "forged", "X-Own", "1")
+	if resp.Header.Get("X-Id") != "abc" || resp.Header.Get("X-Stamp") != "s" || resp.Header.Get("X-Other") != "kept" {
+		t.Errorf("answer headers %v", resp.Header)
+	}
+	r := seen.Load()
+	if r.Header.Get("X-Id") != "abc" || r.Header.Get("X-Expect") != "i-n1" || r.Header.Get("X-Own") != "1" || r.RequestURI != "/order/7?q=1" {
+		t.Errorf("request %s with headers %v", r.RequestURI, r.Header)
+	}
+	if v := r.Header.Values("X-From"); len(v) != 0 {
+		t.Errorf("the caller's service is %q; the entry node has none", v)
+	}
+	if r.Header.Get("X-Wait") != "5000" { // the clock of the cluster stands still
+		t.Errorf("time left %q", r.Header.Get("X-Wait"))
+	}
+	for name := range r.Header {
+		if nodeHeaders[name] {
+			t.Errorf("the backend server was sent %s, which is for nodes", name)
+		}
+	}
+}
+
+// Guards against answers that are taken for the answer to another request, for a
+// whole one, or for proof that a request ran or did not run.
+func TestAnswersOfFaultyBackendServers(t *testing.T) {
+	stray := "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Stamp: s\r\nContent-Length: 3\r\n\r\nold"
+	for _, tt := range []struct {
+		name   string
+		class  string
+		script func(conn net.Conn, r *http.Request, n int32) bool
+		status int
+		kind   errkind.Kind
+		body   string
+		runs   int32
+	}{
+		{"late answer to another request comes first", "order", func(conn net.Conn, r *http.Request, _ int32) bool {
+			return write(conn, stray) && complete(conn, r, 200, "mine")
+		}, 200, "", "mine", 1},
+		{"only an answer to another request", "order", func(conn net.Conn, _ *http.Request, _ int32) bool {
+			write(conn, stray)
+			return false
+		}, 502, errkind.ConnectionLost, "", 1},
+		{"success without a stamp", "order", func(conn net.Conn, r *http.Request, _ int32) bool {
+			return write(conn, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nContent-Length: 2\r\n\r\nhi")
+		}, 502, errkind.ConnectionLost, "", 1},
+		{"answer that breaks off", "order", func(conn net.Conn, r *http.Request, _ int32) bool {
+			write(conn, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Stamp: s\r\nContent-Length: 9\r\n\r\nhal")
+			return false
+		}, 502, errkind.ConnectionLost, "", 1},
+		{"answer that breaks off is repeated for idempotent work", "read", func(conn net.Conn, r *http.Request, n int32) bool {
+			if n == 1 {
+				write(conn, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Stamp: s\r\nContent-Length: 9\r\n\r\nhal")
+				return false
+			}
+			return complete(conn, r, 200, "whole")
+		}, 200, "", "whole", 2},
+		{"answer without a length", "order", func(conn net.Conn, r *http.Request, _ int32) bool {
+			write(conn, "HTTP/1.1 200 OK\r\nX-Id: "+r.Header.Get("X-Id")+"\r\nX-Stamp: s\r\n\r\nto the end")
+			return false
+		}, 200, "", "to the end", 1},
+		{"failure of the backend server", "order", func(conn net.Conn, r *http.Request, _ int32) bool {
+			return complete(conn, r, 500, "oops")
+		}, 500, "", "oops", 1},
+		{"refused unrun, then taken by the other server", "order", func(conn net.Conn, r *http.Request, n int32) bool {
+			if n == 1 {
+				return complete(conn, r, 503, "", "X-Not-Run: 1\r\n")
+			}
+			return complete(conn, r, 200, "second")
+		}, 200, "", "second", 2},
+		{"refused unrun everywhere", "order", func(conn net.Conn, r *http.Request, _ int32) bool {
+			return complete(conn, r, 503, "", "X-Not-Run: 1\r\n")
+		}, 503, errkind.BackendRefused, "", 2},
+		{"503 that does not say that nothing ran", "order", func(conn net.Conn, r *http.Request, _ int32) bool {
+			return complete(conn, r, 503, "busy")
+		}, 503, "", "busy", 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := platformCluster(t)
+			var runs atomic.Int32
+			script := func(conn net.Conn, r *http.Request, _ int32) bool { return tt.script(conn, r, runs.Add(1)) }
+			c.platformNode("n1", script)
+			n := c.platformNode("n2", script)
+			expect(t, tt.status, string(tt.kind), tt.body, "POST", n.caller.URL+"/"+tt.class+"/1", "X-Id", "abc")
+			if runs.Load() != tt.runs {
+				t.Errorf("reached backend servers %d times, want %d", runs.Load(), tt.runs)
+			}
+		})
+	}
+}
+
+// Guards against an answer 503 for an order that may have run, and a caller who is
+// told nothing about when to come back.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	c := platformCluster(t)
+	n := c.node("n1", nil, func(config *Config) { config.Dialect = &testDialect })
+	resp := expect(t, 503, string(errkind.NoBackendServer), "", "POST", n.caller.URL+"/order/1", "X-Id", "abc")
+	if resp.Header.Get("Retry-After") != "0.060" || resp.Header.Get("X-Id") != "abc" || resp.Header.Get("X-Stamp") != "" {
+		t.Errorf("headers %v", resp.Header)
+	}
+}
+
+// Guards against requests that go on to an instance that was replaced by another
+// one at the same address.
+func TestMisdirectedRequestIdentifiesTheServerAnew(t *testing.T) {
+	c := platformCluster(t)
+	n := c.platformNode("n1", func(conn net.Conn, r *http.Request, _ int32) bool {
+		if r.Header.Get("X-Expect") != "i-n1" {
+			return complete(conn, r, 421, "")
+		}
+		return complete(conn, r, 200, "right")
+	})
+	n.local.announced.mu.Lock()
+	n.local.announced.current = &Announcement{Instance: "i-gone", State: fleet.Ready, Slots: 4}
+	n.local.announced.mu.Unlock()
+	expect(t, 503, string(errkind.StaleTarget), "", "POST", n.caller.URL+"/order/1", "X-Id", "abc")
+	n.await(fleet.Ready)
+	expect(t, 200, "", "right", "POST", n.caller.URL+"/order/1", "X-Id", "abd")
+}
+
+// Guards against a load header that is misread, or that stops a request.
+func TestParseLoad(t *testing.T) {
+	for v, want := range map[string]LoadState{
+		"3,0,8":         {Running: 3, Slots: 8},
+		"3, 1, 8, 250":  {Running: 3, Waiting: 1, Slots: 8, Pace: 2.5},
+		"3,1,8,100,new": {Running: 3, Waiting: 1, Slots: 8, Pace: 1},
+	} {
+		if got, ok := parseLoad(v); !ok || got != want {
+			t.Errorf("%q: %+v %t, want %+v", v, got, ok, want)
+		}
+	}
+	for _, v := range []string{"", "3,0", "a,b,c", "-1,0,8", "1,2,3,4,5,6,7,8,9"} {
+		if got, ok := parseLoad(v); ok {
+			t.Errorf("%q is taken for %+v", v, got)
+		}
+	}
+}
+
+// Guards against work for a server that has announced its departure, whatever
+// other nodes still believe, and against late announcements that undo it.
+func TestAnnouncedDepartureEndsNewWork(t *testing.T) {
+	c := platformCluster(t)
+	n := c.platformNode("n1", func(conn net.Conn, r *http.Request, _ int32) bool { return complete(conn, r, 200, "x") })
+	expect(t, 200, "", "x", "POST", n.caller.URL+"/order/1", "X-Id", "a")
+	a := Announcement{Instance: "i-n1", Sequence: 9, State: fleet.Draining, Slots: 4}
+	if err := n.Announce("shop", n.config.Backend.Address, a); err != nil {
+		t.Fatal(err)
+	}
+	expect(t, 503, string(errkind.Draining), "", "POST", n.caller.URL+"/order/1", "X-Id", "b")
+	m := n.meta("n9")
+	if got := errkind.Kind(n.forwardTo(t, "/order/1", "n9", "POST", m).Header.Get(fleet.HeaderKind)); got != errkind.Draining {
+		t.Errorf("attempt of a node that has not heard of the departure: %q", got)
+	}
+	a.Sequence, a.State = 8, fleet.Ready
+	if err := n.Announce("shop", "", a); err != nil || n.State() != fleet.Draining {
+		t.Errorf("state %s after a late announcement, error %v", n.State(), err)
+	}
+	for _, forged := range []struct{ service, address, instance string }{{"other", "", "i-n1"}, {"shop", "10.0.0.1:1", "i-n1"}, {"shop", "", ""}} {
+		if n.Announce(forged.service, forged.address, Announcement{Instance: forged.instance, State: fleet.Ready}) == nil {
+			t.Errorf("announcement %+v is accepted", forged)
+		}
+	}
+}
+
+// Guards against announcements that arrive late, twice, after a restart under the
+// same name or for another life, and change what is known to something older.
+func TestAnnouncementsAreOrdered(t *testing.T) {
+	born := func(s int64) time.Time {
+		if s == 0 {
+			return time.Time{}
+		}
+		return time.Unix(s, 0)
+	}
+	of := func(instance string, b int64, sequence uint64, s fleet.ServerState) Announcement {
+		return Announcement{Instance: instance, Born: born(b), Sequence: sequence, State: s, Slots: 4}
+	}
+	for _, tt := range []struct {
+		name  string
+		takes []Announcement
+		want  Announcement
+	}{
+		{"later sequence", []Announcement{of("a", 1, 4, fleet.Ready), of("a", 1, 5, fleet.Draining)}, of("a", 1, 5, fleet.Draining)},
+		{"late sequence", []Announcement{of("a", 1, 5, fleet.Ready), of("a", 1, 4, fleet.Draining)}, of("a", 1, 5, fleet.Ready)},
+		{"departure is final", []Announcement{of("a", 1, 5, fleet.Draining), of("a", 1, 6, fleet.Ready)}, of("a", 1, 5, fleet.Draining)},
+		{"leave without a sequence", []Announcement{of("a", 1, 5, fleet.Ready), of("a", 1, 0, fleet.Left)}, of("a", 1, 5, fleet.Left)},
+		{"restart under the same name", []Announcement{of("a", 1, 50, fleet.Draining), of("a", 2, 1, fleet.Ready)}, of("a", 2, 1, fleet.Ready)},
+		{"late leave of the former life", []Announcement{of("a", 2, 1, fleet.Ready), of("a", 1, 0, fleet.Left)}, of("a", 2, 1, fleet.Ready)},
+		{"new instance", []Announcement{of("a", 1, 50, fleet.Ready), of("b", 2, 1, fleet.Ready)}, of("b", 2, 1, fleet.Ready)},
+		{"late announcement of the former instance", []Announcement{of("b", 2, 1, fleet.Ready), of("a", 1, 50, fleet.Ready)}, of("b", 2, 1, fleet.Ready)},
+		{"late leave of the former instance", []Announcement{of("b", 2, 1, fleet.Ready), of("a", 0, 0, fleet.Left)}, of("b", 2, 1, fleet.Ready)},
+		{"another instance without a start waits", []Announcement{of("b", 2, 1, fleet.Ready), of("a", 0, 9, fleet.Ready)}, of("b", 2, 1, fleet.Ready)},
+	} {
+		a := &announced{wake: make(chan struct{}, 1)}
+		for _, n := range tt.takes {
+			a.adopt(&n)
+		}
+		got := *a.current
+		if got.Instance != tt.want.Instance || !got.Born.Equal(tt.want.Born) || got.State != tt.want.State || got.Sequence != tt.want.Sequence {
+			t.Errorf("%s: %+v, want %+v", tt.name, got, tt.want)
+		}
+	}
+}
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -175,7 +175,7 @@
 			silent := n.silentVoter()
 			c.Voters = slices.Delete(c.Voters, silent, silent+1)
 			c.Learners = slices.Insert(c.Learners, 0, m)
-		case len(c.Voters) < MaxVoters && n.survivesLossOf(c.Voters):
+		case len(c.Voters) < n.voters && n.survivesLossOf(c.Voters):
 			c.Voters = append(c.Voters, m)
 		default:
 			continue
--- a/raft/node.go
+++ b/raft/node.go
@@ -42,8 +42,8 @@
 	// that has caught up. Zero: only an operator replaces a voter whose disk is not
 	// known to be lost.
 	ReplaceAfter time.Duration
-	// Voters is the number of voters below which a learner is added without
-	// replacing a silent voter. Zero: MaxVoters.
+	// Voters is the number of voters up to which learners are added. Further ones
+	// wait for a place. Zero: MaxVoters.
 	Voters int
 	// ProveReads makes every read wait for a majority. Without it a read may rely
 	// on the lease, which needs a clock that goes on while the machine is suspended.
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -136,6 +136,7 @@
 	every     int         // Config.SnapshotEvery
 	timing    raft.Timing // Config.Timing
 	discard   bool        // journal.discard
+	voters    int         // Config.MinVoters
 	onDisk    atomic.Pointer[func(name string, e DiskEvent)]
 }
 
@@ -207,7 +208,7 @@
 		Group: 1, Node: fleet.NodeID(name), Address: name, Folder: c.folders[name], Machine: p.machine,
 		Client: cl, Seed: uint64(len(name)) + uint64(name[0]), Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Seeds: []string{"a", "b", "c", "d", "e", "f"}, Host: p.host, Timing: c.timing,
-		SnapshotEvery: c.every, Files: c.files[name],
+		SnapshotEvery: c.every, Files: c.files[name], MinVoters: c.voters,
 		OnDisk: func(e DiskEvent) {
 			if f := c.onDisk.Load(); f != nil {
 				(*f)(name, e)
--- /dev/null
+++ b/retry/target_test.go
@@ -0,0 +1,35 @@
+package retry
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against hedges that come too late for the target, too early for a
+// request that is not slow, or for work that must not run twice.
+func TestHedgeForTarget(t *testing.T) {
+	p := New(start, Config{Sparse: true})
+	if _, ok := p.HedgeForTarget(true, time.Second, time.Second); ok {
+		t.Error("hedged before the latency is known")
+	}
+	for range sparseMinimum + sparseRecompute {
+		p.Answered(start, 100*time.Millisecond)
+	}
+	ms := time.Millisecond
+	for _, c := range []struct {
+		target, deadline time.Duration
+		low, high        time.Duration // of the delay; zero: no hedge
+	}{
+		{500 * ms, 2000 * ms, 365 * ms, 380 * ms},
+		{200 * ms, 500 * ms, 134 * ms, 150 * ms}, // not before it is overdue; the histogram keeps one digit
+		{200 * ms, 230 * ms, 0, 0},               // no time is left for a hedge
+	} {
+		delay, ok := p.HedgeForTarget(true, c.target, c.deadline)
+		if ok != (c.high > 0) || ok && (delay < c.low || delay > c.high) {
+			t.Errorf("target %v deadline %v: delay %v %t, want %v to %v", c.target, c.deadline, delay, ok, c.low, c.high)
+		}
+	}
+	if _, ok := p.HedgeForTarget(false, 500*ms, 2*time.Second); ok {
+		t.Error("hedged a class that may run once")
+	}
+}
