--- a/node/run.go
+++ b/node/run.go
@@ -30,6 +30,9 @@
 
 	// closeTimeout bounds each step of a stop that follows the drain.
 	closeTimeout = time.Second
+	// promptCloseTimeout does so where the platform ends a process that takes long:
+	// with a stop delay, callers and nodes have left before.
+	promptCloseTimeout = 300 * time.Millisecond
 )
 
 func (n *Node) start() (*running, error) {
@@ -266,7 +269,11 @@
 // announcing the departure when no other node is left, does not make the stop
 // ungraceful, because no work is lost by it.
 func (n *Node) step(name string, f func(context.Context) error) {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	timeout := closeTimeout
+	if n.settings.StopDelay > 0 {
+		timeout = promptCloseTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err := f(ctx); err != nil {
 		n.logger.Warn("step of the stop failed", "step", name, "error", err)
