Add a fault soak of the platform mode

The real program runs as nine processes on the loopback network; signals, lost disks, departures and faulty connections to backend servers are injected at random, and at-most-once, refusals, whole answers, departures and acknowledged changes are checked from outside. Connections between nodes and clocks are not disturbed yet.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,10 @@
 GO ?= go
 DEPLOYMENT ?= nitra
+SEED ?= 1
+SEEDS ?= 1
+LENGTH ?= 30s
 
-.PHONY: build test fmt lint unit demo bench
+.PHONY: build test fmt lint unit demo bench soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -23,3 +26,7 @@
 
 bench: build
 	bash scripts/bench.sh
+
+# Runs SEEDS seeds from SEED on; the logs of those that fail go to run/soak.
+soak:
+	$(GO) test ./soak -count=1 -timeout 2h -v -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.length=$(LENGTH) -soak.keep=$(CURDIR)/run/soak
--- /dev/null
+++ b/soak/fleet_test.go
@@ -0,0 +1,249 @@
+package soak
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"bramleymill/freeport"
+)
+
+// Sizes of the fleet.
+const (
+	controls  = 5
+	sidecars  = 4
+	tolerated = 2 // disks that may be lost at the same time
+)
+
+// machine is one machine with one process.
+type machine struct {
+	fleet   *fleet
+	name    string
+	ip      string
+	backend *backend // nil on a control instance
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	meant   bool // the soak ends the process
+	lives   int
+}
+
+type fleet struct {
+	t       *testing.T
+	binary  string
+	folder  string
+	ports   map[string]int
+	ledger  *ledger
+	control []*machine
+	side    []*machine
+	subnet  int
+}
+
+func newFleet(t *testing.T, binary string, subnet int, seed uint64) *fleet {
+	f := &fleet{t: t, binary: binary, folder: t.TempDir(), ports: map[string]int{}, ledger: newLedger(), subnet: subnet}
+	for _, name := range []string{"callers", "ready", "control", "internal", "app"} {
+		a, err := freeport.Address()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, port, err := net.SplitHostPort(a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.ports[name], _ = strconv.Atoi(port)
+	}
+	for i := range controls {
+		f.control = append(f.control, &machine{fleet: f, name: fmt.Sprintf("core-%d", i), ip: fmt.Sprintf("127.9%d.0.%d", subnet, i+1)})
+	}
+	for i := range sidecars {
+		m := &machine{fleet: f, name: fmt.Sprintf("side-%d", i), ip: fmt.Sprintf("127.9%d.1.%d", subnet, i+1)}
+		b, err := newBackend(m.ip, strconv.Itoa(f.ports["app"]), f.ledger, seed+uint64(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.backend = b
+		f.side = append(f.side, m)
+	}
+	t.Cleanup(f.stop)
+	for _, m := range f.all() {
+		m.writeBoot(true)
+		m.start()
+	}
+	return f
+}
+
+func (f *fleet) all() []*machine { return append(append([]*machine{}, f.control...), f.side...) }
+
+func (f *fleet) stop() {
+	for _, m := range f.all() {
+		m.kill()
+		if m.backend != nil {
+			_, _ = m.backend.server.Close(), m.backend.link.listener.Close()
+			m.backend.link.reset()
+		}
+	}
+}
+
+func (m *machine) address(port string) string {
+	return net.JoinHostPort(m.ip, strconv.Itoa(m.fleet.ports[port]))
+}
+
+// writeBoot writes the settings file of the platform. Its format is JSON, which is
+// YAML too.
+func (m *machine) writeBoot(first bool) {
+	f := m.fleet
+	boot := map[string]any{
+		"nodeName": m.name, "ip": m.ip, "zone": "zone-a", "region": "region-1", "bootstrap": first,
+		"internalPorts":  []int{f.ports["internal"], f.ports["internal"] + 1},
+		"seedNodes":      []string{f.control[0].address("control"), f.control[1].address("control"), f.control[2].address("control")},
+		"faultTolerance": map[string]int{"machines": tolerated}, "bounds": map[string]string{"grace": "6s"},
+	}
+	listen := map[string]string{"controlPlane": m.address("control")}
+	if m.backend == nil {
+		boot["serves"], boot["dataDir"] = []string{"control"}, m.data()
+	} else {
+		boot["serves"], boot["service"], boot["appAddr"] = []string{"sidecar"}, "shop", m.address("app")
+		listen["outbound"], listen["ready"] = m.address("callers"), m.address("ready")
+	}
+	boot["listenAddrs"] = listen
+	text, err := json.Marshal(boot)
+	if err == nil {
+		err = os.WriteFile(m.path("boot.yaml"), text, 0o644)
+	}
+	if err != nil {
+		m.fleet.t.Error(err)
+	}
+}
+
+func (m *machine) path(name string) string {
+	return filepath.Join(m.fleet.folder, m.name+"-"+name)
+}
+
+func (m *machine) data() string { return m.path("data") }
+
+// start starts the process, and again whenever it ends.
+func (m *machine) start() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lives++
+	log, err := os.OpenFile(m.path("log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		m.fleet.t.Error(err)
+		return
+	}
+	c := exec.Command(m.fleet.binary, "platform")
+	c.Env = append(os.Environ(), "BRAMLEYMILL_BOOT="+m.path("boot.yaml"))
+	c.Stdout, c.Stderr = log, log
+	if err := c.Start(); err != nil {
+		m.fleet.t.Error(err)
+		return
+	}
+	m.command, m.ended, m.meant = c, make(chan struct{}), false
+	go func(ended chan struct{}) {
+		err := c.Wait()
+		_ = log.Close()
+		m.mu.Lock()
+		if !m.meant {
+			m.fleet.ledger.broken("the process of %s ended by itself: %v", m.name, err)
+		}
+		m.mu.Unlock()
+		close(ended)
+	}(m.ended)
+}
+
+// signal sends s. meant tells that it ends the process.
+func (m *machine) signal(s syscall.Signal, meant bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.command == nil {
+		return
+	}
+	m.meant = m.meant || meant
+	_ = m.command.Process.Signal(s) // it may have ended already
+}
+
+// kill ends the process and waits for its end.
+func (m *machine) kill() {
+	m.signal(syscall.SIGKILL, true)
+	if m.ended != nil {
+		<-m.ended
+	}
+}
+
+// terminate stops the process as the platform does: it kills one that takes
+// longer than the grace time, which breaks a promise.
+func (m *machine) terminate() {
+	m.signal(syscall.SIGTERM, true)
+	select {
+	case <-m.ended:
+	case <-time.After(6 * time.Second):
+		m.fleet.ledger.broken("%s did not stop within the grace time", m.name)
+		m.kill()
+	}
+}
+
+// call sends a call and returns status, body and headers; zero without an answer.
+func call(c *http.Client, method, url, body string, header map[string]string) (int, string, http.Header) {
+	req, err := http.NewRequest(method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	req.Host = header["Host"]
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	return resp.StatusCode, string(text), resp.Header
+}
+
+// caller sends requests through random nodes until done is closed, on connections
+// that it keeps.
+func (f *fleet) caller(number int, random *rand.Rand, done <-chan struct{}) {
+	c := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	defer c.CloseIdleConnections()
+	for n := 0; ; n++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(time.Duration(random.IntN(int(20 * time.Millisecond)))):
+		}
+		kind, method := "order", "POST"
+		if random.IntN(2) == 0 {
+			kind, method = "read", "GET"
+		}
+		f.request(c, f.side[random.IntN(len(f.side))], kind, method, fmt.Sprintf("%s-%d-%d", kind, number, n))
+	}
+}
+
+// request sends one request. The ledger is told before the answer, so that a run is
+// never taken for one that nobody asked for.
+func (f *fleet) request(c *http.Client, m *machine, kind, method, id string) int {
+	f.ledger.mu.Lock()
+	f.ledger.told[id] = 0
+	f.ledger.mu.Unlock()
+	status, body, header := call(c, method, "http://"+m.address("callers")+"/"+kind+"/"+id, "", map[string]string{
+		"Host": "shop.example", "Bramleymill-Request-Id": id, "Bramleymill-Deadline-Ms": "2000"})
+	f.ledger.answered(id, status, body, header.Get("Bramleymill-Server-Stamp") != "")
+	return status
+}
