--- a/admit/pace.go
+++ b/admit/pace.go
@@ -4,8 +4,10 @@
 
 // Parameters of the pace.
 const (
-	// slowPace is the pace from which work is better done elsewhere.
-	slowPace = 1.5
+	// slowPace is the pace from which work is better done elsewhere. A server that
+	// was just started is about twice as slow as usual, and after a loss of power
+	// all are.
+	slowPace = 2.5
 	// paceTrust is the age at which what the server has told of its pace is no
 	// longer acted upon.
 	paceTrust = 150 * time.Millisecond
