--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -55,15 +55,7 @@
 func newFleet(t *testing.T, binary string, subnet int, seed uint64) *fleet {
 	f := &fleet{t: t, binary: binary, folder: t.TempDir(), ports: map[string]int{}, ledger: newLedger(), subnet: subnet}
 	for _, name := range []string{"callers", "ready", "control", "internal", "app"} {
-		a, err := freeport.Address()
-		if err != nil {
-			t.Fatal(err)
-		}
-		_, port, err := net.SplitHostPort(a)
-		if err != nil {
-			t.Fatal(err)
-		}
-		f.ports[name], _ = strconv.Atoi(port)
+		f.ports[name] = freePort(t)
 	}
 	for i := range controls {
 		f.control = append(f.control, &machine{fleet: f, name: fmt.Sprintf("core-%d", i), ip: fmt.Sprintf("127.9%d.0.%d", subnet, i+1)})
@@ -85,6 +77,22 @@
 	return f
 }
 
+func freePort(t *testing.T) int {
+	a, err := freeport.Address()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, port, err := net.SplitHostPort(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := strconv.Atoi(port)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
 func (f *fleet) all() []*machine { return append(append([]*machine{}, f.control...), f.side...) }
 
 func (f *fleet) stop() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -40,10 +40,11 @@
 
 func runSeed(t *testing.T, binary string, seed uint64) {
 	f := newFleet(t, binary, int(seed%10), seed)
+	defer f.keepLogs(seed)
 	o := newOperator(f)
 	random := rand.New(rand.NewPCG(seed, 0))
 	if !f.await(func() bool { return o.change(random, "a", 1, 1) }) || !f.await(f.serving) {
-		t.Fatal("the fleet does not start")
+		t.Fatalf("the fleet does not start: %v", f.ledger.faults)
 	}
 	done := make(chan struct{})
 	var running sync.WaitGroup
@@ -74,10 +75,15 @@
 	l := f.ledger
 	t.Logf("seed %d: %d faults injected, %d served, %d refused, %d unknown; versions acknowledged %v",
 		seed, in.injected, l.served, l.refused, l.unknown, o.acked)
-	if t.Failed() && *keep != "" {
-		if err := os.CopyFS(filepath.Join(*keep, fmt.Sprint("seed-", seed)), os.DirFS(f.folder)); err != nil {
-			t.Log(err)
-		}
+}
+
+// keepLogs copies the logs and data of a run that failed.
+func (f *fleet) keepLogs(seed uint64) {
+	if !f.t.Failed() || *keep == "" {
+		return
+	}
+	if err := os.CopyFS(filepath.Join(*keep, fmt.Sprint("seed-", seed)), os.DirFS(f.folder)); err != nil {
+		f.t.Log(err)
 	}
 }
 
