Give test fleets two consecutive ports that no other process has

Cause: fleets on the platform use a range of two ports, of which freeport locked only the first. Change: freeport.Pair locks both.

--- a/freeport/freeport.go
+++ b/freeport/freeport.go
@@ -43,32 +43,60 @@
 // Its ports come from a range of their own.
 func ScriptAddress() (string, error) { return between(middle, highest) }
 
-func between(lowest, highest int) (string, error) {
+// Pair is like Address for two consecutive ports, the first of which it returns.
+func Pair() (string, error) {
 	mu.Lock()
 	defer mu.Unlock()
 	for range tries {
-		port := lowest + rand.IntN(highest-lowest)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		if given[port] != nil {
+		port := lowest + rand.IntN(middle-1-lowest)
+		first, err := take(port)
+		if err != nil {
+			return "", err
+		}
+		if first == "" {
 			continue
 		}
-		f, err := lock(port)
+		second, err := take(port + 1)
 		if err != nil {
 			return "", err
 		}
-		if f == nil {
-			continue
+		if second != "" {
+			return first, nil
 		}
-		if !free(address) {
-			f.Close()
-			continue
+	}
+	return "", ErrNone
+}
+
+func between(lowest, highest int) (string, error) {
+	mu.Lock()
+	defer mu.Unlock()
+	for range tries {
+		address, err := take(lowest + rand.IntN(highest-lowest))
+		if address != "" || err != nil {
+			return address, err
 		}
-		given[port] = f
-		return address, nil
 	}
 	return "", ErrNone
 }
 
+// take returns the address of a port, or nothing when the port is in use. The
+// caller holds mu.
+func take(port int) (string, error) {
+	address := fmt.Sprintf("127.0.0.1:%d", port)
+	if given[port] != nil {
+		return "", nil
+	}
+	f, err := lock(port)
+	if f == nil || err != nil {
+		return "", err
+	}
+	if !free(address) {
+		return "", f.Close()
+	}
+	given[port] = f
+	return address, nil
+}
+
 // lock takes a port for this process. It returns nil when another process has it.
 func lock(port int) (*os.File, error) {
 	folder := filepath.Join(os.TempDir(), "bramleymill-ports")
--- a/freeport/freeport_test.go
+++ b/freeport/freeport_test.go
@@ -82,3 +82,24 @@
 	close(done)
 	starting.Wait()
 }
+
+// Guards against a pair whose second port is given to someone else.
+func TestPairTakesBothPorts(t *testing.T) {
+	first, err := Pair()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, text, err := net.SplitHostPort(first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if given[port] == nil || given[port+1] == nil {
+		t.Errorf("ports %d and %d are not both taken", port, port+1)
+	}
+}
--- a/soak/fleet_test.go
+++ b/soak/fleet_test.go
@@ -54,9 +54,10 @@
 
 func newFleet(t *testing.T, binary string, subnet int, seed uint64) *fleet {
 	f := &fleet{t: t, binary: binary, folder: t.TempDir(), ports: map[string]int{}, ledger: newLedger(), subnet: subnet}
-	for _, name := range []string{"callers", "ready", "control", "internal", "app"} {
-		f.ports[name] = freePort(t)
+	for _, name := range []string{"callers", "ready", "control", "app"} {
+		f.ports[name] = freePort(t, freeport.Address)
 	}
+	f.ports["internal"] = freePort(t, freeport.Pair)
 	for i := range controls {
 		f.control = append(f.control, &machine{fleet: f, name: fmt.Sprintf("core-%d", i), ip: fmt.Sprintf("127.9%d.0.%d", subnet, i+1)})
 	}
@@ -77,8 +78,8 @@
 	return f
 }
 
-func freePort(t *testing.T) int {
-	a, err := freeport.Address()
+func freePort(t *testing.T, draw func() (string, error)) int {
+	a, err := draw()
 	if err != nil {
 		t.Fatal(err)
 	}
