Enforce the configured size of a request body

Cause: the limit for callers was configured, distributed and not in force. Change: a body whose stated length exceeds it is rejected with 413.

--- a/filter/body.go
+++ b/filter/body.go
@@ -196,6 +196,9 @@
 
 func (f *body) Serve(c *Call) error {
 	c.Body = NewBody(c.Request)
+	if limit := c.Class.BodyLimit; limit > 0 && c.Body.Length > limit {
+		return errkind.New(errkind.BodyTooLarge, "body of %d bytes exceeds %d", c.Body.Length, limit)
+	}
 	if !c.Body.complete {
 		if err := f.read(c); err != nil {
 			return err
--- a/filter/item_test.go
+++ b/filter/item_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -135,3 +136,17 @@
 		t.Errorf("%v and %d further attempts left, want 70ms and 1", left, next.last.Attempts.Left())
 	}
 }
+
+// Guards against a limit for callers that is configured and not in force.
+func TestBodyOverTheConfiguredLimitIsRejected(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	for size, want := range map[int]errkind.Kind{8: "", 9: errkind.BodyTooLarge} {
+		c := newCall(t, "POST", strings.Repeat("x", size), k)
+		limited := *itemCall(t, "order", k).Class
+		limited.BodyLimit = 8
+		c.Class, c.Deadline = &limited, k.Now().Add(time.Second)
+		if got := kindOf(NewBodyFilter(&passed{}, k).Serve(c)); got != want {
+			t.Errorf("%d bytes: %q, want %q", size, got, want)
+		}
+	}
+}
