Leave control instances that are cut off from the majority sooner

Change: a child of a control instance looks from 1.8 s on, every 0.2 s, never at its parent and not twice at one that knew no better; a second more for each level of the tree.

--- a/member/config.go
+++ b/member/config.go
@@ -29,10 +29,12 @@
 	// ConfirmationBound is the age up to which a confirmation allows a node
 	// without configuration to adopt one.
 	ConfirmationBound = 10 * time.Second
-	// A node looks for a parent with a younger confirmation beyond this age. A
-	// tree of depth 3 stays below it with one lost heartbeat.
-	staleConfirmation = 2500 * time.Millisecond
-	exploreInterval   = 500 * time.Millisecond
+	// A child of a control instance looks for a parent with a younger confirmation
+	// beyond this age, and a node below it beyond stalePerLevel more for each level:
+	// one lost heartbeat stays below it.
+	staleConfirmation = 1800 * time.Millisecond
+	stalePerLevel     = 2 * HeartbeatInterval
+	exploreInterval   = 200 * time.Millisecond
 	// failedFor is how long an address that did not answer comes after the others.
 	failedFor = 3 * time.Second
 
--- a/member/failover_test.go
+++ b/member/failover_test.go
@@ -49,3 +49,31 @@
 		}
 	}
 }
+
+// Guards against nodes that stay with control instances which are cut off from the
+// majority, and get new configuration only seconds later.
+func TestNodesLeaveCutOffControlInstances(t *testing.T) {
+	s := newSim(t, 5, 48)
+	s.startNodes(60, "shop")
+	s.settle("shop", 60)
+	for i := range 5 {
+		s.sources[i].cut = i < 2
+		if i >= 2 {
+			s.sources[i].version, s.sources[i].document = 2, []byte("document 2")
+		}
+		for j := range 5 {
+			if (i < 2) != (j < 2) {
+				s.net.Cut(s.seeds[i], s.seeds[j])
+			}
+		}
+	}
+	nodes := func() bool {
+		for i := range 60 {
+			if v, _ := s.names[nodeName(i)].Config(); v != 2 {
+				return false
+			}
+		}
+		return true
+	}
+	t.Logf("after %v", s.runUntil(3*time.Second, "version 2 at all nodes", nodes))
+}
--- a/member/upstream.go
+++ b/member/upstream.go
@@ -137,15 +137,21 @@
 	return known[k.random.IntN(len(known))]
 }
 
+// staleAge is the age of a confirmation that a node at this depth of the tree does
+// not reach as long as its ancestors are connected.
+func (u *upstream) staleAge() time.Duration {
+	return staleConfirmation + time.Duration(max(len(u.path)-1, 0))*stalePerLevel
+}
+
 // dueExploration looks for a root with a younger confirmation when the own one
 // ages, because the parent or its root may be cut off.
 func (k *core) dueExploration(out []action, now time.Time) []action {
 	u := &k.up
-	if now.Before(u.exploreAt) || k.conf.age(now) < staleConfirmation {
+	if now.Before(u.exploreAt) || k.conf.age(now) < u.staleAge() {
 		return out
 	}
 	u.exploreAt = now.Add(k.jitter(exploreInterval, 0.5))
-	seeds := u.untried(now)
+	seeds := slices.DeleteFunc(u.untried(now), func(a string) bool { return a == u.address })
 	if len(seeds) == 0 {
 		seeds = u.seeds
 	}
@@ -310,13 +316,15 @@
 		k.up.noteFailed(a.address, now)
 		return
 	}
-	if !reply.Confirmed || k.up.address == "" {
+	if k.up.address == "" {
 		return
 	}
-	if now.Sub(a.sent)+reply.Age+HeartbeatInterval < k.conf.age(now) {
-		k.detach(now)
-		k.up.candidates = []string{a.address}
+	if !reply.Confirmed || now.Sub(a.sent)+reply.Age+HeartbeatInterval >= k.conf.age(now) {
+		k.up.noteFailed(a.address, now) // it knows no better; another one comes next
+		return
 	}
+	k.detach(now)
+	k.up.candidates = []string{a.address}
 }
 
 func (k *core) addSeeds(controls []string) {
