--- a/Makefile
+++ b/Makefile
@@ -29,4 +29,4 @@
 
 # Runs SEEDS seeds from SEED on; the logs of those that fail go to run/soak.
 soak:
-	$(GO) test ./soak -count=1 -timeout 2h -v -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.length=$(LENGTH) -soak.keep=$(CURDIR)/run/soak
+	$(GO) test ./platform/soak -count=1 -timeout 2h -v -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.length=$(LENGTH) -soak.keep=$(CURDIR)/run/soak
