Check the refusals of a departed server apart from the spread of its state

The report that ends the first order is made after its answer; when the departure came in between, the entry node had already learned of it and found no server. Both refusals are true. Change: an entry node without a report must be refused as draining and must then know no server; at the server's own node only the promise (503, not run) counts; the backend server must have run one order only, which was not checked before.

--- a/proxy/dialect_test.go
+++ b/proxy/dialect_test.go
@@ -209,13 +209,29 @@
 // other nodes still believe, and against late announcements that undo it.
 func TestAnnouncedDepartureEndsNewWork(t *testing.T) {
 	c := platformCluster(t)
-	n := c.platformNode("n1", func(conn net.Conn, r *http.Request, _ int32) bool { return complete(conn, r, 200, "x") })
+	var runs atomic.Int32
+	n := c.platformNode("n1", func(conn net.Conn, r *http.Request, _ int32) bool {
+		runs.Add(1)
+		return complete(conn, r, 200, "x")
+	})
 	expect(t, 200, "", "x", "POST", n.caller.URL+"/order/1", "X-Id", "a")
 	a := Announcement{Instance: "i-n1", Sequence: 9, State: fleet.Draining, Slots: 4}
 	if err := n.Announce("shop", n.config.Backend.Address, a); err != nil {
 		t.Fatal(err)
 	}
-	expect(t, 503, string(errkind.Draining), "", "POST", n.caller.URL+"/order/1", "X-Id", "b")
+	// An entry node without a load report of the server learns of the departure by
+	// the refusal. The node of the first request may have learned of it by the
+	// report that ends that request.
+	entry := c.node("n2", nil, func(config *Config) { config.Dialect = &testDialect })
+	expect(t, 503, string(errkind.Draining), "", "POST", entry.caller.URL+"/order/1", "X-Id", "b")
+	expect(t, 503, string(errkind.NoBackendServer), "", "POST", entry.caller.URL+"/order/1", "X-Id", "c")
+	resp, body, err := request(t, "POST", n.caller.URL+"/order/1", strings.NewReader("payload"), "X-Id", "d")
+	if err != nil || resp.StatusCode != 503 || !strings.Contains(body, `"not_run"`) {
+		t.Errorf("order at the server's own node: %v %s, error %v, want 503 as not run", resp, body, err)
+	}
+	if runs.Load() != 1 {
+		t.Errorf("%d orders ran, want only the one before the departure", runs.Load())
+	}
 	m := n.meta("n9")
 	if got := errkind.Kind(n.forwardTo(t, "/order/1", "n9", "POST", m).Header.Get(fleet.HeaderKind)); got != errkind.Draining {
 		t.Errorf("attempt of a node that has not heard of the departure: %q", got)
