Put calls of backend servers before other requests on the platform

Items cannot say that a class is internal. Change: a call whose id continues that of a request in flight at the own backend server is proved internal, goes first in the queue, also past its target, and may use its whole time. Found by the new test: a call that missed its target started after all others.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -147,8 +147,8 @@
 
 // enqueueForTarget lets a request wait that is expected to meet its target. One
 // of more than low urgency may be late by lateShare of the time between its target
-// and its deadline: it is served before the others, and the request of another
-// server may depend on it.
+// and its deadline: it is served before the others. A call of a backend server may
+// use all of its time, because a request in flight depends on it.
 func (c *Controller) enqueueForTarget(now time.Time, position int, wait time.Duration, w waiting) (Verdict, errkind.Kind) {
 	r := w.request
 	limit := c.movableWait(now)
@@ -156,7 +156,10 @@
 		return Refused, c.fullKind(r)
 	}
 	latest := r.Target
-	if w.rank > fleet.UrgencyLow {
+	switch {
+	case r.Internal:
+		latest = r.Deadline
+	case w.rank > fleet.UrgencyLow:
 		latest = latest.Add(time.Duration(lateShare * float64(r.Deadline.Sub(r.Target))))
 		w.giveUp = earlier(w.giveUp, latest)
 	}
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -93,11 +93,12 @@
 
 // dispatch starts queued requests while slots are free. A request that can no
 // longer meet its deadline is refused, because running it would waste a slot.
-// Requests that miss their target start after those that can meet it.
+// Requests that miss their target start after those that can meet it, except
+// calls of backend servers: a request in flight waits for each of them.
 func (c *Controller) dispatch(now time.Time) {
 	c.dispatchIf(now, func(w *waiting) bool {
 		t := w.request.Target
-		return t.IsZero() || now.Add(c.classTime(now, w.request.Class)).Before(t)
+		return t.IsZero() || w.request.Internal || now.Add(c.classTime(now, w.request.Class)).Before(t)
 	})
 	c.dispatchIf(now, func(*waiting) bool { return true })
 }
--- a/admit/target_test.go
+++ b/admit/target_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// Guards against a call that is refused for its target or put behind a request,
+// which fails the request that it is made for.
+func TestInternalCallGoesFirstAndMayMissItsTarget(t *testing.T) {
+	c := loaded()
+	c.Offer(at(100), 3, Request{Class: "work", Urgency: fleet.UrgencyHigh, Target: at(600), Deadline: at(2000)})
+	verdict, kind, _ := c.Offer(at(100), 4, Request{Class: "check", Urgency: fleet.UrgencyCritical, Internal: true, Target: at(120), Deadline: at(500)})
+	if verdict != Queued {
+		t.Fatalf("the call: verdict %d kind %q, want it queued", verdict, kind)
+	}
+	if actions := c.Done(at(250), 2, 0); len(actions) != 1 || actions[0] != (Action{ID: 4}) {
+		t.Errorf("actions %+v, want the start of the call", actions)
+	}
+}
+
 // Guards against work that starts in a slow phase although it can run elsewhere,
 // and against a report of a slow phase that is believed for ever.
 func TestMovableRequestAvoidsSlowPhase(t *testing.T) {
--- a/filter/call.go
+++ b/filter/call.go
@@ -42,7 +42,7 @@
 	RequestID string
 	Deadline  time.Time
 	Depth     uint8
-	Attempts  *retry.Attempts
+	Attempts  *retry.Attempts // shared by the call tree; nil: calls have attempts of their own
 }
 
 // Call is one request on its way through a chain. Every attempt of the entry
--- a/filter/classify.go
+++ b/filter/classify.go
@@ -9,6 +9,7 @@
 
 	"bramleymill/class"
 	"bramleymill/errkind"
+	"bramleymill/fleet"
 )
 
 type classify struct {
@@ -73,6 +74,11 @@
 	c.Key = key
 	c.Meta.Class, c.Meta.ConfigVersion = c.Class.Name, set.Version
 	c.Meta.Idempotent, c.Meta.Urgency = c.Class.Idempotent, c.Class.Urgency
+	if c.Parent != nil && c.Class.Item {
+		// Refusing the call would waste the slot and the work of the request that it
+		// is made for. Items cannot say that a class is internal.
+		c.Meta.Urgency = fleet.UrgencyCritical
+	}
 	c.Record.Class = c.Class.Name
 	return f.next.Serve(c)
 }
--- a/proxy/dialect.go
+++ b/proxy/dialect.go
@@ -22,6 +22,24 @@
 	NotRun         string // in answers: the backend server has not run the request
 	Instance       string // in health answers: the instance that answers
 	Stamp          string // in answers: marks what a backend server has made
+
+	// CallSeparator stands in the id of a call that a backend server makes between
+	// the id of the request that it runs and a part of its own. Empty: ids do not
+	// tell the request that a call is made for.
+	CallSeparator string
+}
+
+// parentID returns the id of the request that the backend server would have made
+// a call for, judging by the id of the call.
+func (d *Dialect) parentID(id string) (string, bool) {
+	i := -1
+	if d.CallSeparator != "" {
+		i = strings.LastIndex(id, d.CallSeparator)
+	}
+	if i <= 0 {
+		return "", false
+	}
+	return id[:i], true
 }
 
 // nodeHeaders are meant for other nodes. They are never passed on.
--- a/proxy/dialect_test.go
+++ b/proxy/dialect_test.go
@@ -11,12 +11,13 @@
 
 	"bramleymill/class"
 	"bramleymill/errkind"
+	"bramleymill/explain"
 	"bramleymill/fleet"
 	"bramleymill/settings"
 	"bramleymill/strictjson"
 )
 
-var testDialect = Dialect{RequestID: "X-Id", Timeout: "X-Wait", ExpectInstance: "X-Expect", CallerService: "X-From",
+var testDialect = Dialect{CallSeparator: ".", RequestID: "X-Id", Timeout: "X-Wait", ExpectInstance: "X-Expect", CallerService: "X-From",
 	Load: "X-Load", NotRun: "X-Not-Run", Instance: "X-Instance", Stamp: "X-Stamp"}
 
 // platformCluster returns a cluster whose classes are items: reads and orders of
@@ -169,6 +170,37 @@
 	}
 }
 
+// Guards against calls of a backend server that are taken for requests of callers,
+// and against ids that claim to be calls of a request that is not in flight there.
+func TestCallsAreProvedByTheRequestInFlight(t *testing.T) {
+	c := platformCluster(t)
+	var n *node
+	records := make(chan *explain.Record, 16)
+	call := func(id string, proved bool) {
+		expect(t, 200, "", "x", "GET", n.caller.URL+"/read/1", "X-Id", id)
+		if r := <-records; (r.ParentID != "") != proved {
+			t.Errorf("call %q has the parent %q, want one: %t", id, r.ParentID, proved)
+		}
+	}
+	n = c.platformNode("n1", func(conn net.Conn, r *http.Request, _ int32) bool {
+		if strings.HasPrefix(r.URL.Path, "/order/") {
+			call("a.1", true)
+			call("a.1.2", false)
+			call("b.1", false)
+			call(".1", false)
+			call("other", false)
+		}
+		return complete(conn, r, 200, "x")
+	})
+	n.Explain().Observe(func(r *explain.Record) {
+		if r.Class == "read" && r.Side == explain.Entry {
+			records <- r
+		}
+	})
+	expect(t, 200, "", "x", "POST", n.caller.URL+"/order/1", "X-Id", "a")
+	call("a.1", false)
+}
+
 // Guards against requests that go on to an instance that was replaced by another
 // one at the same address.
 func TestMisdirectedRequestIdentifiesTheServerAnew(t *testing.T) {
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -19,9 +19,12 @@
 		}
 		instance = known.Instance
 	}
+	id := c.Request.Header.Get(d.RequestID)
+	b.tokens.hold(id, &filter.Parent{RequestID: c.Meta.RequestID, Deadline: c.Deadline, Depth: c.Meta.Depth})
+	defer b.tokens.revoke(id)
 	for try := 1; ; try++ {
 		x := &exchange{call: c, host: b.address, rules: b.rules, header: b.headerAs(c, d, instance),
-			id: c.Request.Header.Get(d.RequestID), skip: maxStray, expect: c.Body.Expect, expectTimeout: backendExpectTimeout}
+			id: id, skip: maxStray, expect: c.Body.Expect, expectTimeout: backendExpectTimeout}
 		resp, written, err := x.roundTrip(b.pool)
 		switch {
 		case err == nil:
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -15,10 +15,18 @@
 	"bramleymill/retry"
 )
 
-// Caller returns the handler of the listener for callers.
+// Caller returns the handler of the listener for callers. In a dialect the own
+// backend server uses it too; its calls are proved internal by their ids.
 func (p *Proxy) Caller() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		p.serveEntry(w, r, &filter.Call{Origin: filter.FromCaller})
+		c := &filter.Call{Origin: filter.FromCaller}
+		if d := p.config.Dialect; d != nil {
+			if id, ok := d.parentID(r.Header.Get(d.RequestID)); ok {
+				c.Parent = p.tokens.parent(id)
+				c.Meta.Internal = c.Parent != nil
+			}
+		}
+		p.serveEntry(w, r, c)
 	})
 }
 
--- a/proxy/tokens.go
+++ b/proxy/tokens.go
@@ -13,7 +13,8 @@
 const tokenBytes = 16
 
 // tokens maps the call tokens of the requests in flight at the backend server to
-// the limits that calls made for them inherit.
+// the limits that calls made for them inherit. In a dialect the id that the caller
+// chose takes the place of the token.
 type tokens struct {
 	mu       sync.RWMutex
 	inFlight map[string]*filter.Parent
@@ -26,10 +27,15 @@
 	var b [tokenBytes]byte
 	_, _ = rand.Read(b[:]) // never fails
 	token := hex.EncodeToString(b[:])
+	t.hold(token, p)
+	return token
+}
+
+// hold lets token prove calls of the backend server until revoke.
+func (t *tokens) hold(token string, p *filter.Parent) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight[token] = p
-	return token
 }
 
 func (t *tokens) revoke(token string) {
