Prefer servers of the own zone where there are several

Change: with four or more servers of the service in the own zone, one of them is chosen unless another candidate costs 1.3 times less; after five refusals all zones count alike.

--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -23,6 +23,7 @@
 type pool struct {
 	epoch     time.Time // zero of the int64 times of this package
 	endpoints []*Endpoint
+	near      []*Endpoint // of endpoints, those of the own zone
 	announced []*Endpoint // in any state
 	byNode    map[fleet.NodeID]*Endpoint
 }
@@ -35,6 +36,7 @@
 	readyAt int64
 	epoch   time.Time
 	hash    uint64 // of the node name
+	near    bool   // in the zone of the selecting node
 
 	Server fleet.Server
 }
@@ -66,6 +68,9 @@
 		next.announced = append(next.announced, e)
 		if s.State == fleet.Ready {
 			next.endpoints = append(next.endpoints, e)
+			if e.near {
+				next.near = append(next.near, e)
+			}
 		}
 	}
 	next.limitEjected(next.at(now))
@@ -79,7 +84,7 @@
 	if old != nil && old.Server == s {
 		return old
 	}
-	e := &Endpoint{Server: s, epoch: epoch, hash: hashNode(s.Node), zone: b.zone(s.Zone, ownZone)}
+	e := &Endpoint{Server: s, epoch: epoch, hash: hashNode(s.Node), near: s.Zone != "" && s.Zone == ownZone, zone: b.zone(s.Zone, ownZone)}
 	warm := max(now.UnixMilli()-s.ReadySince, 0) // the other clock may be ahead
 	e.readyAt = int64(now.Sub(epoch)) - min(warm, maxWarmMillis)*int64(time.Millisecond)
 	if old == nil || old.Server.Incarnation != s.Incarnation {
--- /dev/null
+++ b/pick/near_test.go
@@ -0,0 +1,78 @@
+package pick
+
+import (
+	"testing"
+
+	"bramleymill/fleet"
+)
+
+// zoned returns near servers of the own zone, followed by far ones of another.
+func zoned(near, far int) []fleet.Server {
+	list := servers(near + far)
+	for i := near; i < len(list); i++ {
+		list[i].Zone = "zone-b"
+	}
+	return list
+}
+
+// share returns the share of picks that stay in the own zone.
+func share(t *testing.T, list []fleet.Server, prepare func(b *Balancer), x *Exclude) float64 {
+	t.Helper()
+	// A delay that equals none leaves the choice to the preference.
+	b, rng := newBalancer(Config{OtherZoneDelay: 1}, list)
+	if prepare != nil {
+		prepare(b)
+	}
+	const picks = 2000
+	own := 0
+	for range picks {
+		if e, _ := b.Pick(start, rng, x); e != nil && e.Server.Zone == "zone-a" {
+			own++
+		}
+	}
+	return float64(own) / picks
+}
+
+// Guards against requests that cross zones although servers nearby are as good,
+// and against a zone that keeps its requests although it is busy, failing or small.
+func TestOwnZoneComesFirst(t *testing.T) {
+	busy := func(b *Balancer) {
+		for i := range 4 {
+			b.Observe(nodeName(i), start, &fleet.LoadReport{Incarnation: 1, Sequence: 1, InFlight: 10, Slots: 10})
+		}
+	}
+	slow := func(b *Balancer) {
+		for i := range 4 {
+			b.Observe(nodeName(i), start, &fleet.LoadReport{Incarnation: 1, Sequence: 1, Slots: 10, Pace: 4})
+		}
+	}
+	ejected := func(b *Balancer) {
+		for i := range 4 {
+			e := b.Endpoint(nodeName(i))
+			e.load.ejectedUntil.Store(1 << 62)
+			e.load.trialAt.Store(1 << 61)
+		}
+	}
+	var tried Exclude
+	for i := range nearTries {
+		tried.Add(nodeName(8 + i))
+	}
+	for _, c := range []struct {
+		name     string
+		list     []fleet.Server
+		prepare  func(b *Balancer)
+		x        *Exclude
+		min, max float64
+	}{
+		{"equal", zoned(4, 12), nil, nil, 0.99, 1},
+		{"fewer than minNear", zoned(minNear-1, 12), nil, nil, 0, 0.7},
+		{"busy", zoned(4, 12), busy, nil, 0, 0.05},
+		{"in a slow phase", zoned(4, 12), slow, nil, 0, 0.05},
+		{"ejected", zoned(4, 12), ejected, nil, 0, 0.05},
+		{"refused by several servers", zoned(4, 12), nil, &tried, 0, 0.8},
+	} {
+		if got := share(t, c.list, c.prepare, c.x); got < c.min || got > c.max {
+			t.Errorf("%s: %.2f of the picks stay in the zone, want %.2f to %.2f", c.name, got, c.min, c.max)
+		}
+	}
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -54,7 +54,40 @@
 	if e == nil {
 		return nil, errkind.NoBackendServer
 	}
-	return e, ""
+	return b.nearer(p, e, t, rng, exclude), ""
+}
+
+const (
+	// minNear is the number of servers of the own zone from which they come first.
+	// The choice among fewer costs more latency than it saves bytes.
+	minNear = 4
+	// nearFactor is the cost of a server of the own zone, in multiples of the cost
+	// of another candidate, above which the request leaves the zone.
+	nearFactor = 1.3
+	// nearTries is the number of servers tried after which all zones count alike,
+	// because the own one seems to be busy.
+	nearTries = 5
+)
+
+// nearer returns a server of the own zone in place of e when it costs little more.
+func (b *Balancer) nearer(p *pool, e *Endpoint, t int64, rng *rand.Rand, exclude *Exclude) *Endpoint {
+	if e.near || len(p.near) < minNear || exclude != nil && exclude.added >= nearTries {
+		return e
+	}
+	if e.load.ejectedUntil.Load() != 0 {
+		return e // chosen for its trial
+	}
+	best, limit := e, nearFactor*b.cost(e, t)
+	for range b.config.Candidates {
+		n := p.near[rng.IntN(len(p.near))]
+		if !n.usable(exclude) {
+			continue
+		}
+		if c := b.cost(n, t); c < limit {
+			best, limit = n, c
+		}
+	}
+	return best
 }
 
 // drawsPerCandidate bounds the random draws of a Pick when draws repeat or hit
