Ask more servers before a request waits, and let it wait only to meet its target

After a loss of power the queue grew without bound until the first answer, and servers that warm up (pace 2) were taken for usual ones. Change: a request that another server can be asked for does not wait; it asks up to six (beyond two out of a budget, so that nodes are not loaded when all servers are busy), and then waits at the best of all if 1.5 service times are left when it starts. One that can no longer meet its target is refused at once. The pace of a server that warms up counts, and before the first answer half the time until the target is assumed as service time. Calls of backend servers keep their whole time.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -87,7 +87,9 @@
 	}
 	c.expire(now)
 	c.dispatch(now)
-	if r.Movable && !r.Target.IsZero() && c.pace.slow(now) {
+	if (r.Movable || r.Urgency <= fleet.UrgencyLow) && !r.Target.IsZero() && c.pace.slow(now) {
+		// A caller whose request has low urgency better comes back than has it run
+		// in a slow phase, at the cost of others.
 		return Refused, errkind.ServerSlow, c.actions
 	}
 	if c.slotFor(r) && c.overtakes(r) {
@@ -120,6 +122,9 @@
 	}
 	position := c.queue.position(&w)
 	wait := c.expectedWait(now, r, position)
+	if !r.Target.IsZero() {
+		wait = c.waitForTarget(now, position, r)
+	}
 	if now.Add(wait + c.classTime(now, r.Class)).After(r.Deadline) {
 		return Refused, errkind.DeadlineBeforeRun
 	}
@@ -145,26 +150,25 @@
 	return Queued, ""
 }
 
-// enqueueForTarget lets a request wait that is expected to meet its target. One
-// of more than low urgency may be late by lateShare of the time between its target
-// and its deadline: it is served before the others. A call of a backend server may
-// use all of its time, because a request in flight depends on it.
+// targetMargin is the time that a request must have until its target when it
+// starts, in multiples of its expected service time. A longer queue would serve no
+// more requests and half of them late.
+const targetMargin = 1.5
+
+// enqueueForTarget lets a request wait that is likely to meet its target. While
+// other servers can be tried, it does not wait at all. A call of a backend server
+// may use all of its time, because a request in flight depends on it.
 func (c *Controller) enqueueForTarget(now time.Time, position int, wait time.Duration, w waiting) (Verdict, errkind.Kind) {
 	r := w.request
-	limit := c.movableWait(now)
-	if r.Movable && limit > 0 && wait > limit {
+	if r.Movable {
 		return Refused, c.fullKind(r)
 	}
-	latest := r.Target
-	switch {
-	case r.Internal:
-		latest = r.Deadline
-	case w.rank > fleet.UrgencyLow:
-		latest = latest.Add(time.Duration(lateShare * float64(r.Deadline.Sub(r.Target))))
-		w.giveUp = earlier(w.giveUp, latest)
-	}
-	if now.Add(wait + c.classTime(now, r.Class)).After(latest) {
-		return Refused, errkind.QueueFull
+	if !r.Internal {
+		start := r.Target.Add(-time.Duration(targetMargin * float64(c.runTime(now, r))))
+		if now.Add(wait).After(start) {
+			return Refused, errkind.QueueFull
+		}
+		w.giveUp = earlier(w.giveUp, r.Target.Add(-c.runTime(now, r)))
 	}
 	if len(c.queue) >= c.config.QueueLength && !c.evict(w.rank, true) {
 		return Refused, c.fullKind(r)
@@ -173,10 +177,6 @@
 	return Queued, ""
 }
 
-// lateShare bounds the waiting of urgent requests. One that is given up near its
-// deadline leaves its caller no time to come back.
-const lateShare = 0.5
-
 // soleQueueFactor is the number of times that Sole requests may exceed
 // QueueLength. It bounds memory; the deadline bounds the wait. A process that
 // gets no processor for some 10 ms finds more arrivals than QueueLength at once,
--- a/admit/pace.go
+++ b/admit/pace.go
@@ -11,6 +11,9 @@
 	// paceTrust is the age at which what the server has told of its pace is no
 	// longer acted upon.
 	paceTrust = 150 * time.Millisecond
+	// warmupTrust is the age at which a pace below slowPace is no longer acted
+	// upon. It is that of a server that warms up, which takes seconds.
+	warmupTrust = time.Second
 	// slowPhase is the mean time for which a slow phase goes on.
 	slowPhase = 250 * time.Millisecond
 )
@@ -70,10 +73,13 @@
 
 // expected returns the duration of work that takes base at the usual pace.
 func (p *pace) expected(now time.Time, base time.Duration) time.Duration {
-	if !p.slow(now) {
-		return base
+	switch {
+	case p.slow(now):
+		return Slowed(base, p.now)
+	case p.now > 1 && p.now < slowPace && now.Sub(p.at) < warmupTrust:
+		return time.Duration(float64(base) * p.now)
 	}
-	return Slowed(base, p.now)
+	return base
 }
 
 // Slowed returns the duration of work that begins in a slow phase, which goes on
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -96,10 +96,7 @@
 // Requests that miss their target start after those that can meet it, except
 // calls of backend servers: a request in flight waits for each of them.
 func (c *Controller) dispatch(now time.Time) {
-	c.dispatchIf(now, func(w *waiting) bool {
-		t := w.request.Target
-		return t.IsZero() || w.request.Internal || now.Add(c.classTime(now, w.request.Class)).Before(t)
-	})
+	c.dispatchIf(now, func(w *waiting) bool { return c.inTime(now, w) })
 	c.dispatchIf(now, func(*waiting) bool { return true })
 }
 
@@ -201,6 +198,47 @@
 	return time.Duration(position+1) * c.pace.expected(now, c.service.value(now, c.config.EstimateTrust)) / time.Duration(slots)
 }
 
+// unknownShare is the share of the time until its target that a request is taken to
+// run for before any answer has told: after a start, a queue that is let grow until
+// the first answer would miss every target.
+const unknownShare = 0.5
+
+// runTime returns the expected service time of a request with a target.
+func (c *Controller) runTime(now time.Time, r Request) time.Duration {
+	if t := c.classTime(now, r.Class); t > 0 {
+		return t
+	}
+	return c.meanTime(now, r)
+}
+
+// meanTime returns the expected service time of all requests, as far as it is
+// known, or else what r gives reason to expect.
+func (c *Controller) meanTime(now time.Time, r Request) time.Duration {
+	if c.service.mean == 0 {
+		return time.Duration(unknownShare * float64(max(r.Target.Sub(now), 0)))
+	}
+	return c.pace.expected(now, c.service.value(now, c.config.EstimateTrust))
+}
+
+// waitForTarget returns the time until a request at a position of the queue starts
+// when every slot is in use. Those before it that miss their targets start later.
+func (c *Controller) waitForTarget(now time.Time, position int, r Request) time.Duration {
+	ahead := 1
+	for i := range position {
+		if c.inTime(now, &c.queue[i]) {
+			ahead++
+		}
+	}
+	return time.Duration(ahead) * c.meanTime(now, r) / time.Duration(c.config.Slots)
+}
+
+// inTime reports whether a queued request that started now would meet its target,
+// or has none that counts.
+func (c *Controller) inTime(now time.Time, w *waiting) bool {
+	t := w.request.Target
+	return t.IsZero() || w.request.Internal || now.Add(c.classTime(now, w.request.Class)).Before(t)
+}
+
 // hopelessShare is the share of the mean service time below which the time left
 // is taken as too short. Half the requests are faster than the mean, so that
 // the mean itself would refuse requests that meet their deadline.
--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -9,7 +9,6 @@
 	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/explain"
-	"bramleymill/fleet"
 	"bramleymill/retry"
 )
 
@@ -71,7 +70,12 @@
 			return withKind(err, kind)
 		}
 		previous := err
-		if err = f.try(c, r, false); isNoServer(err) {
+		err = f.try(c, r, false)
+		if isNoServer(err) && !c.last && busyServer(errkind.Of(previous).Kind) {
+			c.lastMove() // every server has been asked
+			err = f.try(c, r, false)
+		}
+		if isNoServer(err) {
 			c.Attempts.Return(1)
 			return previous // tells more than that no other server is left
 		}
@@ -147,21 +151,19 @@
 	if c.Class.Item && unreached(e.Kind) {
 		// No backend server was reached: such an attempt counts neither against the
 		// budget nor against those of the class.
-		c.moves++
-		if c.moves == maxMoves {
-			// Every server that was asked is busy. The last attempt goes to the best of
-			// all, which may let it wait.
-			c.tried.restart()
+		if c.last || failure.Remaining <= 0 {
+			return false, failure.Kind
+		}
+		c.refused++
+		if !p.MoveOn(now, c.refused) {
+			c.lastMove()
 		}
-		return c.moves <= maxMoves && failure.Remaining > 0, failure.Kind
+		return true, failure.Kind
 	}
 	d := p.After(now, failure, c.Attempts)
 	return d.Verb == retry.RetryElsewhere, d.Kind
 }
 
-// maxMoves bounds the attempts of a request that reach no backend server.
-const maxMoves = 3
-
 // unreached reports whether a server node refused an attempt, or could not be
 // reached, before the backend server was called.
 func unreached(k errkind.Kind) bool {
@@ -177,6 +179,10 @@
 // other server accepts work, there is nowhere to send it instead.
 func fullServer(k errkind.Kind) bool { return k == errkind.QueueFull || k == errkind.SlotsReserved }
 
+// busyServer reports whether a server node refused an attempt that it may let in
+// when no other server does.
+func busyServer(k errkind.Kind) bool { return k == errkind.ServerSlow || fullServer(k) }
+
 // hasLost reports whether the attempt ended because another one has answered.
 func hasLost(a *Call, err error) bool {
 	return errors.Is(err, ErrLost) || errors.Is(context.Cause(a.Ctx), ErrLost)
@@ -220,9 +226,7 @@
 	case c.Meta.Confined || !c.Body.Replayable():
 		return false
 	case c.Class.Item:
-		// A caller whose request has low urgency better comes back than has it run
-		// in a slow phase, at the cost of others.
-		return c.moves < maxMoves || c.Class.Urgency <= fleet.UrgencyLow
+		return !c.last
 	}
 	return c.Class.Idempotent && f.policy(c.Class.Name, false).CanMove(c.Attempts)
 }
--- a/filter/call.go
+++ b/filter/call.go
@@ -67,9 +67,10 @@
 	// an attempt. An error prevents the sending.
 	BeforeSend func(c *Call) error
 
-	tried  *tried
-	moves  int    // attempts of a class that is configured as an item that reached no backend server
-	passes uint32 // times that the call went through the claims filter before
+	tried   *tried
+	refused int    // attempts of a class that is configured as an item that reached no backend server
+	last    bool   // no attempt follows one that reaches no backend server
+	passes  uint32 // times that the call went through the claims filter before
 	Trial
 }
 
@@ -117,6 +118,13 @@
 	t.exclude = pick.Exclude{}
 }
 
+// lastMove lets the next attempt go to the best of all servers, which may let it
+// wait: those that were asked are busy.
+func (c *Call) lastMove() {
+	c.last = true
+	c.tried.restart()
+}
+
 func (t *tried) excluded() pick.Exclude {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -197,7 +197,8 @@
 			e, other = b.PickMovable(now, rng, exclude)
 		}
 	}
-	c.Meta.Movable = c.Meta.Movable && other
+	// A request that was refused elsewhere may go back there for its last attempt.
+	c.Meta.Movable = c.Meta.Movable && (other || c.refused > 0)
 	return e
 }
 
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -31,9 +31,13 @@
 // NewBudget returns a Budget that earns ratio of a token with each request and
 // starts with reserve tokens. A ratio of zero and no reserve allow nothing.
 func NewBudget(now time.Time, ratio float64, reserve int) *Budget {
+	return newBudget(now, ratio, reserve, budgetLimit)
+}
+
+func newBudget(now time.Time, ratio float64, reserve, limit int) *Budget {
 	b := &Budget{
 		earn:    int64(ratio * token),
-		limit:   budgetLimit * token,
+		limit:   int64(limit) * token,
 		reserve: int64(reserve) * token,
 		refill:  refillPeriod,
 		epoch:   now,
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -53,6 +53,7 @@
 	config  Config
 	retries *Budget
 	hedges  *Budget
+	moves   *Budget
 	latency *Latency
 }
 
@@ -67,6 +68,7 @@
 		config:  c,
 		retries: NewBudget(now, c.RetryRatio, c.RetryReserve),
 		hedges:  NewBudget(now, c.HedgeRatio, c.HedgeReserve),
+		moves:   newBudget(now, extraMoveRatio, extraMoveLimit, extraMoveLimit),
 		latency: latency,
 	}
 }
@@ -75,6 +77,23 @@
 func (p *Policy) Began() {
 	p.retries.Earn()
 	p.hedges.Earn()
+	p.moves.Earn()
+}
+
+// Bounds of the moves of a request from server to server before one lets it in.
+// When most servers are busy, further questions only load the nodes.
+const (
+	freeMoves      = 2
+	maxMoves       = 6
+	extraMoveRatio = 0.3 // moves beyond freeMoves for each request
+	extraMoveLimit = 5   // that may be saved up
+)
+
+// MoveOn reports whether a request that was refused the given number of times
+// before it reached a backend server should ask one more server. If not, its next
+// attempt is the last one and may wait in a queue.
+func (p *Policy) MoveOn(now time.Time, refused int) bool {
+	return refused <= freeMoves || refused < maxMoves && p.moves.Spend(now)
 }
 
 // Answered records the duration of a request that a backend server answered.
