Tell callers to come back when a starting node will know its servers

Callers were told to come back after 60 ms, were refused again and gave up: 720 refusals for lack of a configuration. Change: 300 ms when the configuration or the servers are missing; 60 ms under load. The existing test of this header asserts the new time for its kind.

--- a/proxy/dialect.go
+++ b/proxy/dialect.go
@@ -118,15 +118,30 @@
 	return answered
 }
 
-// retryAfter is the time after which a caller may try again. It is short against
-// the latency targets, because load changes within milliseconds.
-const retryAfter = 60 * time.Millisecond
+// Times after which a caller may try again.
+const (
+	// overloadRetryAfter is short against the latency targets, because load changes
+	// within milliseconds.
+	overloadRetryAfter = 60 * time.Millisecond
+	// joinRetryAfter is the time in which a node that was just started gets its
+	// configuration and hears of the servers.
+	joinRetryAfter = 300 * time.Millisecond
+)
+
+// retryAfter returns the time after which what caused a refusal may have passed.
+func retryAfter(k errkind.Kind) time.Duration {
+	switch k {
+	case errkind.ConfigAbsent, errkind.ConfigUnconfirmed, errkind.NoBackendServer, errkind.BackendDown:
+		return joinRetryAfter
+	}
+	return overloadRetryAfter
+}
 
 // errorHeader returns the headers of an answer of the node.
 func (d *Dialect) errorHeader(e *errkind.Error) http.Header {
 	h := http.Header{}
 	if a := errkind.Lookup(e.Kind); a.Status == http.StatusServiceUnavailable {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(retryAfter(e.Kind).Seconds(), 'f', 3, 64))
 	}
 	return h
 }
--- a/proxy/dialect_test.go
+++ b/proxy/dialect_test.go
@@ -165,7 +165,7 @@
 	c := platformCluster(t)
 	n := c.node("n1", nil, func(config *Config) { config.Dialect = &testDialect })
 	resp := expect(t, 503, string(errkind.NoBackendServer), "", "POST", n.caller.URL+"/order/1", "X-Id", "abc")
-	if resp.Header.Get("Retry-After") != "0.060" || resp.Header.Get("X-Id") != "abc" || resp.Header.Get("X-Stamp") != "" {
+	if resp.Header.Get("Retry-After") != "0.300" || resp.Header.Get("X-Id") != "abc" || resp.Header.Get("X-Stamp") != "" {
 		t.Errorf("headers %v", resp.Header)
 	}
 }
@@ -219,6 +219,20 @@
 	expect(t, 200, "", "right", "POST", n.caller.URL+"/order/1", "X-Id", "abd")
 }
 
+// Guards against callers that come back while the node still lacks what it refused
+// them for, and against ones that wait longer than a busy moment lasts.
+func TestTimeToComeBackFitsTheCause(t *testing.T) {
+	for kind, want := range map[errkind.Kind]string{
+		errkind.QueueFull: "0.060", errkind.ServerSlow: "0.060", errkind.DeadlineBeforeRun: "0.060",
+		errkind.ConfigAbsent: "0.300", errkind.NoBackendServer: "0.300",
+		errkind.ConnectionLost: "", errkind.NoClass: "",
+	} {
+		if got := testDialect.errorHeader(errkind.New(kind, "test")).Get("Retry-After"); got != want {
+			t.Errorf("%s: Retry-After %q, want %q", kind, got, want)
+		}
+	}
+}
+
 // Guards against a load header that is misread, or that stops a request.
 func TestParseLoad(t *testing.T) {
 	for v, want := range map[string]LoadState{
