Disturb the connections between the machines of the soak

Cause: the soak disturbed processes, disks and connections to backend servers, but nothing between nodes.

--- a/faultlink/link.go
+++ b/faultlink/link.go
@@ -17,6 +17,7 @@
 	udp      net.PacketConn
 	tcp      net.Listener
 	faults   *faults
+	streams  *streams
 	mu       sync.Mutex
 	sessions map[string]*net.UDPConn
 	conns    map[net.Conn]struct{}
@@ -34,7 +35,7 @@
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("open link: %w", err), tcp.Close())
 	}
-	l := &Link{target: target, udp: udp, tcp: tcp, faults: newFaults(seed),
+	l := &Link{target: target, udp: udp, tcp: tcp, faults: newFaults(seed), streams: newStreams(),
 		sessions: map[string]*net.UDPConn{}, conns: map[net.Conn]struct{}{}}
 	l.done.Go(l.receive)
 	l.done.Go(l.accept)
@@ -54,7 +55,10 @@
 }
 
 // Heal removes all faults.
-func (l *Link) Heal() { l.faults.clear() }
+func (l *Link) Heal() {
+	l.faults.clear()
+	l.streams.set(func() { l.streams.held, l.streams.delay = [2]bool{}, 0 })
+}
 
 // Close ends the link and everything that it carries.
 func (l *Link) Close() error {
@@ -64,6 +68,7 @@
 		s.Close()
 	}
 	l.mu.Unlock()
+	l.streams.set(func() { l.streams.closed = true })
 	l.closeConnections()
 	err := errors.Join(l.udp.Close(), l.tcp.Close())
 	l.done.Wait()
@@ -124,6 +129,9 @@
 }
 
 func (l *Link) deliver(source string, d Direction, b []byte, send func([]byte)) {
+	if l.streams.holds(d) {
+		return
+	}
 	for _, delay := range l.faults.plan(source, d) {
 		if delay == 0 {
 			send(b)
--- a/faultlink/link_test.go
+++ b/faultlink/link_test.go
@@ -1,8 +1,10 @@
 package faultlink
 
 import (
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 )
@@ -100,3 +102,34 @@
 		t.Errorf("healed: %v", got)
 	}
 }
+
+// Guards against a silent direction that ends connections, loses what they carry
+// or silences the other direction too.
+func TestHeldDirectionDeliversAfterItHeals(t *testing.T) {
+	l := open(t)
+	c, err := net.Dial("tcp", l.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	l.Hold(Forward)
+	c.Write([]byte("hello"))
+	if err := c.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	b := make([]byte, 5)
+	if n, err := c.Read(b); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("read %d bytes, error %v through a silent link", n, err)
+	}
+	l.Heal()
+	if err := c.SetReadDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, b); err != nil || string(b) != "hello" {
+		t.Errorf("after the end of the silence: %q %v", b, err)
+	}
+	l.Reset()
+	if _, err := c.Read(b); err == nil {
+		t.Error("the connection is not closed by a reset")
+	}
+}
--- a/faultlink/stream.go
+++ b/faultlink/stream.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 )
 
 // accept passes connections on. A cut in any direction closes connections and
@@ -32,15 +33,15 @@
 		return
 	}
 	var both sync.WaitGroup
-	both.Go(func() { copyHalf(t, c) })
-	both.Go(func() { copyHalf(c, t) })
+	both.Go(func() { l.copyHalf(t, c, Forward) })
+	both.Go(func() { l.copyHalf(c, t, Backward) })
 	both.Wait()
 	l.forget(c, t)
 }
 
 // copyHalf copies one direction and passes the end of the stream on.
-func copyHalf(to, from net.Conn) {
-	_, err := io.Copy(to, from)
+func (l *Link) copyHalf(to, from net.Conn, d Direction) {
+	_, err := io.Copy(to, &heldReader{from, l.streams, d})
 	if half, ok := to.(*net.TCPConn); ok && err == nil {
 		half.CloseWrite()
 		return
@@ -49,6 +50,69 @@
 	from.Close()
 }
 
+// heldReader passes on what it reads when its direction lets it.
+type heldReader struct {
+	from      io.Reader
+	streams   *streams
+	direction Direction
+}
+
+// Read reads from the connection and waits as the faults of its direction demand.
+func (r *heldReader) Read(b []byte) (int, error) {
+	n, err := r.from.Read(b)
+	r.streams.wait(r.direction)
+	return n, err
+}
+
+// streams holds the faults of the TCP connections of a link.
+type streams struct {
+	mu     sync.Mutex
+	change *sync.Cond
+	held   [2]bool
+	delay  time.Duration
+	closed bool
+}
+
+func newStreams() *streams {
+	s := &streams{}
+	s.change = sync.NewCond(&s.mu)
+	return s
+}
+
+func (s *streams) set(f func()) {
+	s.mu.Lock()
+	f()
+	s.mu.Unlock()
+	s.change.Broadcast()
+}
+
+func (s *streams) wait(d Direction) {
+	s.mu.Lock()
+	delay := s.delay
+	for s.held[d] && !s.closed {
+		s.change.Wait()
+	}
+	s.mu.Unlock()
+	time.Sleep(delay)
+}
+
+// holds reports whether a direction is held.
+func (s *streams) holds(d Direction) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held[d]
+}
+
+// Hold silences a direction without an end that either side could see: what TCP
+// connections carry arrives when the link is healed, and datagrams are lost.
+func (l *Link) Hold(d Direction) { l.streams.set(func() { l.streams.held[d] = true }) }
+
+// Delay lets each part that TCP connections carry arrive later by d.
+func (l *Link) Delay(d time.Duration) { l.streams.set(func() { l.streams.delay = d }) }
+
+// Reset closes all TCP connections of the link.
+func (l *Link) Reset() { l.closeConnections() }
+
 func (l *Link) track(conns ...net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
