Let answers reach callers who wait just beyond the longest wait of a class

Change: for classes that are configured as items the deadline lies 150 ms beyond the longest wait, if the caller waits that long.

--- a/filter/deadline.go
+++ b/filter/deadline.go
@@ -64,8 +64,16 @@
 	return f.next.Serve(c)
 }
 
+// answerGrace is the time beyond the longest wait of a class that is configured as
+// an item in which an answer still reaches a caller who waits for it. Work that is
+// nearly done is worth more to the caller than the punctual word that it is unknown.
+const answerGrace = 150 * time.Millisecond
+
 func (f *deadline) limit(c *Call) (time.Duration, error) {
 	limit := c.Class.Deadline
+	if c.Class.Item {
+		limit += answerGrace
+	}
 	sent := c.Request.Header.Get(f.header)
 	if sent == "" {
 		return limit, nil
--- a/filter/item_test.go
+++ b/filter/item_test.go
@@ -159,3 +159,23 @@
 		}
 	}
 }
+
+// Guards against an answer that is thrown away because it comes just after the
+// longest wait of its class, and against callers who are held beyond their own.
+func TestDeadlineLeavesTimeForAnAnswerThatIsNearlyReady(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	for sent, want := range map[string]time.Duration{"": time.Second + answerGrace, "5000": time.Second + answerGrace, "1050": 1050 * time.Millisecond, "700": 700 * time.Millisecond} {
+		c := itemCall(t, "order", k)
+		c.Started = k.Now()
+		if sent != "" {
+			c.Request.Header.Set("Wait", sent)
+		}
+		next := &passed{}
+		if err := NewDeadline(next, k, 3, "Wait").Serve(c); err != nil {
+			t.Fatal(err)
+		}
+		if got := c.Deadline.Sub(k.Now()); got != want {
+			t.Errorf("caller waits %q: %v, want %v", sent, got, want)
+		}
+	}
+}
