Keep repeats of the whole fleet within a fifth also after a calm time

And repeats that are safe and cheap, after a server's word that it has not run the request, had the same small share (5%) as those that may repeat work. Change: one repeat of each sort is saved up; 10% after a positive refusal, 4% after other failures, 5% hedges (10% before).

--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -41,19 +41,21 @@
 }
 
 // Shares of further attempts for classes that are configured as items. All nodes
-// together stay below a fifth of the requests of a service, with the calls that
-// repeated requests make again.
+// together stay below a fifth of the requests of a service within any ten seconds:
+// little is saved up, because many nodes would spend it at the same time.
 const (
-	itemRetryRatio = 0.05
-	itemHedgeRatio = 0.10
-	itemReserve    = 1
+	itemRetryRatio   = 0.04
+	itemRefusalRatio = 0.10
+	itemHedgeRatio   = 0.05
+	itemReserve      = 1
 )
 
 func (f *attempts) config(item bool) retry.Config {
 	if !item {
 		return retry.Config{}
 	}
-	return retry.Config{RetryRatio: itemRetryRatio, HedgeRatio: itemHedgeRatio, RetryReserve: itemReserve, HedgeReserve: itemReserve, Sparse: true}
+	return retry.Config{RetryRatio: itemRetryRatio, RefusalRatio: itemRefusalRatio, HedgeRatio: itemHedgeRatio,
+		RetryReserve: itemReserve, HedgeReserve: itemReserve, Burst: itemReserve, Sparse: true}
 }
 
 func (f *attempts) Serve(c *Call) error {
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -13,8 +13,14 @@
 	HedgeRatio   float64 // hedges for each request
 	RetryReserve int     // retries available without recent traffic
 	HedgeReserve int
-	MinHedge     time.Duration // shortest delay of a hedge
-	Sparse       bool          // the node sees few requests of the class
+	// RefusalRatio is the retries for each request after a backend server's positive
+	// refusal, out of a budget of their own: the work has not run, so that no calls
+	// below it are repeated either. Zero: RetryRatio covers them.
+	RefusalRatio float64
+	// Burst bounds the tokens that are saved up in each budget. Zero: budgetLimit.
+	Burst    int
+	MinHedge time.Duration // shortest delay of a hedge
+	Sparse   bool          // the node sees few requests of the class
 }
 
 // Defaults of Config.
@@ -42,6 +48,9 @@
 	if c.MinHedge <= 0 {
 		c.MinHedge = DefaultMinHedge
 	}
+	if c.Burst <= 0 {
+		c.Burst = budgetLimit
+	}
 	c.RetryRatio, c.HedgeRatio = max(c.RetryRatio, 0), max(c.HedgeRatio, 0)
 	c.RetryReserve, c.HedgeReserve = max(c.RetryReserve, 0), max(c.HedgeReserve, 0)
 	return c
@@ -52,6 +61,7 @@
 type Policy struct {
 	config  Config
 	retries *Budget
+	refused *Budget // for retries after a backend server's positive refusal
 	hedges  *Budget
 	moves   *Budget
 	latency *Latency
@@ -64,18 +74,26 @@
 	if c.Sparse {
 		latency = NewSparseLatency(now)
 	}
-	return &Policy{
+	p := &Policy{
 		config:  c,
-		retries: NewBudget(now, c.RetryRatio, c.RetryReserve),
-		hedges:  NewBudget(now, c.HedgeRatio, c.HedgeReserve),
+		retries: newBudget(now, c.RetryRatio, c.RetryReserve, c.Burst),
+		hedges:  newBudget(now, c.HedgeRatio, c.HedgeReserve, c.Burst),
 		moves:   newBudget(now, extraMoveRatio, extraMoveLimit, extraMoveLimit),
 		latency: latency,
 	}
+	p.refused = p.retries
+	if c.RefusalRatio > 0 {
+		p.refused = newBudget(now, c.RefusalRatio, c.RetryReserve, c.Burst)
+	}
+	return p
 }
 
 // Began records a request of the class. It earns shares of further attempts.
 func (p *Policy) Began() {
 	p.retries.Earn()
+	if p.refused != p.retries {
+		p.refused.Earn()
+	}
 	p.hedges.Earn()
 	p.moves.Earn()
 }
@@ -133,7 +151,11 @@
 	if !p.worthwhile(f.Remaining) || !attempts.Take() {
 		return Decision{GiveUp, f.Kind}
 	}
-	if !p.retries.Spend(now) {
+	budget := p.retries
+	if f.Kind == errkind.BackendRefused {
+		budget = p.refused
+	}
+	if !budget.Spend(now) {
 		attempts.Return(1)
 		return Decision{GiveUp, p.exhaustedKind(f)}
 	}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -184,3 +184,41 @@
 		}
 	})
 }
+
+// Guards against repeats that many nodes have saved up and send within one window:
+// after a long calm time a fault that concerns every request must not push the
+// repeats of a service beyond the share that the whole fleet has.
+func TestSavedRepeatsOfManyNodesStayBounded(t *testing.T) {
+	const (
+		nodes, perSecond, calm, window = 84, 5, 300, 10
+		share, slack                   = 0.2, 208
+	)
+	start := time.Unix(1000, 0)
+	config := Config{RetryRatio: 0.04, RefusalRatio: 0.10, HedgeRatio: 0.05, RetryReserve: 1, HedgeReserve: 1, Burst: 1, Sparse: true}
+	repeats := 0
+	for range nodes {
+		p := New(start, config)
+		for i := range (calm + window) * perSecond {
+			now := start.Add(time.Duration(i) * time.Second / perSecond)
+			p.Began()
+			if i < calm*perSecond {
+				continue
+			}
+			for _, kind := range []errkind.Kind{errkind.BackendRefused, errkind.ConnectionLost} {
+				f := Failure{Kind: kind, Idempotent: true, Remaining: time.Second}
+				if p.After(now, f, NewAttempts(1)).Verb == RetryElsewhere {
+					repeats++
+				}
+			}
+			if p.Hedge(now, NewAttempts(1)) {
+				repeats++
+			}
+		}
+	}
+	if most := int(share*nodes*perSecond*window) + slack; repeats > most {
+		t.Errorf("%d repeats within %d s, want at most %d", repeats, window, most)
+	}
+	if least := int(0.15 * nodes * perSecond * window); repeats < least {
+		t.Errorf("%d repeats within %d s, want at least %d", repeats, window, least)
+	}
+}
