--- a/admit/controller.go
+++ b/admit/controller.go
@@ -87,9 +87,7 @@
 	}
 	c.expire(now)
 	c.dispatch(now)
-	if (r.Movable || r.Urgency <= fleet.UrgencyLow) && !r.Target.IsZero() && c.pace.slow(now) {
-		// A caller whose request has low urgency better comes back than has it run
-		// in a slow phase, at the cost of others.
+	if c.avoidsSlowPhase(r) && c.pace.slow(now) {
 		return Refused, errkind.ServerSlow, c.actions
 	}
 	if c.slotFor(r) && c.overtakes(r) {
@@ -104,6 +102,13 @@
 	return verdict, kind, c.actions
 }
 
+// avoidsSlowPhase reports whether r is refused while the server is in a slow phase.
+// A caller whose request has low urgency better comes back than has it run then, at
+// the cost of others, unless no other server will ever take it.
+func (c *Controller) avoidsSlowPhase(r Request) bool {
+	return !r.Target.IsZero() && (r.Movable || r.Urgency <= fleet.UrgencyLow && !r.Sole)
+}
+
 // overtakes reports whether r would be the first of the queue. The head of the
 // queue may wait for a slot that r does not need.
 func (c *Controller) overtakes(r Request) bool {
--- a/admit/target_test.go
+++ b/admit/target_test.go
@@ -121,7 +121,10 @@
 	}
 	urgency = fleet.UrgencyLow
 	if k := offer(3, false); k != errkind.ServerSlow {
-		t.Errorf("request of low urgency without another server: %q", k)
+		t.Errorf("request of low urgency without another server to ask: %q", k)
+	}
+	if _, k, _ := c.Offer(at(4), 100, Request{Class: "work", Urgency: urgency, Sole: true, Target: at(504), Deadline: at(904)}); k != "" {
+		t.Errorf("request of low urgency at the only server: %q", k)
 	}
 	if k := offer(int(paceTrust.Milliseconds())+1, true); k != "" {
 		t.Errorf("after the report has aged: %q", k)
