Wait for what a request teaches before the clock of a test moves on

A hedge asks both servers in the same minute of the manual clock, and an entry node learns the load after the caller has its answer: when the test had moved the clock meanwhile, the load of b looked new and no question was due. The product is right. Change: the test waits for the record of each request, which is made after the load is learned, and takes only requests that were not hedged. The checks are the same.

--- a/proxy/report_test.go
+++ b/proxy/report_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"bramleymill/explain"
 	"bramleymill/fleet"
 	"bramleymill/probe"
 )
@@ -48,11 +49,33 @@
 		t.Fatalf("a does not know %s", of)
 		return 0
 	}
-	// useOwn sends requests, long after the last one, until a has served one itself.
+	// attempts waits for the record of a request at its entry node.
+	attempts := func(id string) int {
+		for {
+			for _, r := range a.Explain().Find(id) {
+				if r.Side == explain.Entry {
+					return len(r.Attempts)
+				}
+			}
+			if t.Context().Err() != nil {
+				t.Fatalf("no record of %s", id)
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	// useOwn sends requests, long after the last one, until a has served one itself
+	// and b was not asked: a hedge learns the load of both.
 	useOwn := func() {
-		for text := ""; text != "a"; {
+		for {
 			c.clock.Advance(time.Minute)
-			_, text, _ = request(t, "GET", a.caller.URL+"/x", strings.NewReader(""))
+			resp, text, err := request(t, "GET", a.caller.URL+"/x", strings.NewReader(""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			// The load is learned after the answer and before the record.
+			if n := attempts(resp.Header.Get(fleet.HeaderRequestID)); text == "a" && n == 1 {
+				return
+			}
 		}
 	}
 	if q := a.Questions(); len(q) != 0 {
