Reserve a slot by datagram before a request is sent to another node

Refused requests, with their headers and bodies, filled the links.

Change: an attempt that can be moved reserves a slot first, with one datagram in each direction on the socket of the control messages (trusted network only). Six moves are free now; the budget of moves is gone.

--- a/filter/admission.go
+++ b/filter/admission.go
@@ -7,6 +7,7 @@
 	"bramleymill/admit"
 	"bramleymill/clock"
 	"bramleymill/errkind"
+	"bramleymill/fleet"
 )
 
 type admission struct {
@@ -14,29 +15,38 @@
 	gate    *admit.Gate
 	clock   clock.Clock
 	refresh func(context.Context)
+	held    Held
+}
+
+// Held gives the slots that are held for attempts on their way.
+type Held interface {
+	// Take returns the slot that is held for c, which then belongs to the caller.
+	Take(c *Call) (admit.Slot, bool)
+}
+
+// AdmissionRequest returns what admission needs to know of an attempt.
+func AdmissionRequest(m *fleet.CallMeta, deadline time.Time) admit.Request {
+	r := admit.Request{
+		Urgency: m.Urgency, Internal: m.Internal, Deadline: deadline, Class: m.Class,
+		Movable: m.Movable, Sole: m.Sole, Hedge: m.Hedge,
+	}
+	if m.TargetLeft > 0 {
+		r.Target = deadline.Add(m.TargetLeft - m.Remaining)
+	}
+	return r
 }
 
 // NewAdmission returns the filter that waits for a slot of the backend server.
 // refresh, which may be nil, brings what is known of the pace of the server up to
-// date before a request that could run elsewhere is admitted.
-func NewAdmission(next Handler, g *admit.Gate, k clock.Clock, refresh func(context.Context)) Handler {
-	return &admission{next, g, k, refresh}
+// date before a request that could run elsewhere is admitted. held, which may be
+// nil, gives the slots that were reserved before.
+func NewAdmission(next Handler, g *admit.Gate, k clock.Clock, refresh func(context.Context), held Held) Handler {
+	return &admission{next, g, k, refresh, held}
 }
 
 func (f *admission) Serve(c *Call) error {
 	arrived := f.clock.Now()
-	var target time.Time
-	if c.Meta.TargetLeft > 0 {
-		target = c.Deadline.Add(c.Meta.TargetLeft - c.Meta.Remaining)
-		if c.Meta.Movable && f.refresh != nil {
-			f.refresh(c.Ctx)
-		}
-	}
-	slot, refused := f.gate.Acquire(c.Ctx, admit.Request{
-		Target:  target,
-		Urgency: c.Meta.Urgency, Internal: c.Meta.Internal, Deadline: c.Deadline, Class: c.Meta.Class,
-		Movable: c.Meta.Movable, Sole: c.Meta.Sole, Hedge: c.Meta.Hedge,
-	})
+	slot, refused := f.acquire(c)
 	if refused != nil {
 		if refused.Kind == errkind.CallerGone {
 			// Nothing has run yet, which CallerGone would leave open.
@@ -68,6 +78,18 @@
 	return err
 }
 
+func (f *admission) acquire(c *Call) (admit.Slot, *errkind.Error) {
+	if f.held != nil {
+		if slot, ok := f.held.Take(c); ok {
+			return slot, nil
+		}
+	}
+	if c.Meta.TargetLeft > 0 && c.Meta.Movable && f.refresh != nil {
+		f.refresh(c.Ctx)
+	}
+	return f.gate.Acquire(c.Ctx, AdmissionRequest(&c.Meta, c.Deadline))
+}
+
 // duration returns the service time of a request that has been answered.
 func (f *admission) duration(c *Call, start time.Time) time.Duration {
 	end := c.HeadAt
--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -157,7 +157,7 @@
 			return false, failure.Kind
 		}
 		c.refused++
-		if !p.MoveOn(now, c.refused) {
+		if !retry.MoveOn(c.refused) {
 			c.lastMove()
 		}
 		return true, failure.Kind
--- a/filter/peercheck.go
+++ b/filter/peercheck.go
@@ -24,9 +24,8 @@
 
 func (f *peerCheck) Serve(c *Call) error {
 	m := &c.Meta
-	if inc := f.inc(); m.Target != f.self || m.Incarnation != inc {
-		return errkind.New(errkind.StaleTarget, "attempt is for %s incarnation %d, this is %s incarnation %d",
-			m.Target, m.Incarnation, f.self, inc)
+	if err := CheckTarget(m, f.self, f.inc()); err != nil {
+		return err
 	}
 	if m.Depth == 0 || m.Depth > fleet.MaxDepth {
 		return errkind.New(errkind.DepthExceeded, "call depth %d is not from 1 to %d", m.Depth, fleet.MaxDepth)
@@ -36,3 +35,12 @@
 	}
 	return f.next.Serve(c)
 }
+
+// CheckTarget refuses an attempt for another node or another incarnation of it.
+func CheckTarget(m *fleet.CallMeta, self fleet.NodeID, inc fleet.Incarnation) error {
+	if m.Target == self && m.Incarnation == inc {
+		return nil
+	}
+	return errkind.New(errkind.StaleTarget, "attempt is for %s incarnation %d, this is %s incarnation %d",
+		m.Target, m.Incarnation, self, inc)
+}
--- /dev/null
+++ b/filter/reserve_test.go
@@ -0,0 +1,68 @@
+package filter
+
+import (
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/fleet"
+)
+
+// reserving records what forward does with reservations and sends.
+type reserving struct {
+	err  error
+	done []string
+}
+
+func (r *reserving) Reserve(c *Call) error {
+	r.done = append(r.done, "reserve")
+	if r.err == nil {
+		c.Meta.Reservation = 1
+	}
+	return r.err
+}
+
+func (r *reserving) Cancel(*Call) { r.done = append(r.done, "cancel") }
+
+func (r *reserving) Serve(*Call) error {
+	r.done = append(r.done, "send")
+	return nil
+}
+
+// Guards against requests that are sent without room for them, against a slot that
+// is kept for an attempt that is not sent, and against a further round trip where
+// it saves nothing.
+func TestForwardReservesBeforeItSends(t *testing.T) {
+	refusal, stopped := errkind.New(errkind.QueueFull, "test"), errors.New("not now")
+	for _, c := range []struct {
+		name    string
+		change  func(c *Call)
+		refusal error
+		want    []string
+		err     error
+	}{
+		{"room", func(*Call) {}, nil, []string{"reserve", "send"}, nil},
+		{"no room", func(*Call) {}, refusal, []string{"reserve"}, refusal},
+		{"stopped before it is sent", func(c *Call) { c.BeforeSend = func(*Call) error { return stopped } }, nil, []string{"reserve", "cancel"}, stopped},
+		{"may wait in the queue", func(c *Call) { c.Meta.Movable = false }, nil, []string{"send"}, nil},
+		{"own server", func(c *Call) { c.Target.Node = "self" }, nil, []string{"send"}, nil},
+		{"class without a target for admission", func(c *Call) {
+			plain := *c.Class
+			plain.Item = false
+			c.Class = &plain
+		}, nil, []string{"send"}, nil},
+	} {
+		k := clock.NewManual(time.Unix(1000, 0))
+		r := &reserving{err: c.refusal}
+		call := itemCall(t, "order", k)
+		call.Target, call.Meta.Movable = fleet.Server{Node: "other"}, true
+		c.change(call)
+		err := NewForward(r, r, "self", r, k).Serve(call)
+		if !errors.Is(err, c.err) || !slices.Equal(r.done, c.want) {
+			t.Errorf("%s: %v and %v, want %v and %v", c.name, r.done, err, c.want, c.err)
+		}
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -117,6 +117,9 @@
 	// whose requests are refused rather than answered late. Zero: none.
 	TargetLeft time.Duration `cbor:"21,keyasint,omitempty"`
 	From       string        `cbor:"20,keyasint,omitempty"` // service beside whose node the request entered the fleet
+	// Reservation is the number under which the entry node has reserved a slot for
+	// the attempt. Zero: none.
+	Reservation uint64 `cbor:"22,keyasint,omitempty"`
 }
 
 // MaxDepth is the deepest call chain that is served.
--- a/node/run.go
+++ b/node/run.go
@@ -55,6 +55,9 @@
 	for _, l := range r.listeners {
 		group.Go(l.serve)
 	}
+	if n.settings.TrustedNetwork {
+		group.Go(func() error { return ignoreCanceled(n.endpoint.ServeDatagrams(ctx, r.proxy.Datagram)) })
+	}
 	group.Go(func() error { n.reportUsage(ctx); return nil })
 	group.Go(func() error { askForReports(ctx, r.proxy, n.endpoint, n.logger); return nil })
 	if n.recorder != nil {
@@ -116,6 +119,7 @@
 		ClientTLS:     n.peerClientTLS(),
 		Dialect:       n.options.Dialect,
 		FreePlacement: n.options.Dialect != nil,
+		Datagrams:     n.datagrams(),
 		Warmed:        n.member.SetWarmup,
 		KeyGeneration: n.keys.LastGeneration,
 		Seed:          n.seed,
@@ -149,6 +153,15 @@
 	return n.keys.PeerClient()
 }
 
+// datagrams returns nil unless the network is trusted: datagrams are not
+// authenticated.
+func (n *Node) datagrams() proxy.Datagrams {
+	if n.settings.TrustedNetwork {
+		return n.endpoint
+	}
+	return nil
+}
+
 func (n *Node) peerServerTLS() *tls.Config {
 	if n.settings.TrustedNetwork {
 		return nil
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -71,6 +71,10 @@
 	// ClientTLS is for connections to other nodes. Nil: they are plain, and the
 	// name that a node states is taken for true.
 	ClientTLS *tls.Config
+	// Datagrams carries reservations of slots for requests of classes that are
+	// configured as items. Nil: they are sent without a reservation. Datagrams prove
+	// nothing about their sender.
+	Datagrams Datagrams
 	// KeyGeneration changes with the keys of ClientTLS. Connections made before are
 	// not used for further requests. It may be nil.
 	KeyGeneration func() uint64
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -182,7 +182,7 @@
 
 func (p *Proxy) serveAttempt(c *filter.Call) error {
 	if p.server == nil {
-		return errkind.New(errkind.StaleTarget, "node %s has no backend server", p.config.Node)
+		return p.noServer()
 	}
 	task := p.work.begin(true) // the gate refuses while the node drains
 	defer task.end()
@@ -260,12 +260,19 @@
 	if err := fleet.DecodeHeader(header, &m); err != nil {
 		return nil, err
 	}
-	if m.RequestID == "" || len(m.RequestID) > maxRequestID || m.Attempt == 0 || m.AttemptsLeft > maxAttemptsLeft || m.Remaining > maxRemaining {
-		return nil, errMeta
+	if err := checkMeta(&m); err != nil {
+		return nil, err
 	}
 	return &m, nil
 }
 
+func checkMeta(m *fleet.CallMeta) error {
+	if m.RequestID == "" || len(m.RequestID) > maxRequestID || m.Attempt == 0 || m.AttemptsLeft > maxAttemptsLeft || m.Remaining > maxRemaining {
+		return errMeta
+	}
+	return nil
+}
+
 // addReport adds what a server node states with each answer and refusal.
 func (p *Proxy) addReport(h http.Header, c *filter.Call) {
 	report := p.LoadReport()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -35,6 +35,9 @@
 	retiring    atomic.Bool
 	requests    *requestLog
 
+	reserver     *reserver     // nil: requests are sent without a reservation
+	reservations *reservations // nil with reserver
+
 	measuring probe.Config
 	asks      *probe.Asks
 
@@ -59,6 +62,12 @@
 	p.remote.rules = p.rules()
 	if c.Backend != nil {
 		p.local = newLocalServer(p)
+	}
+	if c.Datagrams != nil {
+		p.reserver = newReserver(c.Node, c.Datagrams, p.configSeen)
+		p.reservations = newReservations(p)
+	}
+	if c.Backend != nil {
 		p.server = p.serverChain()
 	}
 	p.entry = p.entryChain()
@@ -83,7 +92,11 @@
 
 func (p *Proxy) entryChain() filter.Handler {
 	c, k := &p.config, p.config.Clock
-	var h filter.Handler = filter.NewForward(p.remote, filter.HandlerFunc(p.serveLocal), c.Node, k)
+	var reserver filter.Reserver
+	if p.reserver != nil {
+		reserver = p.reserver
+	}
+	var h filter.Handler = filter.NewForward(p.remote, filter.HandlerFunc(p.serveLocal), c.Node, reserver, k)
 	p.choose = filter.NewChoose(h, c.Directory, c.Zone, k, c.Seed, p.store)
 	p.choose.FreePlacement = c.FreePlacement
 	h = filter.NewAttempts(p.choose, k, p)
@@ -106,7 +119,11 @@
 	if l.announced != nil {
 		refresh = l.refreshPace
 	}
-	h = filter.NewAdmission(l.guard, l.gate, k, refresh)
+	var held filter.Held
+	if p.reservations != nil {
+		held = p.reservations
+	}
+	h = filter.NewAdmission(l.guard, l.gate, k, refresh, held)
 	h = filter.NewDownReport(h, l.guard)
 	h = filter.NewDuplicates(h, k)
 	return filter.NewPeerCheck(h, c.Node, p.Incarnation, k)
@@ -115,7 +132,7 @@
 // serveLocal runs the server chain for an attempt whose target is this node.
 func (p *Proxy) serveLocal(c *filter.Call) error {
 	if p.server == nil {
-		return errkind.New(errkind.StaleTarget, "node %s has no backend server", p.config.Node)
+		return p.noServer()
 	}
 	err := p.runAttempt(c)
 	report := p.LoadReport()
@@ -123,6 +140,11 @@
 	return err
 }
 
+// noServer refuses an attempt that was sent to a node without a backend server.
+func (p *Proxy) noServer() error {
+	return errkind.New(errkind.StaleTarget, "node %s has no backend server", p.config.Node)
+}
+
 // runAttempt runs the server chain.
 func (p *Proxy) runAttempt(c *filter.Call) error {
 	err := p.server.Serve(c)
--- /dev/null
+++ b/proxy/reserve_test.go
@@ -0,0 +1,281 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"bramleymill/admit"
+	"bramleymill/clock"
+	"bramleymill/errkind"
+	"bramleymill/explain"
+	"bramleymill/filter"
+	"bramleymill/fleet"
+)
+
+// datagramNet delivers datagrams between the parts of a test. lose decides which
+// ones are lost.
+type datagramNet struct {
+	mu        sync.Mutex
+	receivers map[string]func(from string, payload []byte)
+	lose      func(m *reservationMessage, n int) bool // n counts those of the verb from 1
+	counts    map[uint8]int
+}
+
+func newDatagramNet() *datagramNet {
+	return &datagramNet{receivers: map[string]func(string, []byte){}, counts: map[uint8]int{}}
+}
+
+// sender is the end of the net at an address.
+type sender struct {
+	net     *datagramNet
+	address string
+}
+
+func (s sender) SendDatagram(address string, payload []byte) error {
+	var m reservationMessage
+	if err := cbor.Unmarshal(payload, &m); err != nil {
+		return err
+	}
+	n := s.net
+	n.mu.Lock()
+	n.counts[m.Verb]++
+	lost := n.lose != nil && n.lose(&m, n.counts[m.Verb])
+	f := n.receivers[address]
+	n.mu.Unlock()
+	if !lost && f != nil {
+		go f(s.address, payload)
+	}
+	return nil
+}
+
+func (n *datagramNet) listen(address string, f func(from string, payload []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.receivers[address] = f
+}
+
+func (n *datagramNet) count(verb uint8) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.counts[verb]
+}
+
+// reserving is an entry node and a server node with a gate of one slot.
+type reserving struct {
+	net    *datagramNet
+	entry  *reserver
+	server *reservations
+}
+
+func newReserving(t *testing.T) *reserving {
+	n := newDatagramNet()
+	x := &reserving{net: n, entry: newReserver("entry", sender{n, "entry:1"}, func(uint64) {})}
+	x.server = &reservations{gate: admit.NewGate(admit.Config{Slots: 1, QueueLength: 4, NoReserve: true}, clock.System{}), clock: clock.System{},
+		datagrams: sender{n, "server:1"}, known: map[reservationKey]*reservation{},
+		check:   func(m *fleet.CallMeta) error { return filter.CheckTarget(m, "server", 7) },
+		refused: func(*fleet.CallMeta, error) {},
+		load:    func() fleet.LoadReport { return fleet.LoadReport{Incarnation: 7, Sequence: 1, InFlight: 5, Slots: 1} }}
+	p := &Proxy{reserver: x.entry, reservations: x.server}
+	n.listen("entry:1", p.Datagram)
+	n.listen("server:1", p.Datagram)
+	return x
+}
+
+func (x *reserving) call(ctx context.Context) *filter.Call {
+	c := &filter.Call{Ctx: ctx, Record: &explain.Record{}}
+	c.Target = fleet.Server{Node: "server", Incarnation: 7, PeerAddress: "server:1"}
+	c.Meta = fleet.CallMeta{RequestID: "r", Attempt: 1, Depth: 1, Entry: "entry", Target: "server", Incarnation: 7, Movable: true,
+		Class: "work", Urgency: fleet.UrgencyNormal, Remaining: time.Minute, TargetLeft: time.Minute}
+	return c
+}
+
+// awaitFree waits until no slot is taken.
+func (x *reserving) awaitFree(t *testing.T) {
+	t.Helper()
+	for x.server.gate.Load().InFlight > 0 {
+		if t.Context().Err() != nil {
+			t.Fatal("the slot stays taken")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a request that is sent to a server without room, against a slot
+// that two requests get, and against a refusal that leaves the load unknown.
+func TestReservationHoldsTheOnlySlot(t *testing.T) {
+	x := newReserving(t)
+	first, second := x.call(t.Context()), x.call(t.Context())
+	if err := x.entry.Reserve(first); err != nil {
+		t.Fatal(err)
+	}
+	if err := x.entry.Reserve(second); errkind.Of(err).Kind != errkind.QueueFull {
+		t.Errorf("second reservation of one slot: %v", err)
+	}
+	if second.Load == nil || second.Load.InFlight != 5 || second.Meta.Reservation != 0 {
+		t.Errorf("after a refusal: load %+v, reservation %d", second.Load, second.Meta.Reservation)
+	}
+	slot, held := x.server.Take(first)
+	if !held {
+		t.Fatal("the slot is not held for its request")
+	}
+	if _, again := x.server.Take(first); again {
+		t.Error("the slot was given out twice")
+	}
+	slot.Release(0)
+	if err := x.entry.Reserve(second); err != nil {
+		t.Errorf("after the slot was given back: %v", err)
+	}
+}
+
+// Guards against an attempt that fails, or takes two slots, because one datagram
+// was lost.
+func TestReservationOutlivesTheLossOfADatagram(t *testing.T) {
+	for name, verb := range map[string]uint8{"request": verbReserve, "reply": verbGranted} {
+		x := newReserving(t)
+		x.net.lose = func(m *reservationMessage, n int) bool { return m.Verb == verb && n == 1 }
+		c := x.call(t.Context())
+		if err := x.entry.Reserve(c); err != nil {
+			t.Errorf("%s lost: %v", name, err)
+		}
+		if n := x.server.gate.Load().InFlight; n != 1 {
+			t.Errorf("%s lost: %d slots taken", name, n)
+		}
+	}
+}
+
+// Guards against a wait for a node that is gone, against an unknown outcome of what
+// was never sent, and against a slot that stays taken.
+func TestSilentNodeIsGivenUp(t *testing.T) {
+	x := newReserving(t)
+	x.net.lose = func(m *reservationMessage, _ int) bool { return m.Verb == verbGranted }
+	if err := x.entry.Reserve(x.call(t.Context())); errkind.Of(err).Kind != errkind.BackendDown {
+		t.Errorf("a node that does not reply: %v", err)
+	}
+	if n := x.net.count(verbReserve); n != 2 {
+		t.Errorf("asked %d times, want 2", n)
+	}
+	x.awaitFree(t)
+}
+
+// Guards against work for a caller who has left, and against a slot that is held
+// for it.
+func TestReservationEndsWithItsCaller(t *testing.T) {
+	x := newReserving(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	x.net.lose = func(m *reservationMessage, _ int) bool {
+		if m.Verb == verbGranted {
+			cancel()
+			return true
+		}
+		return false
+	}
+	if err := x.entry.Reserve(x.call(ctx)); err == nil {
+		t.Error("reserved for a caller who has left")
+	}
+	x.awaitFree(t)
+}
+
+// Guards against a slot that is lost for ever when its request does not come.
+func TestHeldSlotIsGivenBack(t *testing.T) {
+	x := newReserving(t)
+	if err := x.entry.Reserve(x.call(t.Context())); err != nil {
+		t.Fatal(err)
+	}
+	x.awaitFree(t)
+	x.server.mu.Lock()
+	defer x.server.mu.Unlock()
+	if len(x.server.known) != 0 {
+		t.Error("the reservation is kept")
+	}
+}
+
+// Guards against reservations for an earlier life of a node and for another node,
+// and against messages that no entry node sends.
+func TestReservationsThatAreNotServed(t *testing.T) {
+	x := newReserving(t)
+	for name, change := range map[string]func(m *fleet.CallMeta){
+		"earlier life": func(m *fleet.CallMeta) { m.Incarnation = 6 },
+		"other node":   func(m *fleet.CallMeta) { m.Target = "other" },
+	} {
+		c := x.call(t.Context())
+		change(&c.Meta)
+		if err := x.entry.Reserve(c); errkind.Of(err).Kind != errkind.StaleTarget {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	p := &Proxy{reserver: x.entry, reservations: x.server}
+	forged := x.call(t.Context()).Meta
+	for _, m := range []any{"text", &reservationMessage{Verb: verbReserve, Entry: "entry"}, &reservationMessage{Verb: 99},
+		&reservationMessage{Verb: verbReserve, Entry: "another", Meta: &forged}, &reservationMessage{Verb: verbGranted, Number: 5}} {
+		b, err := cbor.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Datagram("entry:1", b)
+	}
+	if n := x.server.gate.Load().InFlight; n != 0 {
+		t.Errorf("%d slots taken", n)
+	}
+}
+
+// Guards against reservations without bound, each of which holds memory.
+func TestReservationsAreBounded(t *testing.T) {
+	x := newReserving(t)
+	for n := range maxReservations {
+		if _, err := x.server.add(reservationKey{"entry", uint64(n) + 1}, func() {}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := x.entry.Reserve(x.call(t.Context())); errkind.Of(err).Kind != errkind.QueueFull {
+		t.Errorf("one more than %d: %v", maxReservations, err)
+	}
+}
+
+// Guards against requests that travel to servers without room, and against a wait
+// at a server that others could do without.
+func TestRequestsTravelToServersWithRoom(t *testing.T) {
+	c := platformCluster(t)
+	n := newDatagramNet()
+	with := func(name string) func(*Config) {
+		return func(config *Config) { config.Datagrams = sender{n, name} }
+	}
+	release := make(chan struct{})
+	busy := c.platformNode("n1", func(conn net.Conn, r *http.Request, _ int32) bool {
+		<-release
+		return complete(conn, r, 200, "n1")
+	}, with("n1"))
+	free := c.platformNode("n2", func(conn net.Conn, r *http.Request, _ int32) bool { return complete(conn, r, 200, "n2") }, with("n2"))
+	entry := c.node("n3", nil, func(config *Config) { config.Dialect = &testDialect; config.FreePlacement = true }, with("n3"))
+	for _, x := range []*node{busy, free, entry} {
+		n.listen(string(x.name), x.Datagram)
+		n.listen(x.peerAddress(), x.Datagram)
+	}
+	var slots []admit.Slot
+	for range busy.local.gate.Load().Slots {
+		slot, refused := busy.local.gate.Acquire(t.Context(), admit.Request{Deadline: c.clock.Now().Add(time.Minute)})
+		if refused != nil {
+			t.Fatal(refused)
+		}
+		slots = append(slots, slot)
+	}
+	for range 10 {
+		expect(t, 200, "", "n2", "PUT", entry.caller.URL+"/order/1", "X-Id", "a", "X-Wait", "60000")
+	}
+	if n.count(verbGranted) != 10 {
+		t.Errorf("%d grants for 10 requests", n.count(verbGranted))
+	}
+	for _, s := range slots {
+		s.Release(0)
+	}
+	close(release)
+}
+
+// peerAddress returns the address that other nodes know.
+func (n *node) peerAddress() string { return strings.TrimPrefix(n.peer.URL, "https://") }
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -63,7 +63,6 @@
 	retries *Budget
 	refused *Budget // for retries after a backend server's positive refusal
 	hedges  *Budget
-	moves   *Budget
 	latency *Latency
 }
 
@@ -78,7 +77,6 @@
 		config:  c,
 		retries: newBudget(now, c.RetryRatio, c.RetryReserve, c.Burst),
 		hedges:  newBudget(now, c.HedgeRatio, c.HedgeReserve, c.Burst),
-		moves:   newBudget(now, extraMoveRatio, extraMoveLimit, extraMoveLimit),
 		latency: latency,
 	}
 	p.refused = p.retries
@@ -95,24 +93,16 @@
 		p.refused.Earn()
 	}
 	p.hedges.Earn()
-	p.moves.Earn()
 }
 
-// Bounds of the moves of a request from server to server before one lets it in.
-// When most servers are busy, further questions only load the nodes.
-const (
-	freeMoves      = 2
-	maxMoves       = 6
-	extraMoveRatio = 0.3 // moves beyond freeMoves for each request
-	extraMoveLimit = 5   // that may be saved up
-)
+// maxMoves bounds the moves of a request from server to server before one lets it
+// in. When seven servers are busy, further questions only load the nodes.
+const maxMoves = 6
 
 // MoveOn reports whether a request that was refused the given number of times
 // before it reached a backend server should ask one more server. If not, its next
 // attempt is the last one and may wait in a queue.
-func (p *Policy) MoveOn(now time.Time, refused int) bool {
-	return refused <= freeMoves || refused < maxMoves && p.moves.Spend(now)
-}
+func MoveOn(refused int) bool { return refused <= maxMoves }
 
 // Answered records the duration of a request that a backend server answered.
 func (p *Policy) Answered(now time.Time, d time.Duration) { p.latency.Record(now, d) }
