Let the last attempt of a request wait at the best of the servers asked

Cause: the attempt that may wait went to the best of three servers drawn at random, about most of which nothing had been told for seconds, although up to seven servers had told their queues within the last 20 ms.

Change: it goes to the server with the least expected completion time among those that refused it.

--- a/filter/call.go
+++ b/filter/call.go
@@ -68,9 +68,10 @@
 	BeforeSend func(c *Call) error
 
 	tried   *tried
-	refused int    // attempts of a class that is configured as an item that reached no backend server
-	last    bool   // no attempt follows one that reaches no backend server
-	passes  uint32 // times that the call went through the claims filter before
+	refused int          // attempts of a class that is configured as an item that reached no backend server
+	last    bool         // no attempt follows one that reaches no backend server
+	asked   pick.Exclude // set with last: the targets before
+	passes  uint32       // times that the call went through the claims filter before
 	Trial
 }
 
@@ -118,10 +119,11 @@
 	t.exclude = pick.Exclude{}
 }
 
-// lastMove lets the next attempt go to the best of all servers, which may let it
-// wait: those that were asked are busy.
+// lastMove lets the next attempt go to the best of the servers that were asked,
+// which may let it wait: they are busy, and how busy has just been told.
 func (c *Call) lastMove() {
 	c.last = true
+	c.asked = c.tried.excluded()
 	c.tried.restart()
 }
 
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -186,6 +186,11 @@
 	defer f.random.Put(rng)
 	var e *pick.Endpoint
 	var other bool
+	if c.last && !c.Meta.Hedge {
+		if e := b.PickAmong(now, &c.asked); e != nil {
+			return e
+		}
+	}
 	switch {
 	case copies == 0:
 		e, other = b.PickMovable(now, rng, exclude)
--- a/filter/item_test.go
+++ b/filter/item_test.go
@@ -179,3 +179,27 @@
 		}
 	}
 }
+// Guards against a last attempt that waits at a server about which nothing has been
+// told lately, while one that was just asked has a shorter queue.
+func TestLastAttemptGoesToTheBestOfThoseAsked(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	loads := map[fleet.NodeID]int{"n0": 9, "n1": 1, "n2": 7}
+	var targets []fleet.NodeID
+	choose := NewChoose(HandlerFunc(func(c *Call) error {
+		targets = append(targets, c.Target.Node)
+		c.SentAt = k.Now()
+		c.Load = &fleet.LoadReport{Incarnation: 1, Sequence: uint64(len(targets)), InFlight: 10, Queued: loads[c.Target.Node], Slots: 10}
+		if c.Meta.Movable {
+			return errkind.New(errkind.QueueFull, "test")
+		}
+		return nil
+	}), pool3{}, "", k, 1, nil)
+	choose.FreePlacement = true
+	f := NewDeadline(NewAttempts(choose, k, nil), k, 3, fleet.HeaderTimeoutMillis)
+	if err := f.Serve(itemCall(t, "order", k)); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(targets); n != 4 || targets[n-1] != "n1" {
+		t.Errorf("targets %v, want all three and then n1", targets)
+	}
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -152,6 +152,25 @@
 	return false
 }
 
+// PickAmong returns the server of asked with the least expected completion time,
+// or nil when none of them accepts work.
+func (b *Balancer) PickAmong(now time.Time, asked *Exclude) *Endpoint {
+	p := b.pool.Load()
+	t := p.at(now)
+	var best *Endpoint
+	var bestCost float64
+	for _, n := range asked.nodes[:min(asked.added, MaxExcluded)] {
+		e := p.byNode[n]
+		if !e.usable(nil) {
+			continue
+		}
+		if c := b.cost(e, t); best == nil || c < bestCost {
+			best, bestCost = e, c
+		}
+	}
+	return best
+}
+
 func contains(list []int, v int) bool {
 	for _, x := range list {
 		if x == v {
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -205,3 +205,25 @@
 		}
 	}
 }
+
+// Guards against the choice of a server that accepts no work, or of one that was
+// not named, because its cost is lower.
+func TestPickAmongTheNamedServers(t *testing.T) {
+	list := servers(6)
+	list[1].State = fleet.Draining
+	b, _ := newBalancer(Config{}, list)
+	for i, queue := range []int{0, 0, 9, 5, 7, 0} {
+		b.Observe(nodeName(i), start, &fleet.LoadReport{Incarnation: 1, Sequence: 1, InFlight: queue, Slots: 10})
+	}
+	var named Exclude
+	if e := b.PickAmong(start, &named); e != nil {
+		t.Errorf("picked %s of no server", e.Server.Node)
+	}
+	for _, i := range []int{1, 2, 3, 4} {
+		named.Add(nodeName(i))
+	}
+	named.Add("gone")
+	if e := b.PickAmong(start, &named); e == nil || e.Server.Node != nodeName(3) {
+		t.Errorf("picked %+v, want the fourth server", e)
+	}
+}
