Do not start queued requests that miss their target in a slow phase

Cause: a slot that became free in a slow phase went to a queued request that could not meet its target any more. It held the slot for some 350 ms, most of them after the phase, while requests that came in time were refused.

Change: such requests wait for the end of the phase or give up as before. Calls of backend servers still start.

--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -93,11 +93,13 @@
 
 // dispatch starts queued requests while slots are free. A request that can no
 // longer meet its deadline is refused, because running it would waste a slot.
-// Requests that miss their target start after those that can meet it, except
-// calls of backend servers: a request in flight waits for each of them.
+// Requests that miss their target start after those that can meet it, and not in a
+// slow phase, where they would hold slots far into the time after it.
 func (c *Controller) dispatch(now time.Time) {
 	c.dispatchIf(now, func(w *waiting) bool { return c.inTime(now, w) })
-	c.dispatchIf(now, func(*waiting) bool { return true })
+	if !c.pace.slow(now) {
+		c.dispatchIf(now, func(*waiting) bool { return true })
+	}
 }
 
 func (c *Controller) dispatchIf(now time.Time, wanted func(*waiting) bool) {
--- a/admit/target_test.go
+++ b/admit/target_test.go
@@ -135,6 +135,26 @@
 	}
 }
 
+// Guards against queued requests that start in a slow phase, where most of them
+// miss their targets and keep slots from those that come after it, and against
+// calls of backend servers that wait for its end.
+func TestQueuedRequestsWaitForTheEndOfASlowPhase(t *testing.T) {
+	c := loaded()
+	c.Offer(at(100), 3, Request{Class: "work", Urgency: fleet.UrgencyHigh, Target: at(500), Deadline: at(2000)})
+	c.Offer(at(100), 4, Request{Class: "work", Urgency: fleet.UrgencyCritical, Internal: true, Target: at(500), Deadline: at(2000)})
+	c.SetPace(at(150), 9)
+	if actions := c.Done(at(160), 2, 0); len(actions) != 1 || actions[0] != (Action{ID: 4}) {
+		t.Errorf("in the slow phase: actions %+v, want the start of the call", actions)
+	}
+	if actions := c.Done(at(200), 4, 0); len(actions) != 0 {
+		t.Errorf("in the slow phase: actions %+v, want none", actions)
+	}
+	c.SetPace(at(250), 1)
+	if actions := c.Tick(at(260)); len(actions) != 1 || actions[0] != (Action{ID: 3}) {
+		t.Errorf("after the slow phase: actions %+v, want the start of the request", actions)
+	}
+}
+
 // Guards against service times that mix the length of the work with the pace of
 // the machine.
 func TestServiceTimeIsLearnedAtTheUsualPace(t *testing.T) {
--- a/filter/item_test.go
+++ b/filter/item_test.go
@@ -179,6 +179,7 @@
 		}
 	}
 }
+
 // Guards against a last attempt that waits at a server about which nothing has been
 // told lately, while one that was just asked has a shorter queue.
 func TestLastAttemptGoesToTheBestOfThoseAsked(t *testing.T) {
