Let requests wait only with 2.5 service times left until their target

Cause: under overload all requests started at the last moment, 1.5 service times before their target. The servers complete as much with a short queue as with a long one, but half of the requests became late.

Change: targetMargin 1.5 -> 2.5.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -157,8 +157,9 @@
 
 // targetMargin is the time that a request must have until its target when it
 // starts, in multiples of its expected service time. A longer queue would serve no
-// more requests and half of them late.
-const targetMargin = 1.5
+// more requests, and half of them late: whatever slows one down then makes it miss
+// its target.
+const targetMargin = 2.5
 
 // enqueueForTarget lets a request wait that is likely to meet its target. While
 // other servers can be tried, it does not wait at all. A call of a backend server
