Log refused reservations under the id of the caller's request

The lines of server nodes lacked it since refusals travel as datagrams, so that a search for the id of a failed request missed them. The id travels with the reservation, as bytes, because callers may send any. A request whose names do not fit into a datagram is sent without a reservation, as TestRequestWithLongNames IsSentWithoutAReservation checks; it would have found no server.

--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -64,7 +64,7 @@
 		p.local = newLocalServer(p)
 	}
 	if c.Datagrams != nil {
-		p.reserver = newReserver(c.Node, c.Datagrams, p.configSeen)
+		p.reserver = newReserver(c.Node, c.Datagrams, p.configSeen, p.requests.callerID)
 		p.reservations = newReservations(p)
 	}
 	if c.Backend != nil {
--- a/proxy/reservations.go
+++ b/proxy/reservations.go
@@ -45,7 +45,7 @@
 	clock     clock.Clock
 	check     func(*fleet.CallMeta) error
 	load      func() fleet.LoadReport
-	refused   func(*fleet.CallMeta, error) // told of each refusal
+	refused   func(m *reservationMessage, err error) // told of each refusal
 	datagrams Datagrams
 
 	mu    sync.Mutex
@@ -55,15 +55,15 @@
 // newReservations returns the reservations at the backend server of p, if it has one.
 func newReservations(p *Proxy) *reservations {
 	r := &reservations{clock: p.config.Clock, load: p.LoadReport, datagrams: p.config.Datagrams, known: map[reservationKey]*reservation{}}
-	r.refused = func(*fleet.CallMeta, error) {}
+	r.refused = func(*reservationMessage, error) {}
 	r.check = func(*fleet.CallMeta) error { return p.noServer() }
 	if p.local == nil {
 		return r
 	}
 	r.gate = p.local.gate
 	r.check = func(m *fleet.CallMeta) error { return filter.CheckTarget(m, p.config.Node, p.Incarnation()) }
-	r.refused = func(m *fleet.CallMeta, err error) {
-		p.requests.refused(p.config.Clock.Now(), &filter.Call{Meta: *m, Record: &explain.Record{}}, p.local, err)
+	r.refused = func(m *reservationMessage, err error) {
+		p.requests.refused(p.config.Clock.Now(), &filter.Call{Meta: *m.Meta, Record: &explain.Record{CallerID: string(m.Caller)}}, p.local, err)
 	}
 	if p.local.announced != nil {
 		r.refresh = p.local.refreshPace
@@ -195,7 +195,7 @@
 func (r *reservations) refuse(from string, m *reservationMessage, err error) {
 	load := r.load()
 	_ = sendReservation(r.datagrams, from, &reservationMessage{Verb: verbRefused, Number: m.Number, Refusal: errkind.Of(err).Kind, Load: &load})
-	r.refused(m.Meta, err)
+	r.refused(m, err)
 }
 
 // Datagram takes a datagram that another node sent from an address. One that is
--- a/proxy/reserve.go
+++ b/proxy/reserve.go
@@ -32,14 +32,23 @@
 // reservationMessage is a datagram about the reservation of a slot. A reservation
 // is known by its entry node and the number that the entry node gave it.
 type reservationMessage struct {
-	Verb    uint8             `cbor:"1,keyasint"`
-	Number  uint64            `cbor:"2,keyasint"`
-	Entry   fleet.NodeID      `cbor:"3,keyasint,omitempty"` // set by the entry node
-	Meta    *fleet.CallMeta   `cbor:"4,keyasint,omitempty"` // of verbReserve
+	Verb   uint8           `cbor:"1,keyasint"`
+	Number uint64          `cbor:"2,keyasint"`
+	Entry  fleet.NodeID    `cbor:"3,keyasint,omitempty"` // set by the entry node
+	Meta   *fleet.CallMeta `cbor:"4,keyasint,omitempty"` // of verbReserve
+	// Caller is the id that the caller gave the request, for the log. It may hold any
+	// bytes.
+	Caller  []byte            `cbor:"7,keyasint,omitempty"`
 	Refusal errkind.Kind      `cbor:"5,keyasint,omitempty"` // of verbRefused
 	Load    *fleet.LoadReport `cbor:"6,keyasint,omitempty"` // of verbRefused
 }
 
+// Sizes of a reservation.
+const (
+	maxReservationBytes = 1000 // far below the size of a packet
+	maxReservedCaller   = 64   // of the id that the caller gave; the rest is left out
+)
+
 func sendReservation(d Datagrams, address string, m *reservationMessage) error {
 	b, err := cbor.Marshal(m)
 	if err != nil {
@@ -67,27 +76,39 @@
 	self      fleet.NodeID
 	datagrams Datagrams
 	seen      func(configVersion uint64)
+	callerID  func(*filter.Call) string
 
 	number  atomic.Uint64
 	mu      sync.Mutex
 	pending map[uint64]chan *reservationMessage
 }
 
-func newReserver(self fleet.NodeID, d Datagrams, seen func(configVersion uint64)) *reserver {
-	r := &reserver{self: self, datagrams: d, seen: seen, pending: map[uint64]chan *reservationMessage{}}
+func newReserver(self fleet.NodeID, d Datagrams, seen func(configVersion uint64), callerID func(*filter.Call) string) *reserver {
+	r := &reserver{self: self, datagrams: d, seen: seen, callerID: callerID, pending: map[uint64]chan *reservationMessage{}}
 	r.number.Store(rand.Uint64()) // numbers of an earlier life of the process are not used again
 	return r
 }
 
-// Reserve returns nil when the target of c holds a slot for it.
+// Reserve returns nil when the target of c holds a slot for it, or when c has to be
+// sent without a reservation because its names do not fit into a datagram.
 func (r *reserver) Reserve(c *filter.Call) error {
 	number := r.number.Add(1)
 	c.Meta.Reservation = number
+	caller := r.callerID(c)
+	message, err := cbor.Marshal(&reservationMessage{Verb: verbReserve, Number: number, Entry: r.self, Meta: &c.Meta,
+		Caller: []byte(caller[:min(len(caller), maxReservedCaller)])})
+	if err != nil {
+		return errkind.New(errkind.Internal, "%w", err)
+	}
+	if len(message) > maxReservationBytes {
+		c.Meta.Reservation = 0
+		return nil
+	}
 	reply := make(chan *reservationMessage, 1)
 	r.mu.Lock()
 	r.pending[number] = reply
 	r.mu.Unlock()
-	err := r.await(c, reply)
+	err = r.await(c, message, reply)
 	r.mu.Lock()
 	delete(r.pending, number)
 	r.mu.Unlock()
@@ -97,11 +118,10 @@
 	return err
 }
 
-// await sends the reservation of c, once more if nothing comes back, and waits for
-// the reply.
-func (r *reserver) await(c *filter.Call, reply <-chan *reservationMessage) error {
-	m := &reservationMessage{Verb: verbReserve, Number: c.Meta.Reservation, Entry: r.self, Meta: &c.Meta}
-	if err := sendReservation(r.datagrams, c.Target.PeerAddress, m); err != nil {
+// await sends a reservation, once more if nothing comes back, and waits for the
+// reply.
+func (r *reserver) await(c *filter.Call, message []byte, reply <-chan *reservationMessage) error {
+	if err := r.datagrams.SendDatagram(c.Target.PeerAddress, message); err != nil {
 		return notSent(c, errkind.BackendDown, err)
 	}
 	resend, timeout := time.NewTimer(reserveResend), time.NewTimer(reserveTimeout)
@@ -112,7 +132,7 @@
 		case m := <-reply:
 			return r.take(c, m)
 		case <-resend.C:
-			if err := sendReservation(r.datagrams, c.Target.PeerAddress, m); err != nil {
+			if err := r.datagrams.SendDatagram(c.Target.PeerAddress, message); err != nil {
 				return notSent(c, errkind.BackendDown, err)
 			}
 		case <-timeout.C:
--- a/proxy/reserve_test.go
+++ b/proxy/reserve_test.go
@@ -76,12 +76,16 @@
 
 func newReserving(t *testing.T) *reserving {
 	n := newDatagramNet()
-	x := &reserving{net: n, entry: newReserver("entry", sender{n, "entry:1"}, func(uint64) {})}
+	x := &reserving{net: n, entry: newReserver("entry", sender{n, "entry:1"}, func(uint64) {}, func(*filter.Call) string { return "caller\xff" })}
 	x.server = &reservations{gate: admit.NewGate(admit.Config{Slots: 1, QueueLength: 4, NoReserve: true}, clock.System{}), clock: clock.System{},
 		datagrams: sender{n, "server:1"}, known: map[reservationKey]*reservation{},
-		check:   func(m *fleet.CallMeta) error { return filter.CheckTarget(m, "server", 7) },
-		refused: func(*fleet.CallMeta, error) {},
-		load:    func() fleet.LoadReport { return fleet.LoadReport{Incarnation: 7, Sequence: 1, InFlight: 5, Slots: 1} }}
+		check: func(m *fleet.CallMeta) error { return filter.CheckTarget(m, "server", 7) },
+		refused: func(m *reservationMessage, _ error) {
+			if string(m.Caller) != "caller\xff" {
+				t.Errorf("refused request of the caller has the id %q", m.Caller)
+			}
+		},
+		load: func() fleet.LoadReport { return fleet.LoadReport{Incarnation: 7, Sequence: 1, InFlight: 5, Slots: 1} }}
 	p := &Proxy{reserver: x.entry, reservations: x.server}
 	n.listen("entry:1", p.Datagram)
 	n.listen("server:1", p.Datagram)
@@ -225,6 +229,16 @@
 	}
 }
 
+// Guards against a request that no server gets because its names are long.
+func TestRequestWithLongNamesIsSentWithoutAReservation(t *testing.T) {
+	x := newReserving(t)
+	c := x.call(t.Context())
+	c.Meta.Class = strings.Repeat("x", maxReservationBytes)
+	if err := x.entry.Reserve(c); err != nil || c.Meta.Reservation != 0 || x.net.count(verbReserve) != 0 {
+		t.Errorf("reservation %d, %d datagrams, %v", c.Meta.Reservation, x.net.count(verbReserve), err)
+	}
+}
+
 // Guards against reservations without bound, each of which holds memory.
 func TestReservationsAreBounded(t *testing.T) {
 	x := newReserving(t)
