Ask a server for its pace before its first answer

A third of the servers were in a slow phase, in which the first requests took over a second.

Change: the question before a movable request is also asked while the pace is not known, once for a server that does not tell it.

--- a/proxy/dialect_test.go
+++ b/proxy/dialect_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -53,6 +54,36 @@
 	}}, change...)...)
 }
 
+// Guards against a server that was just started and is filled with requests before
+// anything has told that it is in a slow phase, and against questions to a server
+// that does not tell its pace.
+func TestPaceIsAskedForBeforeTheFirstAnswer(t *testing.T) {
+	c := platformCluster(t)
+	for load, want := range map[string]struct {
+		pace  float64
+		asked int32
+	}{"X-Load: 0,0,4,400\r\n": {4, 1}, "X-Load: 0,0,4\r\n": {0, 1}, "": {0, 1}} {
+		var asked atomic.Int32
+		raw := newRawBackend(t, func(conn net.Conn, _ *http.Request, _ int32) bool {
+			asked.Add(1)
+			return write(conn, "HTTP/1.1 200 OK\r\nX-Instance: i\r\n"+load+"Content-Length: 0\r\n\r\n")
+		})
+		n := c.node("n"+strconv.Itoa(len(c.nodes)), nil, func(config *Config) {
+			config.Dialect = &testDialect
+			config.Backend = &settings.Backend{Service: "shop", Address: raw.listener.Addr().String(), Slots: 4, Connections: 32, HealthPath: "/well", Announces: true}
+		})
+		before := asked.Load()
+		// The answer may take longer than a request waits for it.
+		for n.local.gate.Load().Pace != want.pace || asked.Load() == before {
+			n.local.refreshPace(t.Context())
+		}
+		n.local.refreshPace(t.Context())
+		if got := asked.Load() - before; got != want.asked {
+			t.Errorf("load header %q: asked %d times, want %d", load, got, want.asked)
+		}
+	}
+}
+
 // complete writes an answer that is well formed for the request.
 func complete(conn net.Conn, r *http.Request, status int, body string, header ...string) bool {
 	return write(conn, fmt.Sprintf("HTTP/1.1 %d x\r\nX-Id: %s\r\nX-Stamp: s\r\nContent-Length: %d\r\n%s\r\n%s",
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bramleymill/admit"
@@ -24,6 +25,7 @@
 	guard   *filter.CrashGuard
 	// announced is nil unless the backend server announces itself.
 	announced *announced
+	paceless  atomic.Bool // the backend server has answered a question without telling its pace
 
 	mu      sync.Mutex
 	current fleet.ServerState
@@ -63,18 +65,21 @@
 )
 
 // refreshPace asks the backend server for its pace unless an answer has told it
-// lately. A server that never tells its pace is not asked.
+// lately. A server whose answer does not tell its pace is not asked again.
 func (l *localServer) refreshPace(ctx context.Context) {
 	load := l.gate.Load()
-	if load.Pace == 0 || load.PaceAge < paceFresh {
+	if load.Pace > 0 && load.PaceAge < paceFresh || load.Pace == 0 && l.paceless.Load() {
 		return
 	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if h, err := l.announced.health(ctx); err == nil && h.told {
-			l.loadTold(h.load)
+		h, err := l.announced.health(ctx)
+		if err != nil {
+			return // the next request asks again
 		}
+		l.loadTold(h.load)
+		l.paceless.Store(h.load.Pace == 0)
 	}()
 	t := time.NewTimer(paceWait)
 	defer t.Stop()
