Choose the server beside the node first while it has room

Cause: each answer crosses the link of its server and that of its entry node, and an entry node drew servers at random although the one beside it was often free and the only one whose load it knows exactly.

Change: for classes configured as items the own server comes first when a request would start there at once and not in a slow phase.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -102,6 +102,12 @@
 	return verdict, kind, c.actions
 }
 
+// Room reports whether a request that is not privileged would start at once and not
+// in a slow phase, as far as is known.
+func (c *Controller) Room(now time.Time) bool {
+	return c.closed == "" && len(c.queue) == 0 && c.slotFor(Request{}) && !c.pace.slow(now)
+}
+
 // avoidsSlowPhase reports whether r is refused while the server is in a slow phase.
 // A caller whose request has low urgency better comes back than has it run then, at
 // the cost of others, unless no other server will ever take it.
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -156,6 +156,14 @@
 	g.controller.SetPace(g.clock.Now(), pace)
 }
 
+// Room reports whether a request would start at once and not in a slow phase, as
+// far as is known.
+func (g *Gate) Room() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.controller.Room(g.clock.Now())
+}
+
 // Load returns the counts for the load report.
 func (g *Gate) Load() Load {
 	g.mu.Lock()
--- a/admit/target_test.go
+++ b/admit/target_test.go
@@ -189,3 +189,28 @@
 		t.Errorf("actions %+v, want the start of 3", actions)
 	}
 }
+
+// Guards against a server that is preferred although a request would wait there, be
+// refused, or start in a slow phase.
+func TestRoomMeansAnImmediateStart(t *testing.T) {
+	c := NewController(Config{Slots: 2, QueueLength: 4, NoReserve: true})
+	check := func(what string, now int, want bool) {
+		t.Helper()
+		if got := c.Room(at(now)); got != want {
+			t.Errorf("%s: room %t, want %t", what, got, want)
+		}
+	}
+	check("idle", 0, true)
+	c.SetPace(at(0), 4)
+	check("in a slow phase", 1, false)
+	c.SetPace(at(2), 1)
+	for id := range uint64(2) {
+		check("a slot is free", 3, true)
+		c.Offer(at(3), id, Request{Class: "work", Deadline: at(10000)})
+	}
+	check("all slots are in use", 4, false)
+	c.Done(at(5), 1, 0)
+	check("a slot is free again", 5, true)
+	c.Close(errkind.Draining)
+	check("draining", 6, false)
+}
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -25,6 +25,12 @@
 	// server. Where no more is asked for than to stop a request after some crashes,
 	// a free choice keeps the load of distinct requests even.
 	FreePlacement bool
+	// OwnRoom reports whether a request would start at once at the backend server of
+	// the node Self. That server then comes before all others for classes that are
+	// configured as items: its load is known exactly, and no link carries the request.
+	// Nil: it is a server like the others.
+	OwnRoom func() bool
+	Self    fleet.NodeID
 
 	next      Handler
 	directory Directory
@@ -186,6 +192,12 @@
 	defer f.random.Put(rng)
 	var e *pick.Endpoint
 	var other bool
+	if c.Class.Item && !c.last && f.OwnRoom != nil && !exclude.Has(f.Self) {
+		if e := b.Eligible(f.Self); e != nil && f.OwnRoom() {
+			c.Meta.Movable = c.Meta.Movable && (b.Len() > 1 || c.refused > 0)
+			return e
+		}
+	}
 	if c.last && !c.Meta.Hedge {
 		if e := b.PickAmong(now, &c.asked); e != nil {
 			return e
--- a/filter/item_test.go
+++ b/filter/item_test.go
@@ -204,3 +204,49 @@
 		t.Errorf("targets %v, want all three and then n1", targets)
 	}
 }
+
+// Guards against requests that travel although the server beside the node would
+// start them at once, and against a busy own server that is asked again and again.
+func TestOwnServerComesFirstWhileItHasRoom(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	for _, c := range []struct {
+		name   string
+		room   bool
+		kinds  []errkind.Kind
+		first  bool // the first attempt goes to the own server in any case
+		visits int  // to the own server
+	}{
+		{"room", true, nil, true, 1},
+		{"refused in spite of room", true, []errkind.Kind{errkind.QueueFull, errkind.QueueFull}, true, 1},
+		{"no room", false, slices.Repeat([]errkind.Kind{errkind.QueueFull}, 2), false, -1},
+	} {
+		firsts := map[fleet.NodeID]bool{}
+		for seed := range uint64(20) {
+			var targets []fleet.NodeID
+			choose := NewChoose(HandlerFunc(func(a *Call) error {
+				targets = append(targets, a.Target.Node)
+				if n := len(targets); n <= len(c.kinds) {
+					return errkind.New(c.kinds[n-1], "test")
+				}
+				return nil
+			}), pool3{}, "", k, seed, nil)
+			choose.FreePlacement, choose.Self, choose.OwnRoom = true, "n1", func() bool { return c.room }
+			if err := NewDeadline(NewAttempts(choose, k, nil), k, 3, fleet.HeaderTimeoutMillis).Serve(itemCall(t, "order", k)); err != nil {
+				t.Fatal(err)
+			}
+			firsts[targets[0]] = true
+			visits := 0
+			for _, n := range targets {
+				if n == "n1" {
+					visits++
+				}
+			}
+			if c.first && targets[0] != "n1" || c.visits >= 0 && visits != c.visits || len(targets) != len(c.kinds)+1 {
+				t.Errorf("%s, seed %d: targets %v", c.name, seed, targets)
+			}
+		}
+		if others := len(firsts) > 1; others == c.first {
+			t.Errorf("%s: first targets %v", c.name, firsts)
+		}
+	}
+}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -152,6 +152,14 @@
 	return false
 }
 
+// Eligible returns the server of a node if it accepts work and is not ejected, or nil.
+func (b *Balancer) Eligible(node fleet.NodeID) *Endpoint {
+	if e := b.pool.Load().byNode[node]; e.usable(nil) {
+		return e
+	}
+	return nil
+}
+
 // PickAmong returns the server of asked with the least expected completion time,
 // or nil when none of them accepts work.
 func (b *Balancer) PickAmong(now time.Time, asked *Exclude) *Endpoint {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -99,6 +99,9 @@
 	var h filter.Handler = filter.NewForward(p.remote, filter.HandlerFunc(p.serveLocal), c.Node, reserver, k)
 	p.choose = filter.NewChoose(h, c.Directory, c.Zone, k, c.Seed, p.store)
 	p.choose.FreePlacement = c.FreePlacement
+	if p.local != nil {
+		p.choose.Self, p.choose.OwnRoom = c.Node, p.local.gate.Room
+	}
 	h = filter.NewAttempts(p.choose, k, p)
 	h = filter.NewClaims(h, c.Claims)
 	h = filter.NewSuspects(h, c.Suspects, c.Locks, k)
