Leave out of a reservation what admission does not need

Under overload there are several reservations for each request. Without ids of the request, names of target and entry node and the fingerprint they take about half of the bytes; the incarnation alone names the target, as no other process at its address has it.

--- a/filter/peercheck.go
+++ b/filter/peercheck.go
@@ -24,7 +24,10 @@
 
 func (f *peerCheck) Serve(c *Call) error {
 	m := &c.Meta
-	if err := CheckTarget(m, f.self, f.inc()); err != nil {
+	if m.Target != f.self {
+		return errkind.New(errkind.StaleTarget, "attempt is for %s, this is %s", m.Target, f.self)
+	}
+	if err := CheckIncarnation(m.Incarnation, f.self, f.inc()); err != nil {
 		return err
 	}
 	if m.Depth == 0 || m.Depth > fleet.MaxDepth {
@@ -36,11 +39,10 @@
 	return f.next.Serve(c)
 }
 
-// CheckTarget refuses an attempt for another node or another incarnation of it.
-func CheckTarget(m *fleet.CallMeta, self fleet.NodeID, inc fleet.Incarnation) error {
-	if m.Target == self && m.Incarnation == inc {
+// CheckIncarnation refuses what is meant for another incarnation of the node self.
+func CheckIncarnation(meant fleet.Incarnation, self fleet.NodeID, own fleet.Incarnation) error {
+	if meant == own {
 		return nil
 	}
-	return errkind.New(errkind.StaleTarget, "attempt is for %s incarnation %d, this is %s incarnation %d",
-		m.Target, m.Incarnation, self, inc)
+	return errkind.New(errkind.StaleTarget, "attempt is for incarnation %d, this is %s incarnation %d", meant, self, own)
 }
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -260,17 +260,10 @@
 	if err := fleet.DecodeHeader(header, &m); err != nil {
 		return nil, err
 	}
-	if err := checkMeta(&m); err != nil {
-		return nil, err
-	}
-	return &m, nil
-}
-
-func checkMeta(m *fleet.CallMeta) error {
 	if m.RequestID == "" || len(m.RequestID) > maxRequestID || m.Attempt == 0 || m.AttemptsLeft > maxAttemptsLeft || m.Remaining > maxRemaining {
-		return errMeta
+		return nil, errMeta
 	}
-	return nil
+	return &m, nil
 }
 
 // addReport adds what a server node states with each answer and refusal.
--- a/proxy/reservations.go
+++ b/proxy/reservations.go
@@ -43,7 +43,7 @@
 	gate      *admit.Gate
 	refresh   func(context.Context) // brings the pace of the server up to date; may be nil
 	clock     clock.Clock
-	check     func(*fleet.CallMeta) error
+	check     func(fleet.Incarnation) error // of the target
 	load      func() fleet.LoadReport
 	refused   func(m *reservationMessage, err error) // told of each refusal
 	datagrams Datagrams
@@ -56,14 +56,16 @@
 func newReservations(p *Proxy) *reservations {
 	r := &reservations{clock: p.config.Clock, load: p.LoadReport, datagrams: p.config.Datagrams, known: map[reservationKey]*reservation{}}
 	r.refused = func(*reservationMessage, error) {}
-	r.check = func(*fleet.CallMeta) error { return p.noServer() }
+	r.check = func(fleet.Incarnation) error { return p.noServer() }
 	if p.local == nil {
 		return r
 	}
 	r.gate = p.local.gate
-	r.check = func(m *fleet.CallMeta) error { return filter.CheckTarget(m, p.config.Node, p.Incarnation()) }
+	r.check = func(i fleet.Incarnation) error { return filter.CheckIncarnation(i, p.config.Node, p.Incarnation()) }
 	r.refused = func(m *reservationMessage, err error) {
-		p.requests.refused(p.config.Clock.Now(), &filter.Call{Meta: *m.Meta, Record: &explain.Record{CallerID: string(m.Caller)}}, p.local, err)
+		c := &filter.Call{Meta: *m.Meta, Record: &explain.Record{CallerID: string(m.Caller)}}
+		c.Meta.Entry = m.Entry
+		p.requests.refused(p.config.Clock.Now(), c, p.local, err)
 	}
 	if p.local.announced != nil {
 		r.refresh = p.local.refreshPace
@@ -105,7 +107,7 @@
 // reserve starts a reservation. One that is asked for again is granted again, or
 // still undecided.
 func (r *reservations) reserve(from string, m *reservationMessage) {
-	if err := r.check(m.Meta); err != nil {
+	if err := r.check(m.Meta.Incarnation); err != nil {
 		r.refuse(from, m, err)
 		return
 	}
@@ -209,7 +211,7 @@
 	case verbGranted, verbRefused:
 		p.reserver.receive(&m)
 	case verbReserve:
-		if m.Meta != nil && checkMeta(m.Meta) == nil && m.Meta.Entry == m.Entry {
+		if m.Meta != nil && m.Entry != "" && m.Meta.Attempt > 0 && m.Meta.Remaining > 0 && m.Meta.Remaining <= maxRemaining {
 			p.reservations.reserve(from, &m)
 		}
 	case verbCancel:
--- a/proxy/reserve.go
+++ b/proxy/reserve.go
@@ -35,7 +35,7 @@
 	Verb   uint8           `cbor:"1,keyasint"`
 	Number uint64          `cbor:"2,keyasint"`
 	Entry  fleet.NodeID    `cbor:"3,keyasint,omitempty"` // set by the entry node
-	Meta   *fleet.CallMeta `cbor:"4,keyasint,omitempty"` // of verbReserve
+	Meta   *fleet.CallMeta `cbor:"4,keyasint,omitempty"` // of verbReserve, as reservedMeta leaves it
 	// Caller is the id that the caller gave the request, for the log. It may hold any
 	// bytes.
 	Caller  []byte            `cbor:"7,keyasint,omitempty"`
@@ -95,7 +95,7 @@
 	number := r.number.Add(1)
 	c.Meta.Reservation = number
 	caller := r.callerID(c)
-	message, err := cbor.Marshal(&reservationMessage{Verb: verbReserve, Number: number, Entry: r.self, Meta: &c.Meta,
+	message, err := cbor.Marshal(&reservationMessage{Verb: verbReserve, Number: number, Entry: r.self, Meta: reservedMeta(&c.Meta),
 		Caller: []byte(caller[:min(len(caller), maxReservedCaller)])})
 	if err != nil {
 		return errkind.New(errkind.Internal, "%w", err)
@@ -118,6 +118,13 @@
 	return err
 }
 
+// reservedMeta returns the part of m that a reservation needs. Under overload there
+// are several for each request, which share thin links with the requests.
+func reservedMeta(m *fleet.CallMeta) *fleet.CallMeta {
+	return &fleet.CallMeta{Class: m.Class, Attempt: m.Attempt, Remaining: m.Remaining, TargetLeft: m.TargetLeft,
+		Incarnation: m.Incarnation, Urgency: m.Urgency, Internal: m.Internal, Movable: m.Movable, Sole: m.Sole, Hedge: m.Hedge}
+}
+
 // await sends a reservation, once more if nothing comes back, and waits for the
 // reply.
 func (r *reserver) await(c *filter.Call, message []byte, reply <-chan *reservationMessage) error {
