Let refused requests come back after 20 ms

Cause: with reservations a refusal no longer loads the links, and what a request gains by a wait before its second try is less than the time that it loses.

Change: overloadRetryAfter 60 -> 20 ms.

--- a/proxy/dialect.go
+++ b/proxy/dialect.go
@@ -122,7 +122,7 @@
 const (
 	// overloadRetryAfter is short against the latency targets, because load changes
 	// within milliseconds.
-	overloadRetryAfter = 60 * time.Millisecond
+	overloadRetryAfter = 20 * time.Millisecond
 	// joinRetryAfter is the time in which a node that was just started gets its
 	// configuration and hears of the servers.
 	joinRetryAfter = 300 * time.Millisecond
--- a/proxy/dialect_test.go
+++ b/proxy/dialect_test.go
@@ -254,7 +254,7 @@
 // them for, and against ones that wait longer than a busy moment lasts.
 func TestTimeToComeBackFitsTheCause(t *testing.T) {
 	for kind, want := range map[errkind.Kind]string{
-		errkind.QueueFull: "0.060", errkind.ServerSlow: "0.060", errkind.DeadlineBeforeRun: "0.060",
+		errkind.QueueFull: "0.020", errkind.ServerSlow: "0.020", errkind.DeadlineBeforeRun: "0.020",
 		errkind.ConfigAbsent: "0.300", errkind.NoBackendServer: "0.300",
 		errkind.ConnectionLost: "", errkind.NoClass: "",
 	} {
