Elect a leader sooner after a loss of all power where reads are proved

Change: with ProveReads a restarted replica may vote at once and waits a quarter of the election timeout the first time. Where there is a leader, the other voters still refuse the pre-vote.

--- a/raft/mechanism_test.go
+++ b/raft/mechanism_test.go
@@ -129,6 +129,44 @@
 	}
 }
 
+// Guards against a group that waits for the end of a lease that nothing uses after
+// all its replicas have lost power, and against a start that forgets the lease where
+// reads rely on it.
+func TestReplicaOfProvedReadsVotesRightAfterItsStart(t *testing.T) {
+	conf := Configuration{ClusterID: 7}
+	for _, name := range []nodeName{"n1", "n2", "n3"} {
+		conf.Voters = append(conf.Voters, Member{ID: ID{name, "d"}})
+	}
+	for _, prove := range []bool{false, true} {
+		now := Reading{Mono: time.Second}
+		n := New(Config{ID: conf.Voters[0].ID, Timing: simTiming, Seed: 1, ProveReads: prove}, Stored{
+			HardState: HardState{Term: 1},
+			Entries:   []Entry{{Index: 1, Term: 1, Kind: Reconfigure, Configuration: &conf}},
+		}, now)
+		if early := n.Deadline() < now.Mono+simTiming.ElectionMin; early != prove {
+			t.Errorf("reads proved %t: first election at %v after the start", prove, n.Deadline()-now.Mono)
+		}
+		n.Step(now, Message{Kind: PreVote, From: conf.Voters[1].ID, To: n.id, ClusterID: 7, Term: 2, Index: 1, LogTerm: 1})
+		for _, a := range n.Actions() {
+			if m, ok := a.(Send); ok && m.Message.Kind == PreVoteReply && m.Message.Refused == prove {
+				t.Errorf("reads proved %t: vote refused %t", prove, m.Message.Refused)
+			}
+		}
+		now.Mono += 2 * time.Millisecond
+		n.Step(now, Message{Kind: Heartbeat, From: conf.Voters[2].ID, To: n.id, ClusterID: 7, Term: 1, Round: 1})
+		n.Step(now, Message{Kind: PreVote, From: conf.Voters[1].ID, To: n.id, ClusterID: 7, Term: 2, Index: 1, LogTerm: 1})
+		refused := false
+		for _, a := range n.Actions() {
+			if m, ok := a.(Send); ok && m.Message.Kind == PreVoteReply {
+				refused = m.Message.Refused
+			}
+		}
+		if !refused {
+			t.Errorf("reads proved %t: voted although a leader has just been heard", prove)
+		}
+	}
+}
+
 // Guards against committing an entry of an earlier term because a majority holds
 // it: a later leader may still replace it until an entry of the own term follows.
 func TestEntryOfEarlierTermIsNotCommittedByCounting(t *testing.T) {
--- a/raft/node.go
+++ b/raft/node.go
@@ -101,9 +101,10 @@
 	conf  Configuration
 }
 
-// New returns a Node that continues from what is stored. It starts as follower
-// and refuses votes for ElectionMin, because it may have acknowledged a round
-// of a leader before a restart and that leader's lease still counts on it.
+// New returns a Node that continues from what is stored. It starts as follower.
+// Unless reads are proved, it refuses votes for ElectionMin, because it may have
+// acknowledged a round of a leader before a restart and that leader's lease still
+// counts on it.
 func New(c Config, s Stored, now Reading) *Node {
 	n := &Node{
 		id: c.ID, timing: c.Timing, now: now, role: Follower, replace: c.ReplaceAfter, voters: c.Voters, proveReads: c.ProveReads,
@@ -120,9 +121,20 @@
 	n.commit, n.applied = s.Snapshot.Index, s.Snapshot.Index
 	n.rebuildConfigurations()
 	n.resetElectionTimer()
+	if n.proveReads {
+		// No lease counts on this replica. After a loss of all power the group has no
+		// leader; where there is one, the others refuse the pre-vote.
+		n.heardAt -= n.timing.ElectionMin
+		n.electionDeadline = n.now.Mono + (n.electionDeadline-n.now.Mono)/startDivisor
+	}
 	return n
 }
 
+// startDivisor shortens the first election timeout of a replica that need not wait
+// for the end of a lease. Its leader, if there is one, sends a message each
+// Timing.Heartbeat.
+const startDivisor = 4
+
 // Bootstrap makes an empty replica the only voter of a new group.
 func (n *Node) Bootstrap(address string, clusterID uint64) bool {
 	if n.log.lastIndex() > 0 || n.hard.Term > 0 || n.snapshot.Index > 0 {
