Split the relay of answers from the exchange of a request

The choice of the own server becomes a function of its own and stays within the bound of copies of a request that has not finished.

--- a/filter/choose.go
+++ b/filter/choose.go
@@ -191,19 +191,15 @@
 	rng := f.random.Get().(*rand.Rand)
 	defer f.random.Put(rng)
 	var e *pick.Endpoint
-	var other bool
-	if c.Class.Item && !c.last && f.OwnRoom != nil && !exclude.Has(f.Self) {
-		if e := b.Eligible(f.Self); e != nil && f.OwnRoom() {
-			c.Meta.Movable = c.Meta.Movable && (b.Len() > 1 || c.refused > 0)
-			return e
-		}
-	}
-	if c.last && !c.Meta.Hedge {
-		if e := b.PickAmong(now, &c.asked); e != nil {
-			return e
-		}
+	other := b.Len() > 1
+	switch {
+	case !c.last:
+		e = f.pickOwn(c, b, exclude)
+	case !c.Meta.Hedge:
+		e = b.PickAmong(now, &c.asked)
 	}
 	switch {
+	case e != nil && copies == 0:
 	case copies == 0:
 		e, other = b.PickMovable(now, rng, exclude)
 	case copies == 1 && !c.Meta.Confined:
@@ -219,6 +215,17 @@
 	return e
 }
 
+// pickOwn returns the own server when it is to come before all others, or nil.
+func (f *Choose) pickOwn(c *Call, b *pick.Balancer, exclude *pick.Exclude) *pick.Endpoint {
+	if !c.Class.Item || f.OwnRoom == nil || exclude.Has(f.Self) {
+		return nil
+	}
+	if e := b.Eligible(f.Self); e != nil && f.OwnRoom() {
+		return e
+	}
+	return nil
+}
+
 // bounded reports whether the copies of a request have to meet on few servers,
 // because it may crash each server that runs it: no copy of it has finished
 // lately, or it is suspect. A request with a key needs no such bound, because its
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -1,34 +1,16 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"math"
 	"net/http"
 	"net/url"
-	"strconv"
-	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"bramleymill/errkind"
 	"bramleymill/filter"
-	"bramleymill/fleet"
-)
-
-// Sizes of the pooled buffers that bodies are copied through. The garbage
-// collector empties the pools, so that a small body takes a small buffer.
-const (
-	copyBytes  = 32 << 10
-	smallBytes = 4 << 10
-)
-
-var (
-	copyBuffers  = sync.Pool{New: func() any { b := make([]byte, copyBytes); return &b }}
-	smallBuffers = sync.Pool{New: func() any { b := make([]byte, smallBytes); return &b }}
 )
 
 // inlineBody is the largest body that is written before the answer is read. It
@@ -324,148 +306,3 @@
 	}
 	return n, err
 }
-
-// relay passes the answer on. An answer that ends early is an error, so that it
-// is never taken for complete. atEnd may find such an early end that the
-// protocol does not show.
-func (x *exchange) relay(resp *http.Response, h http.Header, atEnd func() error) error {
-	c := x.call
-	defer func() { _ = resp.Body.Close() }()
-	head := filter.Head{Status: resp.StatusCode, Header: h, Trailer: x.rules.trailer(resp.Trailer)}
-	head.Stream = resp.ContentLength < 0 && c.Request.Method != http.MethodHead
-	c.Status = resp.StatusCode
-	body := io.Reader(resp.Body)
-	if x.rules.dialect != nil && c.Request.Method != http.MethodHead && len(resp.Trailer) == 0 && resp.ContentLength <= wholeAnswer {
-		start := wholeBuffers.Get().(*bytes.Buffer)
-		defer wholeBuffers.Put(start)
-		start.Reset()
-		_, err := io.CopyN(start, resp.Body, wholeAnswer+1)
-		switch {
-		case errors.Is(err, io.EOF):
-			return x.passWhole(head, start.Bytes(), atEnd)
-		case err != nil:
-			return lost(c, "answer broke off", err)
-		}
-		body = io.MultiReader(start, resp.Body)
-	}
-	if err := c.Answer.Begin(head); err != nil {
-		return err
-	}
-	if err := copyBody(c, body, resp.ContentLength); err != nil {
-		return err
-	}
-	if err := atEnd(); err != nil {
-		return err
-	}
-	if c.BeforeEnd != nil {
-		c.BeforeEnd()
-	}
-	return c.Answer.End(x.rules.trailer(resp.Trailer))
-}
-
-// wholeAnswer is the size up to which an answer is read to its end before it is
-// passed on. One that breaks off can then be followed by another attempt.
-const wholeAnswer = 64 << 10
-
-var wholeBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
-
-// passWhole passes on an answer that was read to its end.
-func (x *exchange) passWhole(head filter.Head, body []byte, atEnd func() error) error {
-	c := x.call
-	if err := atEnd(); err != nil {
-		return err
-	}
-	if c.BeforeEnd != nil {
-		c.BeforeEnd()
-	}
-	if bodyAllowed(head.Status) {
-		head.Header["Content-Length"] = []string{strconv.Itoa(len(body))}
-	}
-	if _, ok := head.Header["Content-Type"]; !ok {
-		head.Header["Content-Type"] = nil // the server would guess one
-	}
-	head.Stream = false
-	if err := c.Answer.Begin(head); err != nil {
-		return err
-	}
-	if len(body) > 0 {
-		if _, err := c.Answer.Write(body); err != nil {
-			return errkind.New(errkind.CallerGone, "pass on the answer: %w", err)
-		}
-	}
-	return c.Answer.End(nil)
-}
-
-// bodyAllowed reports whether an answer with a status may state a length.
-func bodyAllowed(status int) bool {
-	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
-}
-
-// copyBody passes on a body of length bytes; -1 means that it is not known.
-func copyBody(c *filter.Call, from io.Reader, length int64) error {
-	buffers := &copyBuffers
-	if length >= 0 && length <= smallBytes {
-		buffers = &smallBuffers
-	}
-	buf := buffers.Get().(*[]byte)
-	defer buffers.Put(buf)
-	for {
-		n, err := from.Read(*buf)
-		if n > 0 {
-			if _, werr := c.Answer.Write((*buf)[:n]); werr != nil {
-				return errkind.New(errkind.CallerGone, "pass on the answer: %w", werr)
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return lost(c, "answer broke off", err)
-		}
-	}
-}
-
-// lost returns the error of a request that may have run.
-func lost(c *filter.Call, what string, err error) error {
-	switch cause := context.Cause(c.Ctx); {
-	case cause == nil:
-		return errkind.New(errkind.ConnectionLost, "%s: %w", what, err)
-	case errors.Is(cause, context.DeadlineExceeded):
-		return errkind.New(errkind.DeadlineExceeded, "%s: %w", what, err)
-	case errors.Is(cause, filter.ErrLost):
-		return cause
-	case errors.Is(cause, errCutOff):
-		return errkind.New(errkind.OutcomeUnknown, "%s: %w", what, cause)
-	default:
-		return errkind.New(errkind.CallerGone, "%s: %w", what, err)
-	}
-}
-
-// notSent returns the error of a request that was proved not sent, of kind k
-// unless the call has ended by itself.
-func notSent(c *filter.Call, k errkind.Kind, err error) error {
-	if c.Ctx.Err() != nil {
-		if errors.Is(context.Cause(c.Ctx), filter.ErrLost) {
-			return filter.ErrLost
-		}
-		k = errkind.DeadlineBeforeRun
-	}
-	return errkind.New(k, "nothing was sent: %w", err)
-}
-
-// refusal returns the error that a peer's answer states, or nil.
-func refusal(resp *http.Response) error {
-	kind := errkind.Kind(resp.Header.Get(fleet.HeaderKind))
-	if kind == "" {
-		return nil
-	}
-	defer func() { _ = resp.Body.Close() }()
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
-	if !errkind.Known(kind) {
-		kind = errkind.Internal
-	}
-	return errkind.New(kind, "%s", strings.TrimSpace(string(text)))
-}
-
-// maxRefusalBytes bounds the text of a refusal that is kept.
-const maxRefusalBytes = 1024
