Plan the graceful stop in one place and let requests run until the last sixth of the grace time

Cause: a stopping node cancelled its callers' requests 3.9 s after SIGTERM of 6 s, because settings.go subtracted the worst cases of all later steps. The steps also ran one after the other, the wait for proxy goroutines and the log output had no limit, and a signal during the start was only seen after the wait for a parent. Change: package shutdown plans a stop from the permitted time; node/stop.go performs it, gives each step a share of what is left and ends the process 0.25 s before the limit, naming the unfinished steps. The departure is announced while listeners close. Setting stop_timeout. Ruled out: another constant (a reserve of 1.0 s left processes running at the end of grace).

--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -4,9 +4,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"sync"
+	"time"
 )
 
 // MaxBufferedBytes is the largest total size of the lines that wait to be written.
@@ -83,11 +85,23 @@
 	}
 }
 
-// Close writes the pending lines and stops the Sink. Later lines are dropped.
-func (s *Sink) Close() {
+// Close writes the pending lines and stops the Sink. Later lines are dropped. It returns
+// ErrNotWritten if the output has not taken all lines within timeout, so that an output
+// that blocks does not keep the process from ending.
+func (s *Sink) Close(timeout time.Duration) error {
 	s.mu.Lock()
 	s.closed = true
 	s.wake.Signal()
 	s.mu.Unlock()
-	<-s.done
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	select {
+	case <-s.done:
+		return nil
+	case <-t.C:
+		return ErrNotWritten
+	}
 }
+
+// ErrNotWritten is returned by Close if lines are left that the output has not taken.
+var ErrNotWritten = errors.New("log lines are left that the output did not take in time")
--- a/logsink/logsink_test.go
+++ b/logsink/logsink_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // slowOutput blocks its first Write until the channel release is closed.
@@ -39,7 +41,9 @@
 	}
 	dropped := s.Dropped()
 	close(out.release)
-	s.Close()
+	if err := s.Close(time.Minute); err != nil {
+		t.Error(err)
+	}
 	written := strings.Count(out.text.String(), string(line))
 	if dropped == 0 || uint64(written)+dropped != lines {
 		t.Errorf("while the output blocks: %d lines written and %d dropped of %d; want some dropped, and each line either written or counted as dropped", written, dropped, lines)
@@ -48,3 +52,15 @@
 		t.Error("output after Close: the line \"first\" at its start or the report \"log lines dropped\" is missing, want both")
 	}
 }
+
+// Guards against a process that cannot end because its log output takes no more lines.
+func TestCloseDoesNotWaitForABlockedOutput(t *testing.T) {
+	out := &slowOutput{entered: make(chan struct{}), release: make(chan struct{})}
+	s := New(out)
+	_, _ = s.Write([]byte("first\n"))
+	<-out.entered
+	if err := s.Close(time.Millisecond); !errors.Is(err, ErrNotWritten) {
+		t.Errorf("Close while the output blocks: error %v, want ErrNotWritten", err)
+	}
+	close(out.release)
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -129,7 +129,7 @@
 
 // addPlainNode starts a node called shop-plain that has neither the control role nor a
 // backend server. A second call starts another process with the same name.
-func (f *testFleet) addPlainNode() {
+func (f *testFleet) addPlainNode(edits ...func(*settings.Settings)) {
 	f.t.Helper()
 	const name = "shop-plain"
 	if err := keys.Issue(f.keys, name, fleet.RoleNode, keys.Options{Overwrite: true}); err != nil {
@@ -143,6 +143,9 @@
 		DrainTimeout: strictjson.Duration(10 * time.Second),
 	}
 	s.AdvertisedAddress = s.PeerAddress
+	for _, edit := range edits {
+		edit(s)
+	}
 	f.settings = append(f.settings, s)
 	f.nodes, f.cancels, f.done = append(f.nodes, nil), append(f.cancels, nil), append(f.done, nil)
 	f.start(len(f.settings) - 1)
--- a/node/node.go
+++ b/node/node.go
@@ -111,9 +111,12 @@
 	})
 }
 
+// releaseTimeout limits the release of a node that failed to start.
+const releaseTimeout = time.Second
+
 // release closes what New has opened if the node fails to start.
 func (n *Node) release() error {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	var err error
 	if n.control != nil {
@@ -279,9 +282,13 @@
 
 // Run serves until ctx ends and then stops gracefully. Requests that are still in flight
 // after the drain timeout are cancelled. Run also stops if a part of the node fails, or
-// with ErrSuperseded if a later process has the name of the node.
+// with ErrSuperseded if a later process has the name of the node. It returns
+// ErrStopTimeout if the stop does not finish within the stop timeout; goroutines of the
+// node may then still run.
 func (n *Node) Run(ctx context.Context) error {
-	r, err := n.start()
+	var stopAt atomic.Pointer[time.Time] // when ctx ended
+	defer context.AfterFunc(ctx, func() { now := time.Now(); stopAt.Store(&now) })()
+	r, err := n.start(ctx.Done())
 	if err != nil {
 		return errors.Join(err, n.release())
 	}
@@ -293,7 +300,11 @@
 	case incarnation := <-n.superseded:
 		err = fmt.Errorf("%w: incarnation %d", ErrSuperseded, incarnation)
 	}
-	return errors.Join(err, n.stop(r), r.group.Wait())
+	begin := time.Now()
+	if at := stopAt.Load(); at != nil {
+		begin = *at // earlier if the node was still starting
+	}
+	return errors.Join(err, n.stop(r, begin))
 }
 
 // ErrSuperseded is returned by Run when another process has the name of the node and a
--- a/node/run.go
+++ b/node/run.go
@@ -5,12 +5,10 @@
 	"crypto/tls"
 	"errors"
 	"net/http"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
-	"bramleymill/fleet"
 	"bramleymill/proxy"
 )
 
@@ -24,30 +22,15 @@
 
 	// usageInterval is the time between two updates of the metrics that reportUsage sets.
 	usageInterval = 5 * time.Second
-
-	// closeDelay is how long a drained node continues to answer before it closes its
-	// listeners. Until other nodes and callers have been notified that it is leaving,
-	// they send requests on connections that are idle here. If the node closed such a
-	// connection at that moment, the sender could not tell whether the request ran. A
-	// stop delay counts towards closeDelay.
-	closeDelay = 1500 * time.Millisecond
-
-	// closeTimeout limits each step of a stop that follows the drain.
-	closeTimeout = time.Second
-	// promptCloseTimeout replaces closeTimeout if a stop delay is set, because a platform
-	// that needs a stop delay kills a process that stops too slowly. The shorter time is
-	// sufficient: during the delay, callers and other nodes have stopped sending requests
-	// to this node.
-	promptCloseTimeout = 300 * time.Millisecond
 )
 
-func (n *Node) start() (*running, error) {
+func (n *Node) start(stopping <-chan struct{}) (*running, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	group, ctx := errgroup.WithContext(ctx)
 	r := &running{group: group, failed: ctx.Done(), cancel: cancel}
 	group.Go(func() error { return ignoreCanceled(n.endpoint.Serve(ctx)) })
 	group.Go(func() error { return ignoreCanceled(n.member.Run(ctx)) })
-	n.awaitJoin()
+	n.awaitJoin(stopping)
 	if err := n.startProxy(r); err != nil {
 		cancel()
 		for _, l := range r.listeners {
@@ -93,10 +76,17 @@
 }
 
 // awaitJoin waits until the node has a parent, at most joinTimeout. A control instance
-// does not wait, because it may be the first process of the fleet.
-func (n *Node) awaitJoin() {
+// does not wait, because it may be the first process of the fleet. A node that is told to
+// stop does not wait either, so that the stop begins within its time.
+func (n *Node) awaitJoin(stopping <-chan struct{}) {
+	t := time.NewTicker(joinPollInterval)
+	defer t.Stop()
 	for end := time.Now().Add(joinTimeout); n.control == nil && n.member.Parent() == "" && time.Now().Before(end); {
-		time.Sleep(joinPollInterval)
+		select {
+		case <-stopping:
+			return
+		case <-t.C:
+		}
 	}
 }
 
@@ -247,58 +237,3 @@
 		n.metrics.Set("configuration_version", float64(set.Version))
 	}
 }
-
-// stop announces that the node is leaving, waits for the stop delay, drains the node and
-// closes its parts in the reverse order of their start.
-func (n *Node) stop(r *running) error {
-	n.logger.Info("node stopping", "stop_delay", n.settings.StopDelay.Std(), "drain_timeout", n.settings.DrainTimeout.Std())
-	n.stopping.Store(true)
-	n.member.SetState(fleet.Draining)
-	if delay := n.settings.StopDelay.Std(); delay > 0 {
-		r.proxy.CloseCallerConnections()
-		time.Sleep(delay)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), n.settings.DrainTimeout.Std())
-	defer cancel()
-	report := r.proxy.Drain(ctx)
-	for _, c := range report.Cancelled {
-		n.logger.Warn("request cancelled at the end of the drain", "method", c.Method, "path", c.Path)
-	}
-	time.Sleep(max(0, closeDelay-n.settings.StopDelay.Std()))
-	n.closeListeners(r)
-	r.proxy.Close()
-	n.runStopStep("announce departure", n.member.Leave)
-	if n.control != nil {
-		n.runStopStep("transfer leadership", n.control.close)
-	}
-	r.cancel()
-	n.runStopStep("close endpoint", n.endpoint.Close)
-	n.logger.Info("node stopped", "drain", report.Duration, "cut_off", len(report.Cancelled))
-	return n.metrics.Close()
-}
-
-// closeListeners closes the listeners at the same time. After the drain only idle
-// connections are left, but http.Server waits several seconds for those that have not
-// carried a request yet.
-func (n *Node) closeListeners(r *running) {
-	var closing sync.WaitGroup
-	for _, l := range r.listeners {
-		closing.Go(func() { n.runStopStep("close "+l.name, l.shutdown) })
-	}
-	closing.Wait()
-}
-
-// runStopStep runs one step of a stop within closeTimeout or promptCloseTimeout. A step
-// that fails does not fail the stop, because no work is lost. For example, the departure
-// cannot be announced if no other node is left.
-func (n *Node) runStopStep(name string, f func(context.Context) error) {
-	timeout := closeTimeout
-	if n.settings.StopDelay > 0 {
-		timeout = promptCloseTimeout
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	if err := f(ctx); err != nil {
-		n.logger.Warn("a step of the graceful stop failed", "step", name, "error", err)
-	}
-}
--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -123,13 +123,11 @@
 	Cancelled []CancelledRequest
 }
 
-// cancelGrace bounds the wait for cancelled requests to end.
-const cancelGrace = time.Second
-
 // Drain immediately starts to refuse new requests, with an answer that proves that they
-// did not run. It waits for the requests in flight until ctx ends, then cancels the rest
-// and reports them. Claims in flight end with an unknown outcome.
-func (p *Proxy) Drain(ctx context.Context) DrainReport {
+// did not run. It waits for the requests in flight until ctx ends, then cancels the rest,
+// waits up to cancelTime for them to end, and reports them. Claims in flight end with an
+// unknown outcome.
+func (p *Proxy) Drain(ctx context.Context, cancelTime time.Duration) DrainReport {
 	start := time.Now()
 	if p.local != nil {
 		p.local.drain()
@@ -140,7 +138,7 @@
 	case <-idle:
 	case <-ctx.Done():
 		report.Cancelled = p.tasks.cancelAll()
-		t := time.NewTimer(cancelGrace)
+		t := time.NewTimer(cancelTime)
 		defer t.Stop()
 		select {
 		case <-idle:
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -28,7 +28,7 @@
 	go func() { expect(t, 200, "", "done", "POST", n.caller.URL+"/x"); close(first) }()
 	<-arrived
 	c.node("b", answer("b")) // could serve the requests that the draining node refuses
-	go func() { drained <- n.Drain(t.Context()) }()
+	go func() { drained <- n.Drain(t.Context(), time.Second) }()
 	n.await(fleet.Draining)
 	<-trackerClosed(&n.tasks)
 	expect(t, 503, "draining", "", "POST", n.caller.URL+"/x")
@@ -74,7 +74,7 @@
 	<-arrived
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if r := n.Drain(ctx); len(r.Cancelled) != 1 || r.Cancelled[0].Path != "/slow" {
+	if r := n.Drain(ctx, time.Second); len(r.Cancelled) != 1 || r.Cancelled[0].Path != "/slow" {
 		t.Errorf("requests cancelled by a drain whose time has ended = %v, want 1 with the path /slow", r.Cancelled)
 	}
 	<-done
@@ -95,7 +95,7 @@
 	answered := make(chan int)
 	go func() { answered <- n.forward(t, "entry", "POST", n.meta("entry")).StatusCode }()
 	<-arrived
-	go n.Drain(t.Context())
+	go n.Drain(t.Context(), time.Second)
 	n.await(fleet.Draining)
 	close(proceed)
 	if status := <-answered; status != 200 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"strconv"
 
+	"bramleymill/shutdown"
 	"bramleymill/strictjson"
 )
 
@@ -28,8 +29,12 @@
 	DrainTimeout      strictjson.Duration `json:"drain_timeout,omitempty"`
 	// StopDelay is the time for which a stopping node still accepts requests from
 	// callers after it has reported that it is not ready.
-	StopDelay  strictjson.Duration `json:"stop_delay,omitempty"`
-	RecordFile string              `json:"record_file,omitempty"` // file for the decision record, which package replay reads; empty: none
+	StopDelay strictjson.Duration `json:"stop_delay,omitempty"`
+	// StopTimeout is the time from the signal to stop after which the process has ended.
+	// It includes StopDelay and DrainTimeout. Zero means that shutdown.DefaultCloseTime
+	// follows them.
+	StopTimeout strictjson.Duration `json:"stop_timeout,omitempty"`
+	RecordFile  string              `json:"record_file,omitempty"` // file for the decision record, which package replay reads; empty: none
 	// TrustedNetwork makes nodes communicate without key files and without verifying
 	// each other, so a process that can reach the network can act as any node. Keys and
 	// admin_address are then optional.
@@ -111,6 +116,15 @@
 	return &s, s.Complete()
 }
 
+// StopLimits returns the times that a graceful stop may take.
+func (s *Settings) StopLimits() shutdown.Limits {
+	drain := s.DrainTimeout
+	if drain == 0 {
+		drain = strictjson.Duration(DefaultDrainTimeout)
+	}
+	return shutdown.Limits{Accept: s.StopDelay.Std(), Drain: drain.Std(), Total: s.StopTimeout.Std()}
+}
+
 // Complete validates s and sets the defaults of optional settings.
 func (s *Settings) Complete() error {
 	if err := s.validate(); err != nil {
@@ -149,6 +163,11 @@
 	if s.DrainTimeout < 0 {
 		errs.Add("drain_timeout", s.DrainTimeout, `use a positive time such as "10s"`)
 	}
+	if s.StopTimeout < 0 {
+		errs.Add("stop_timeout", s.StopTimeout, `use a positive time such as "20s"`)
+	} else if err := s.StopLimits().Validate(); err != nil {
+		errs.Add("stop_timeout", s.StopTimeout, "use a longer time, or a shorter stop_delay or drain_timeout: "+err.Error())
+	}
 	switch s.LogLevel {
 	case "", "debug", "info", "warn", "error":
 	default:
