Take a refusal as proof only if it repeats the request's id, and bound answers without end

An earlier refusal or a 421 written without an id on a kept connection was taken as proof that the next request did not run: its caller was told to repeat it, or it ran at a second server (2 runs). Informational answers and 100 Continue without end were passed on without limit or held the request until its deadline. Bytes without end on the watched idle connection were read one by one for ever. The head of a health answer could grow to 10 MB. Change: classify needs the repeated id for every refusal, and a stamp for a status that callers take as a refusal; at most 16 informational answers; at most 64 KiB on the watched connection; 16 KiB for the head of a health answer; fields of the load header up to 1,000,000. Ruled out: the same refusal at a later attempt of the same request.

--- a/proxy/announced.go
+++ b/proxy/announced.go
@@ -58,8 +58,7 @@
 }
 
 func newAnnouncedState(c *Config, changed func()) *announcedState {
-	return &announcedState{config: c, onChange: changed, wake: make(chan struct{}, 1),
-		client: &http.Client{Timeout: identifyTimeout, Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}}}
+	return &announcedState{config: c, onChange: changed, wake: make(chan struct{}, 1), client: newHealthClient(identifyTimeout)}
 }
 
 // accept applies an announcement unless it is older than the current one. An older
--- a/proxy/dialect.go
+++ b/proxy/dialect.go
@@ -84,6 +84,10 @@
 // time. The header states the slowdown in percent.
 const usualSlowdown = 100
 
+// maxLoadField is the largest accepted value of a field of a load header. Times that are
+// computed from larger values would overflow.
+const maxLoadField = 1_000_000
+
 // parseLoad parses a load header, which has 3 to 8 fields separated by commas. The
 // first four are running requests, waiting requests, slots, and slowdown in percent.
 // Further fields are ignored.
@@ -95,7 +99,7 @@
 	var n [4]int
 	for i := range min(len(fields), len(n)) {
 		var err error
-		if n[i], err = strconv.Atoi(strings.TrimSpace(fields[i])); err != nil || n[i] < 0 {
+		if n[i], err = strconv.Atoi(strings.TrimSpace(fields[i])); err != nil || n[i] < 0 || n[i] > maxLoadField {
 			return l, false
 		}
 	}
@@ -109,23 +113,43 @@
 	answered   verdict = iota + 1 // the answer belongs to the request
 	mismatched                    // the answer belongs to an earlier request on this connection
 	notRun                        // the answer proves that the request did not run
-	unstamped                     // a success status without a stamp or without the id of the request
+	unstamped                     // an answer that lacks what shows that it belongs to the request
 )
 
-// classify returns the verdict on an answer to the request with the given id.
+// classify returns the verdict on an answer to the request with the given id. A refusal
+// proves that the request did not run only if it repeats the id: a faulty server may write
+// an earlier refusal once more while it runs the request. A status that callers take as a
+// refusal is passed on without that proof only if the stamp shows that the backend server
+// chose it.
 func (d *Dialect) classify(id string, resp *http.Response) verdict {
 	echoed := resp.Header.Get(d.RequestID)
+	stamped := resp.Header.Get(d.Stamp) != ""
+	refusal := resp.Header.Get(d.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest
 	switch {
 	case echoed != "" && echoed != id:
 		return mismatched
-	case resp.Header.Get(d.NotRun) != "" || resp.StatusCode == http.StatusMisdirectedRequest:
+	case refusal && echoed == id:
 		return notRun
-	case resp.StatusCode < http.StatusMultipleChoices && (echoed == "" || resp.Header.Get(d.Stamp) == ""):
+	case refusal:
+		return unstamped
+	case resp.StatusCode < http.StatusMultipleChoices && (echoed == "" || !stamped):
+		return unstamped
+	case meansNotRun(resp.StatusCode) && (echoed == "" || !stamped):
 		return unstamped
 	}
 	return answered
 }
 
+// meansNotRun reports whether callers take a status as the statement that the request has
+// not run and may be sent again.
+func meansNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Values for Retry-After.
 const (
 	// overloadRetryAfter is short relative to the latency targets, because load changes
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -63,6 +63,8 @@
 	if load, ok := parseLoad(resp.Header.Get(d.Load)); ok {
 		b.onLoad(load)
 	}
+	// The body of a refused answer is not read, so its connection is not used again. A
+	// later attempt of the same request therefore cannot receive the same refusal once more.
 	fail := func(kind errkind.Kind, reason string) error {
 		c.HeadAt = time.Time{}
 		_ = resp.Body.Close()
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -46,6 +46,7 @@
 	sendResult  chan error    // result of the sending goroutine; nil if there is none
 	continued   chan struct{} // closed when 100 Continue was received
 	gotContinue bool          // 100 Continue was received
+	interim     int           // informational answers received
 	done        chan struct{} // closed at the end of the exchange
 	bodyBroken  atomic.Bool   // the body to be sent could not be read to its end
 	response    *http.Response
@@ -111,6 +112,11 @@
 		if err != nil {
 			return nil, err
 		}
+		if resp.StatusCode < http.StatusOK {
+			if x.interim++; x.interim > maxInformational {
+				return nil, errTooManyInformational
+			}
+		}
 		switch {
 		case resp.StatusCode == http.StatusContinue:
 			if !x.gotContinue {
@@ -131,6 +137,12 @@
 	}
 }
 
+// maxInformational is the number of informational answers that may precede the final one.
+// A faulty server may send them without end.
+const maxInformational = 16
+
+var errTooManyInformational = errors.New("too many informational answers")
+
 // maxSkipped is the number of answers to other requests that an exchange skips, and
 // maxSkippedBytes bounds the body of each of them.
 const (
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -13,9 +13,11 @@
 
 // Limits of health checks.
 const (
-	healthTimeout    = time.Second
-	maxHealthBytes   = 512
-	healthRetryDelay = 50 * time.Millisecond // delay after the budget has refused a check that is due
+	healthTimeout  = time.Second
+	maxHealthBytes = 512
+	// maxHealthHeadBytes bounds the status line and headers of a health answer.
+	maxHealthHeadBytes = 16 << 10
+	healthRetryDelay   = 50 * time.Millisecond // delay after the budget has refused a check that is due
 	// unansweredGrace is the time after which a server that accepts connections counts
 	// as ready even though no check has succeeded. A small budget may delay the check.
 	unansweredGrace = time.Second
@@ -45,10 +47,17 @@
 func newHealth(c *Config, m *monitor, h *drainHints, changed func()) *health {
 	return &health{config: c, monitor: m, hints: h, onChange: changed,
 		budget: probe.NewBudget(c.Clock.Now(), probeLimits(c)),
-		client: &http.Client{Timeout: healthTimeout, Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}},
+		client: newHealthClient(healthTimeout),
 		wake:   make(chan struct{}, 1)}
 }
 
+// newHealthClient returns a client for a health endpoint. It bounds the size of the head of
+// an answer; its users bound the body.
+func newHealthClient(timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout, Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true,
+		MaxResponseHeaderBytes: maxHealthHeadBytes}}
+}
+
 func probeLimits(c *Config) probe.Limits {
 	set := c.Configuration.Current()
 	if set == nil {
--- a/proxy/monitor.go
+++ b/proxy/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -18,6 +19,8 @@
 	// evidenceAge is the time for which the end of the watched connection counts as
 	// evidence that the process has ended.
 	evidenceAge = 200 * time.Millisecond
+	// maxUnaskedBytes is the number of bytes that are read on the watched connection.
+	maxUnaskedBytes = 64 << 10
 )
 
 // monitor detects the start and the end of the backend server process without
@@ -101,15 +104,11 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	defer func() { _ = conn.Close() }()
-	var one [1]byte
-	for {
-		// On a connection without a request, a backend server sends at most an error
-		// answer before it closes the connection.
-		if _, err := conn.Read(one[:]); err != nil {
-			break
-		}
-	}
-	if ctx.Err() == nil {
+	// On a connection without a request, a backend server sends at most an error answer
+	// before it closes the connection. A connection on which it sends more is given up,
+	// which shows nothing about the process.
+	n, err := io.CopyN(io.Discard, conn, maxUnaskedBytes)
+	if n < maxUnaskedBytes && err != nil && ctx.Err() == nil {
 		m.update(func() { m.closedAt = time.Now() })
 	}
 }
