Refuse odd entries of other writers and fuzz the decoders that read them

Cause: shown by tests on the sources before this change. A null item in a set of items ended every node that decoded it (nil pointer), again after each start. An announcement with a sequence of 64 bits, a start in the far future, a warmup of a century or slots past 16 bits was accepted; afterwards the announcements of the backend server counted as older and the node stopped following them. Change: Announcement.Validate bounds instance, slots, warmup, sequence and start; itemset.Decode refuses null items. Ruled out: deep nesting and ports out of range; the JSON and CBOR decoders bound the depth, and an address with such a port never equals that of the backend server. Messages of replica have no target yet.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 SEEDS ?= 1
 LENGTH ?= 30s
 
-.PHONY: build test fmt lint unit demo bench soak
+TIME ?= 30s
+
+.PHONY: build test fmt lint unit demo bench soak fuzz
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -31,3 +33,7 @@
 # kept in run/soak.
 soak:
 	$(GO) test ./platform/soak -count=1 -timeout 2h -v -soak.seed=$(SEED) -soak.seeds=$(SEEDS) -soak.length=$(LENGTH) -soak.keep=$(CURDIR)/run/soak
+
+# Searches for inputs that make a decoder fail, TIME for each target.
+fuzz:
+	GO=$(GO) bash scripts/fuzz.sh $(TIME)
--- a/itemset/codec.go
+++ b/itemset/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"errors"
 	"fmt"
 	"io"
 
@@ -56,6 +57,9 @@
 	}
 	s := &Set{Revision: e.Revision, items: make(map[Key]*Item, len(e.Items))}
 	for _, it := range e.Items {
+		if it == nil {
+			return nil, errors.New("decode items: an item is null")
+		}
 		if err := it.check(); err != nil {
 			return nil, fmt.Errorf("decode items: %w", err)
 		}
--- a/proxy/announced.go
+++ b/proxy/announced.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +25,45 @@
 	Warmup    time.Duration // time for which the process is still slow after its start
 }
 
+// Bounds of the values of an announcement. Another writer may announce values that the
+// backend server never sends.
+const (
+	MaxAnnouncedSlots  = 1 << 16
+	MaxAnnouncedWarmup = time.Hour
+	// maxAnnouncedSequence is the largest whole number that every JSON encoder writes
+	// exactly. After a larger one, all announcements of the backend server would count as
+	// older.
+	maxAnnouncedSequence = 1<<53 - 1
+	// maxStartAhead is the largest difference between the clocks of the backend server and
+	// the node. A process with a later start would count as the successor of every other.
+	maxStartAhead    = time.Hour
+	maxInstanceBytes = 256
+)
+
+// Validate returns an error of kind BadRequest for an announcement with a value that is
+// out of range.
+func (a *Announcement) Validate(now time.Time) error {
+	invalid := func(what string, value any) error {
+		return errkind.New(errkind.BadRequest, "the announcement has an invalid %s: %.64v", what, value)
+	}
+	switch {
+	case a.Instance == "" || len(a.Instance) > maxInstanceBytes || strings.ContainsFunc(a.Instance, notPrintable):
+		return invalid("instance", a.Instance)
+	case a.Slots < 0 || a.Slots > MaxAnnouncedSlots:
+		return invalid("number of slots", a.Slots)
+	case a.Warmup < 0 || a.Warmup > MaxAnnouncedWarmup:
+		return invalid("warmup", a.Warmup)
+	case a.Sequence > maxAnnouncedSequence:
+		return invalid("sequence", a.Sequence)
+	case !a.StartedAt.IsZero() && (a.StartedAt.Unix() < 0 || a.StartedAt.After(now.Add(maxStartAhead))):
+		return invalid("start time", a.StartedAt)
+	}
+	return nil
+}
+
+// notPrintable reports whether r must not appear in the value of a header.
+func notPrintable(r rune) bool { return r <= ' ' || r > '~' }
+
 // sameProcess reports whether two announcements come from the same process of the
 // same instance. If one of them does not state the start of its process, only the
 // instances are compared.
@@ -265,8 +305,8 @@
 	if service != "" && service != b.Service || address != "" && address != b.Address {
 		return errkind.New(errkind.BadRequest, "%w: it states service %q and address %q", ErrOtherBackendServer, service, address)
 	}
-	if n.Instance == "" || n.Slots < 0 || n.Warmup < 0 {
-		return errkind.New(errkind.BadRequest, "the announcement has no instance, or its slots or warmup are negative")
+	if err := n.Validate(p.config.Clock.Now()); err != nil {
+		return err
 	}
 	p.local.announced.accept(n)
 	return nil
--- a/proxy/fuzz_test.go
+++ b/proxy/fuzz_test.go
@@ -1,11 +1,15 @@
 package proxy
 
 import (
+	"bytes"
+	"net"
 	"net/http"
 	"net/textproto"
 	"strings"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"bramleymill/fleet"
 )
 
@@ -51,3 +55,46 @@
 		wantsTrailers(h)
 	})
 }
+
+// Guards against a load header or a status of a faulty backend server from which a time
+// is computed that overflows, and against a refusal that is no proof.
+func FuzzAnswerHead(f *testing.F) {
+	for _, seed := range []string{"0,0,4,100", "0,0,4", "-1,0,4", "0,0,4,9223372036854775807", "0,0,4,18446744073709551616", "NaN,0,4,1", "1e9,0,4,1", "0,0,4,100,x,,,", ",,,"} {
+		f.Add(seed, 200, "id", "1", "s")
+		f.Add(seed, 503, "", "1", "")
+		f.Add(seed, 421, "other", "", "s")
+	}
+	f.Fuzz(func(t *testing.T, load string, status int, id, notRunMark, stamp string) {
+		if l, ok := parseLoad(load); ok && (l.Running < 0 || l.Waiting < 0 || l.Slots < 0 || l.Slots > maxLoadField || l.Slowdown < 0 || l.Slowdown > maxLoadField) {
+			t.Errorf("load header %q: %+v is out of range, want it refused", load, l)
+		}
+		h := http.Header{}
+		h.Set(testDialect.RequestID, id)
+		h.Set(testDialect.NotRun, notRunMark)
+		h.Set(testDialect.Stamp, stamp)
+		v := testDialect.classify("id", &http.Response{StatusCode: status, Header: h})
+		if v == notRun && id != "id" {
+			t.Errorf("status %d with the id %q is taken as proof for the request \"id\", want no proof", status, id)
+		}
+		if v == answered && meansNotRun(status) && stamp == "" {
+			t.Errorf("status %d without a stamp is passed on to the caller, who would take it as a refusal", status)
+		}
+	})
+}
+
+// Guards against a datagram that makes the process end.
+func FuzzDatagram(f *testing.F) {
+	c := platformCluster(f)
+	n := c.platformNode("n1", func(conn net.Conn, r *http.Request, _ int32) bool { return writeAnswer(conn, r, 200, "x") })
+	for _, m := range []reservationMessage{{}, {Verb: verbReserve, Entry: "e", Meta: &fleet.CallMeta{Attempt: 1, Remaining: 1}},
+		{Verb: verbReserve, Entry: "e", Meta: &fleet.CallMeta{Attempt: 255, Remaining: -1}}, {Verb: verbGranted, Number: 1 << 63},
+		{Verb: verbRefused, Load: &fleet.LoadReport{Slots: -1, ServiceTime: -1}}, {Verb: verbCancel}, {Verb: 255}} {
+		b, err := cbor.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Add(bytes.Repeat([]byte{0x81}, 1<<10))
+	f.Fuzz(func(_ *testing.T, payload []byte) { n.HandleDatagram("127.0.0.1:9", payload) })
+}
