Try another server before passing on an answer that states a failure, within budgets by service

Cause: a request that may be repeated got the first 500 of a backend server although another server could answer. Failures may also use what refusals leave. Budgets belong to a service at a node instead of a class, and a nested call of a run that repeats an earlier one is charged to the budgets of its service (CallMeta.Repeated). Kind backend_failed in the record of attempts. Ruled out: ejection, since all servers of the service fail alike.

--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -42,6 +42,7 @@
 	StaleTarget          Kind = "stale_target"           // the attempt is for another node or incarnation
 	BackendDown          Kind = "backend_down"           // the backend server of the node is down or still starting
 	BackendRefused       Kind = "backend_refused"        // the backend server refused the request before running it
+	BackendFailed        Kind = "backend_failed"         // the backend server answered that it failed; another attempt may succeed
 	ServerSlow           Kind = "server_slow"            // the backend server is in a slow phase
 	CrashSuspect         Kind = "crash_suspect"          // the request may crash backend servers
 	DeadlineBeforeRun    Kind = "deadline_before_run"    // the request could not be started in time before its deadline
@@ -86,6 +87,7 @@
 	StaleTarget:          {NotRun, http.StatusServiceUnavailable, time.Second},
 	BackendDown:          {NotRun, http.StatusServiceUnavailable, time.Second},
 	BackendRefused:       {NotRun, http.StatusServiceUnavailable, time.Second},
+	BackendFailed:        {Unknown, http.StatusBadGateway, 0},
 	ServerSlow:           {Overloaded, http.StatusServiceUnavailable, time.Second},
 	CrashSuspect:         {NotRun, http.StatusServiceUnavailable, 0},
 	DeadlineBeforeRun:    {NotRun, http.StatusServiceUnavailable, time.Second},
--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"bramleymill/class"
 	"bramleymill/clock"
 	"bramleymill/errkind"
 	"bramleymill/explain"
@@ -22,9 +23,14 @@
 	next     Handler
 	clock    clock.Clock
 	observer AttemptObserver
-	policies sync.Map // class name -> *retry.Policy
+	policies sync.Map // policyKey -> *retry.Policy
+	budgets  sync.Map // service name -> *retry.Budgets; of classes that are configured as items
 }
 
+// policyKey identifies a policy. A class that is shared among services has one for each of
+// them.
+type policyKey struct{ class, service string }
+
 // NewAttempts returns the filter that makes further attempts. It retries after a refusal,
 // and for an idempotent class after any failure before the first byte of the answer was
 // passed on. It sends a hedge when an idempotent request is slow. o may be nil.
@@ -32,14 +38,30 @@
 	return &attempts{next: next, clock: k, observer: o}
 }
 
-func (f *attempts) policy(class string, isItem bool) *retry.Policy {
-	if p, ok := f.policies.Load(class); ok {
+func (f *attempts) policy(c *class.Resolved) *retry.Policy {
+	key := policyKey{c.Name, c.Service}
+	if p, ok := f.policies.Load(key); ok {
 		return p.(*retry.Policy)
 	}
-	p, _ := f.policies.LoadOrStore(class, retry.New(f.clock.Now(), f.retryConfig(isItem)))
+	p, _ := f.policies.LoadOrStore(key, f.newPolicy(c))
 	return p.(*retry.Policy)
 }
 
+// newPolicy returns a policy for c. Classes that are configured as items share the budgets
+// of their service, because their further attempts are limited for each service. A
+// configuration may contain hundreds of them.
+func (f *attempts) newPolicy(c *class.Resolved) *retry.Policy {
+	now := f.clock.Now()
+	if !c.ConfiguredAsItem {
+		return retry.New(now, retry.Config{})
+	}
+	b, ok := f.budgets.Load(c.Service)
+	if !ok {
+		b, _ = f.budgets.LoadOrStore(c.Service, retry.NewBudgets(now, itemRetryConfig))
+	}
+	return retry.NewShared(now, b.(*retry.Budgets))
+}
+
 // Budgets of further attempts for classes that are configured as items. They keep the
 // further attempts of all nodes together below a fifth of the requests of a service within
 // any ten seconds. The reserve and the burst are small because many nodes may use theirs at
@@ -51,26 +73,25 @@
 	itemReserve      = 1
 )
 
-func (f *attempts) retryConfig(isItem bool) retry.Config {
-	if !isItem {
-		return retry.Config{}
-	}
-	return retry.Config{RetryRatio: itemRetryRatio, RefusalRatio: itemRefusalRatio, HedgeRatio: itemHedgeRatio,
-		RetryReserve: itemReserve, HedgeReserve: itemReserve, Burst: itemReserve, Sparse: true}
-}
+var itemRetryConfig = retry.Config{RetryRatio: itemRetryRatio, RefusalRatio: itemRefusalRatio, HedgeRatio: itemHedgeRatio,
+	RetryReserve: itemReserve, HedgeReserve: itemReserve, Burst: itemReserve, Sparse: true}
 
 func (f *attempts) Serve(c *Call) error {
-	p := f.policy(c.Class.Name, c.Class.ConfiguredAsItem)
+	p := f.policy(c.Class)
 	p.RequestStarted()
+	if c.Parent != nil && c.Parent.Repeated {
+		c.Meta.Repeated = true
+		p.ChargeRepeated()
+	}
 	if c.history == nil { // set already for a confined attempt, which continues the numbering
 		c.history = &attemptHistory{}
 	}
-	r := &race{answer: c.Answer}
+	r := &race{answer: c.Answer, holdsFailures: c.Class.ConfiguredAsItem && c.Class.Idempotent && c.Body.Replayable()}
 	err := f.firstAttempt(c, p, r)
 	for err != nil {
 		retryAllowed, kind := f.shouldRetry(c, p, r, err)
 		if !retryAllowed {
-			return withKind(err, kind)
+			return r.finish(withKind(err, kind))
 		}
 		previous := err
 		err = f.makeAttempt(c, r, false)
@@ -80,7 +101,7 @@
 		}
 		if isNoBackendServer(err) {
 			c.Attempts.Return(1)
-			return previous // more specific than "no other server"
+			return r.finish(previous) // more specific than "no other server"
 		}
 	}
 	return nil
@@ -167,6 +188,7 @@
 		return true, failure.Kind
 	}
 	d := p.AfterFailure(now, failure, c.Attempts)
+	c.Meta.Repeated = true // the request has reached a backend server
 	return d.Verb == retry.RetryElsewhere, d.Kind
 }
 
@@ -213,15 +235,19 @@
 	answer := &raceAnswer{race: r}
 	a := c.attempt(ctx, answer)
 	a.Meta.Hedge = hedge
+	a.Meta.Repeated = c.Meta.Repeated || hedge
 	a.Meta.Reroutable = f.reroutable(c)
 	answer.number = a.Meta.Attempt
 	r.add(answer.number, cancel)
 	start := f.clock.Now()
 	err := f.next.Serve(a)
+	if err == nil && answer.failure != nil {
+		err = errBackendFailed
+	}
 	if err == nil && !a.HeadAt.IsZero() {
 		// The latency of the class ends with the head of the answer. The time for the body also
 		// depends on how fast the caller reads.
-		f.policy(c.Class.Name, c.Class.ConfiguredAsItem).RecordLatency(a.HeadAt, a.HeadAt.Sub(start))
+		f.policy(c.Class).RecordLatency(a.HeadAt, a.HeadAt.Sub(start))
 	}
 	f.recordAttempt(c, a, r, start, err)
 	return err
@@ -236,7 +262,7 @@
 	case c.Class.ConfiguredAsItem:
 		return !c.isLastReroute
 	}
-	return c.Class.Idempotent && f.policy(c.Class.Name, false).CanReroute(c.Attempts)
+	return c.Class.Idempotent && f.policy(c.Class).CanReroute(c.Attempts)
 }
 
 func (f *attempts) recordAttempt(c, a *Call, r *race, start time.Time, err error) {
--- a/filter/call.go
+++ b/filter/call.go
@@ -43,6 +43,7 @@
 	RequestID string
 	Deadline  time.Time
 	Depth     uint8
+	Repeated  bool            // see fleet.CallMeta
 	Attempts  *retry.Attempts // shared by the parent and its nested calls; nil: each nested call has a separate count
 }
 
--- a/filter/race.go
+++ b/filter/race.go
@@ -18,6 +18,9 @@
 	running map[uint32]context.CancelCauseFunc // cancels each attempt, by its number
 
 	onlyServer bool // the last attempt other than a hedge was sent to the only server that accepted work
+
+	holdsFailures bool          // answers that state a failure are held while another attempt may succeed
+	failure       *failedAnswer // the first answer that was held; nil: none
 }
 
 func (r *race) add(number uint32, cancel context.CancelCauseFunc) {
@@ -64,9 +67,10 @@
 
 // raceAnswer is the Answer of one attempt of a race.
 type raceAnswer struct {
-	race   *race
-	number uint32
-	won    bool
+	race    *race
+	number  uint32
+	won     bool
+	failure *failedAnswer // set if the answer is held
 }
 
 // Informational holds the lock while it passes on the answer, so that it cannot overlap the
@@ -80,6 +84,10 @@
 }
 
 func (l *raceAnswer) Begin(head Head) error {
+	if l.race.holdsFailures && isFailure(head) {
+		l.failure = &failedAnswer{head: head}
+		return nil
+	}
 	if !l.race.win(l.number) {
 		return ErrOtherAttemptAnswered
 	}
@@ -88,6 +96,9 @@
 }
 
 func (l *raceAnswer) Write(p []byte) (int, error) {
+	if l.failure != nil {
+		return l.failure.body.Write(p)
+	}
 	if !l.won {
 		return 0, ErrOtherAttemptAnswered
 	}
@@ -95,6 +106,9 @@
 }
 
 func (l *raceAnswer) Flush() error {
+	if l.failure != nil {
+		return nil
+	}
 	if !l.won {
 		return ErrOtherAttemptAnswered
 	}
@@ -102,6 +116,10 @@
 }
 
 func (l *raceAnswer) End(trailer http.Header) error {
+	if l.failure != nil {
+		l.race.hold(l.failure)
+		return nil
+	}
 	if !l.won {
 		return ErrOtherAttemptAnswered
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -121,6 +121,9 @@
 	// Reservation is the number under which the entry node reserved a slot for the attempt.
 	// Zero: no slot is reserved.
 	Reservation uint64 `cbor:"22,keyasint,omitempty"`
+	// Repeated states that an earlier attempt of the request, or of a request that it is
+	// nested in, has reached a backend server. Its nested calls then count as repeated load.
+	Repeated bool `cbor:"23,keyasint,omitempty"`
 }
 
 // MaxDepth is the maximum depth of nested calls; deeper calls are rejected.
--- a/proxy/backend.go
+++ b/proxy/backend.go
@@ -58,7 +58,7 @@
 		return b.dispatchDialect(c, b.rules.dialect)
 	}
 	token := b.tokens.issue(&filter.Parent{
-		RequestID: c.Meta.RequestID, Deadline: c.Deadline, Depth: c.Meta.Depth, Attempts: c.Attempts,
+		RequestID: c.Meta.RequestID, Deadline: c.Deadline, Depth: c.Meta.Depth, Repeated: c.Meta.Repeated, Attempts: c.Attempts,
 	})
 	defer b.tokens.revoke(token)
 	for attempt := 1; ; attempt++ {
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -20,7 +20,7 @@
 		instance = current.Instance
 	}
 	id := c.Request.Header.Get(d.RequestID)
-	b.tokens.register(id, &filter.Parent{RequestID: c.Meta.RequestID, Deadline: c.Deadline, Depth: c.Meta.Depth})
+	b.tokens.register(id, &filter.Parent{RequestID: c.Meta.RequestID, Deadline: c.Deadline, Depth: c.Meta.Depth, Repeated: c.Meta.Repeated})
 	defer b.tokens.revoke(id)
 	for attempt := 1; ; attempt++ {
 		x := &exchange{call: c, host: b.address, rules: b.rules, header: b.dialectHeader(c, d, instance),
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -13,10 +13,13 @@
 // uses one token. A small reserve also refills with time, so that a class with little
 // traffic can retry too. It is safe for concurrent use.
 type Budget struct {
-	gain    int64         // added with each request
-	limit   int64         // level up to which requests fill the bucket
-	reserve int64         // level up to which the bucket refills with time
-	refill  time.Duration // time in which one token refills
+	gain  int64 // added with each request
+	limit int64 // level up to which requests fill the bucket
+	// debtLimit is the largest debt. It bounds the time for which a burst of charged load
+	// keeps the budget empty.
+	debtLimit int64
+	reserve   int64         // level up to which the bucket refills with time
+	refill    time.Duration // time in which one token refills
 
 	tokens   atomic.Int64
 	refillAt atomic.Int64 // start of the current refill period, in nanoseconds since epoch
@@ -27,6 +30,7 @@
 const (
 	budgetLimit  = 100             // maximum number of tokens in a budget
 	refillPeriod = 5 * time.Second // time in which one token of the reserve refills
+	maxDebt      = 20              // tokens
 )
 
 // NewBudget returns a Budget that gains ratio of a token with each request and starts with
@@ -37,11 +41,12 @@
 
 func newBudget(now time.Time, ratio float64, reserve, limit int) *Budget {
 	b := &Budget{
-		gain:    int64(ratio * token),
-		limit:   int64(limit) * token,
-		reserve: int64(reserve) * token,
-		refill:  refillPeriod,
-		epoch:   now,
+		gain:      int64(ratio * token),
+		limit:     int64(limit) * token,
+		debtLimit: maxDebt * token,
+		reserve:   int64(reserve) * token,
+		refill:    refillPeriod,
+		epoch:     now,
 	}
 	b.tokens.Store(b.reserve)
 	return b
@@ -64,6 +69,18 @@
 	}
 }
 
+// charge takes a token for load that was not decided on here. The bucket may go into debt,
+// down to its limit below zero.
+func (b *Budget) charge() {
+	for {
+		current := b.tokens.Load()
+		next := max(current-token, -b.debtLimit)
+		if b.tokens.CompareAndSwap(current, next) {
+			return
+		}
+	}
+}
+
 // Return adds the token back that Use took for an attempt that was then not sent.
 func (b *Budget) Return() { b.add(token, b.limit) }
 
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -57,44 +57,71 @@
 	return c
 }
 
-// Policy decides on retries and hedges of one class at one selecting node. It is safe for
+// Budgets limits the further attempts of one selecting node. Several policies may share it;
+// then it limits the further attempts of all their classes together. It is safe for
 // concurrent use.
-type Policy struct {
+type Budgets struct {
 	config         Config
 	retries        *Budget
 	refusalRetries *Budget // for retries after the refusal of a backend server; may equal retries
 	hedges         *Budget
-	latency        *Latency
 }
 
-// New returns a Policy for which no requests and no latency are recorded yet.
-func New(now time.Time, c Config) *Policy {
+// NewBudgets returns Budgets for which no requests are recorded yet.
+func NewBudgets(now time.Time, c Config) *Budgets {
 	c = c.withDefaults()
-	latency := NewLatency(now)
-	if c.Sparse {
-		latency = NewSparseLatency(now)
-	}
-	p := &Policy{
+	b := &Budgets{
 		config:  c,
 		retries: newBudget(now, c.RetryRatio, c.RetryReserve, c.Burst),
 		hedges:  newBudget(now, c.HedgeRatio, c.HedgeReserve, c.Burst),
-		latency: latency,
 	}
-	p.refusalRetries = p.retries
+	b.refusalRetries = b.retries
 	if c.RefusalRatio > 0 {
-		p.refusalRetries = newBudget(now, c.RefusalRatio, c.RetryReserve, c.Burst)
+		b.refusalRetries = newBudget(now, c.RefusalRatio, c.RetryReserve, c.Burst)
 	}
-	return p
+	return b
 }
 
-// RequestStarted records a new request of the class, which adds its share of a token to each
-// budget.
-func (p *Policy) RequestStarted() {
-	p.retries.Gain()
-	if p.refusalRetries != p.retries {
-		p.refusalRetries.Gain()
+// Policy decides on retries and hedges of one class at one selecting node. It is safe for
+// concurrent use.
+type Policy struct {
+	*Budgets
+	latency *Latency
+}
+
+// New returns a Policy with budgets of its own, for which no requests and no latency are
+// recorded yet.
+func New(now time.Time, c Config) *Policy { return NewShared(now, NewBudgets(now, c)) }
+
+// NewShared returns a Policy that shares b with other policies.
+func NewShared(now time.Time, b *Budgets) *Policy {
+	latency := NewLatency(now)
+	if b.config.Sparse {
+		latency = NewSparseLatency(now)
+	}
+	return &Policy{Budgets: b, latency: latency}
+}
+
+// RequestStarted records a new request, which adds its share of a token to each budget.
+func (b *Budgets) RequestStarted() {
+	b.retries.Gain()
+	if b.refusalRetries != b.retries {
+		b.refusalRetries.Gain()
 	}
-	p.hedges.Gain()
+	b.hedges.Gain()
+}
+
+// ChargeRepeated records a nested call of a run that repeats an earlier one. The call is
+// load that its service would not have had without the repetition, so it uses a token of
+// the fullest budget. The budget may go into debt, which the next requests repay.
+func (b *Budgets) ChargeRepeated() {
+	fullest := b.retries
+	for _, other := range []*Budget{b.refusalRetries, b.hedges} {
+		if other.Tokens() > fullest.Tokens() {
+			fullest = other
+		}
+	}
+	fullest.charge()
 }
 
 // maxReroutes bounds how often a request is rerouted after refusals at admission. When seven
@@ -144,11 +171,10 @@
 	if !p.worthwhile(f.Remaining) || !attempts.Use() {
 		return Decision{GiveUp, f.Kind}
 	}
-	budget := p.retries
-	if f.Kind == errkind.BackendRefused {
-		budget = p.refusalRetries
-	}
-	if !budget.Use(now) {
+	// A failure may also use what refusals have left, because then a part of the servers
+	// fails and most of the requests need another attempt.
+	allowed := f.Kind != errkind.BackendRefused && p.retries.Use(now) || p.refusalRetries.Use(now)
+	if !allowed {
 		attempts.Return(1)
 		return Decision{GiveUp, p.exhaustedKind(f)}
 	}
@@ -269,15 +295,15 @@
 	return true
 }
 
-// Budgets is the state of a Policy for metrics.
-type Budgets struct {
+// State is the state of a Policy for metrics.
+type State struct {
 	RetryTokens float64
 	HedgeTokens float64
 	P95         time.Duration // 95th percentile of the durations given to RecordLatency; zero: unknown
 }
 
-// Budgets returns the state of p for metrics.
-func (p *Policy) Budgets() Budgets {
+// State returns the state of p for metrics.
+func (p *Policy) State() State {
 	p95, _ := p.latency.P95()
-	return Budgets{p.retries.Tokens(), p.hedges.Tokens(), p95}
+	return State{p.retries.Tokens(), p.hedges.Tokens(), p95}
 }
