--- a/benchmark/benchmark_test.go
+++ b/benchmark/benchmark_test.go
@@ -288,3 +288,13 @@
 		t.Errorf("command of the run in the results file = %q, want \"millbench policies\"", v.Run["command"])
 	}
 }
+
+// Guards against a round in which no caller calls because none of them runs before the
+// round is over.
+func TestEachCallerCallsInARoundThatIsOver(t *testing.T) {
+	client := &hopClient{call: func(context.Context) error { return nil }}
+	latencies, err := runCallers(t.Context(), client, 4, func(int) bool { return false })
+	if err != nil || len(latencies) != 4 {
+		t.Errorf("runCallers in a round that is over: %d calls, error %v, want 4 calls and no error", len(latencies), err)
+	}
+}
--- a/benchmark/hop.go
+++ b/benchmark/hop.go
@@ -100,15 +100,15 @@
 	return out, nil
 }
 
-// runCallers runs concurrent callers and returns the latencies of all calls. Each
-// caller continues while keepCalling returns true for the number of its finished
-// calls.
+// runCallers runs concurrent callers and returns the latencies of all calls. Each caller
+// makes at least one call, and continues while keepCalling returns true for the number of
+// its finished calls. On a busy machine a caller may first run after the end of its round.
 func runCallers(ctx context.Context, client *hopClient, callers int, keepCalling func(n int) bool) ([]time.Duration, error) {
 	latencies, errs := make([][]time.Duration, callers), make([]error, callers)
 	var running sync.WaitGroup
 	for i := range callers {
 		running.Go(func() {
-			for n := 0; keepCalling(n) && errs[i] == nil; n++ {
+			for n := 0; n == 0 || keepCalling(n) && errs[i] == nil; n++ {
 				start := time.Now()
 				errs[i] = client.call(ctx)
 				latencies[i] = append(latencies[i], time.Since(start))
