--- a/replay/arrivals.go
+++ b/replay/arrivals.go
@@ -13,7 +13,7 @@
 	class       int
 	entry       int
 	serviceTime time.Duration // on a server that is neither slow nor cold
-	failureDraw float64       // in [0, 1); a failing server fails the request if this is below its failure share
+	failureDraw float64       // in [0, 1); a failing server fails the first execution if this is below its failure share
 }
 
 // arrivals generates the requests of a trace in order of arrival time. They depend only on
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -19,6 +20,18 @@
 	attempts *retry.Attempts
 	pending  map[uint64]*attempt
 	done     bool
+	draws    int // failure draws that executions of the request have used
+}
+
+// nextFailureDraw returns the failure draw of the next execution, in [0, 1). The executions
+// of a request fail independently of each other.
+func (r *request) nextFailureDraw() float64 {
+	n := r.draws
+	r.draws++
+	if n == 0 {
+		return r.failureDraw
+	}
+	return rand.New(rand.NewPCG(math.Float64bits(r.failureDraw), uint64(n))).Float64()
 }
 
 // attempt is one transmission of a request to a server. Its times are times of the trace.
--- a/replay/server.go
+++ b/replay/server.go
@@ -105,7 +105,7 @@
 // executionOutcome returns how long a request runs if it starts now, and the error kind with
 // which it ends; an empty kind means success. An execution ends at the deadline at the latest.
 func (s *server) executionOutcome(r *request) (time.Duration, errkind.Kind) {
-	if f := s.failureShare(s.run.now); f > 0 && r.failureDraw < f {
+	if f := s.failureShare(s.run.now); f > 0 && r.nextFailureDraw() < f {
 		return failureLatency, errkind.ConnectionLost
 	}
 	duration := time.Duration(float64(r.serviceTime) * s.slowdown(s.run.now))
