Admit no more requests to a backend server than the limit that it states

Cause: nobody read the limit. Each entry node sent what it thought the server could take. Requests without a permit are refused at once as rate_limited and rerouted, or wait if they can still meet their target; hedges get no permit; a slot that was reserved and not used gives its permit back. Load reports state the limit and the time until the next permit, and selection adds that time to the cost. Restarts: a node that starts does not know the limit. It learns it from the health answer that identifies the server, from the first answer, and from the entry nodes, which pass what they were told by the node's earlier incarnation with their attempts until it reports a condition itself. The end of a statement ends the limit; an invalid value changes nothing.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"time"
 
 	"bramleymill/errkind"
@@ -38,6 +39,7 @@
 	classes    map[string]*estimate // service time of each class
 	delay      delayRule
 	slowdown   slowdownState
+	limit      rateLimit
 	actions    []Action
 }
 
@@ -93,6 +95,9 @@
 	if c.avoidsSlowPhase(r) && c.slowdown.inSlowPhase(now) {
 		return Refused, errkind.ServerSlow, c.actions
 	}
+	if c.refusesHedge(r) {
+		return Refused, errkind.RateLimited, c.actions
+	}
 	if c.hasSlotFor(r) && c.overtakes(r) {
 		if c.remainingTooShort(now, r) {
 			return Refused, errkind.DeadlineBeforeRun, c.actions
@@ -108,6 +113,7 @@
 // HasCapacity reports whether a request that is not privileged would start immediately
 // and, as far as is known, not in a slow phase.
 func (c *Controller) HasCapacity(now time.Time) bool {
+	c.limit.refill(now)
 	return c.closed == "" && len(c.queue) == 0 && c.hasSlotFor(Request{}) && !c.slowdown.inSlowPhase(now)
 }
 
@@ -183,7 +189,7 @@
 	if !r.Internal {
 		start := r.Target.Add(-time.Duration(targetMargin * float64(c.runTime(now, r))))
 		if now.Add(wait).After(start) {
-			return Refused, errkind.QueueFull
+			return Refused, cmp.Or(c.limitKind(), errkind.QueueFull)
 		}
 		w.refuseAt = earlier(w.refuseAt, r.Target.Add(-c.runTime(now, r)))
 	}
@@ -244,9 +250,13 @@
 	return false
 }
 
-// noCapacityKind returns the kind with which r is refused for lack of capacity:
-// SlotsReserved if the only free slots are reserved, and QueueFull otherwise.
+// noCapacityKind returns the kind with which r is refused for lack of capacity: RateLimited
+// if the rate limit is used up, SlotsReserved if the only free slots are reserved, and
+// QueueFull otherwise.
 func (c *Controller) noCapacityKind(r Request) errkind.Kind {
+	if kind := c.limitKind(); kind != "" {
+		return kind
+	}
 	if !r.privileged() && len(c.running) < c.config.Slots {
 		return errkind.SlotsReserved
 	}
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -55,7 +55,7 @@
 	var decided chan errkind.Kind
 	var limit time.Duration
 	if verdict == Queued {
-		limit = g.controller.refuseAt(id).Sub(now)
+		limit = g.untilTick(now, id)
 		decided = make(chan errkind.Kind, 1)
 		g.waiters[id] = decided
 	}
@@ -72,8 +72,12 @@
 	return Slot{g, id}, nil
 }
 
-// wait blocks until a queued request is started, refused or canceled. limit is its longest
-// wait. A timer calls Tick at that time, because no other event might cause one.
+// Abandon frees the slot of a request that was not sent to the backend server.
+func (s Slot) Abandon() { s.gate.abandon(s.id) }
+
+// wait blocks until a queued request is started, refused or canceled. limit is the time until
+// its next decision, see untilTick. A timer calls Tick at that time, because no other event
+// might cause one.
 func (g *Gate) wait(ctx context.Context, id uint64, r Request, limit time.Duration, decided chan errkind.Kind) *errkind.Error {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
@@ -82,8 +86,7 @@
 		case kind := <-decided:
 			return refusal(kind, r)
 		case <-timer.C:
-			g.tick()
-			timer.Reset(time.Millisecond)
+			timer.Reset(max(g.tick(id), time.Millisecond))
 		case <-ctx.Done():
 			if g.cancel(id) {
 				return errkind.New(errkind.CallerDisconnected, "while queued: %w", context.Cause(ctx))
@@ -122,10 +125,33 @@
 	return queued
 }
 
-func (g *Gate) tick() {
+// tick calls Tick and returns the time until it is due again for the request id, or zero if
+// that request is no longer queued.
+func (g *Gate) tick(id uint64) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.clock.Now()
+	g.perform(g.controller.Tick(now))
+	if g.waiters[id] == nil {
+		return 0
+	}
+	return g.untilTick(now, id)
+}
+
+// untilTick returns the time until a queued request is to be refused or until the rate limit
+// lets a request start. The caller holds mu.
+func (g *Gate) untilTick(now time.Time, id uint64) time.Duration {
+	at := g.controller.refuseAt(id)
+	if start, limited := g.controller.nextStart(now); limited && start.After(now) {
+		at = earlier(at, start)
+	}
+	return at.Sub(now)
+}
+
+func (g *Gate) abandon(id uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.perform(g.controller.Tick(g.clock.Now()))
+	g.perform(g.controller.Abandon(g.clock.Now(), id))
 }
 
 // perform passes actions to the waiting requests and completes a drain when no request
@@ -151,6 +177,14 @@
 	g.perform(g.controller.SetSlots(g.clock.Now(), n))
 }
 
+// SetRateLimit limits the requests that start to rate a second. A negative rate means that
+// there is no limit.
+func (g *Gate) SetRateLimit(rate float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.perform(g.controller.SetRateLimit(g.clock.Now(), rate))
+}
+
 // SetSlowdown records the current service time relative to the usual one, as reported by
 // the backend server. Values that are not positive are ignored.
 func (g *Gate) SetSlowdown(slowdown float64) {
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -16,13 +16,22 @@
 	Closed      errkind.Kind  // kind of every refusal after Close; empty: open
 	Slowdown    float64       // current service time relative to the usual one; zero: unknown
 	SlowdownAge time.Duration // time since the backend server reported Slowdown
+	RateLimit   float64       // requests that may start a second; zero: no limit
+	RateWait    time.Duration // time until the rate limit lets a further request start after those in the queue
 }
 
 // Load returns the current state for load reports.
 func (c *Controller) Load(now time.Time) Load {
 	service, age := c.reportedTime(now)
 	slowdown, slowdownAge := c.slowdown.newestReport(now)
+	c.limit.refill(now)
+	var rate float64
+	if c.limit.limited {
+		rate = c.limit.rate
+	}
 	return Load{
+		RateLimit:   rate,
+		RateWait:    c.limit.wait(len(c.queue) + 1),
 		Slowdown:    slowdown,
 		SlowdownAge: slowdownAge,
 		InFlight:    len(c.running),
@@ -78,13 +87,14 @@
 
 // hasSlotFor reports whether a slot is free for r.
 func (c *Controller) hasSlotFor(r Request) bool {
-	if len(c.running) >= c.config.Slots {
+	if len(c.running) >= c.config.Slots || !c.limit.allows() {
 		return false
 	}
 	return r.privileged() || c.ordinary < c.config.Slots-c.config.Reserved
 }
 
 func (c *Controller) recordStart(now time.Time, id uint64, r Request) {
+	c.limit.take()
 	c.running[id] = running{now, c.slowdown.workClock(now), r.Deadline, r.privileged(), r.Class}
 	if !r.privileged() {
 		c.ordinary++
@@ -96,6 +106,7 @@
 // their latency target start after those that can meet it. During a slow phase they do not
 // start at all, because they would still hold slots long after the phase has ended.
 func (c *Controller) dispatch(now time.Time) {
+	c.limit.refill(now)
 	c.dispatchIf(now, func(w *waiting) bool { return c.canMeetTarget(now, w) })
 	if !c.slowdown.inSlowPhase(now) {
 		c.dispatchIf(now, func(*waiting) bool { return true })
@@ -192,13 +203,18 @@
 }
 
 // expectedWait returns the expected time until a request at the given position of the queue
-// starts. It assumes that all slots that the request may use are in use.
+// starts. It assumes that all slots that the request may use are in use, unless the rate
+// limit prevents the start.
 func (c *Controller) expectedWait(now time.Time, r Request, position int) time.Duration {
 	slots := c.config.Slots
 	if !r.privileged() {
 		slots -= c.config.Reserved
 	}
-	return time.Duration(position+1) * c.slowdown.expectedServiceTime(now, c.service.value(now, c.config.EstimateHalfLife)) / time.Duration(slots)
+	if !c.limit.allows() && len(c.running) < slots {
+		return c.limit.wait(position + 1)
+	}
+	forSlot := time.Duration(position+1) * c.slowdown.expectedServiceTime(now, c.service.value(now, c.config.EstimateHalfLife)) / time.Duration(slots)
+	return max(forSlot, c.limit.wait(position+1))
 }
 
 // unknownShare is the service time that is assumed for a request before the first answer of
@@ -235,7 +251,10 @@
 			ahead++
 		}
 	}
-	return time.Duration(ahead) * c.meanTime(now, r) / time.Duration(c.config.Slots)
+	if !c.limit.allows() && len(c.running) < c.config.Slots {
+		return c.limit.wait(ahead)
+	}
+	return max(time.Duration(ahead)*c.meanTime(now, r)/time.Duration(c.config.Slots), c.limit.wait(ahead))
 }
 
 // canMeetTarget reports whether a queued request would meet its latency target if it started
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -49,6 +49,7 @@
 	ClaimsUnavailable    Kind = "claims_unavailable"     // the claims group did not grant or process the request
 	ControlUnavailable   Kind = "control_unavailable"    // no control instance could process the request
 	QueueFull            Kind = "queue_full"             // the backend server is busy and the request may not be queued, or not stay queued
+	RateLimited          Kind = "rate_limited"           // the backend server accepts no more requests at this rate
 	SlotsReserved        Kind = "slots_reserved"         // the only free slots are reserved for privileged requests
 	RetryBudgetExhausted Kind = "retry_budget_exhausted" // the request was refused and the retry budget allows no retry
 	ClaimStoreFull       Kind = "claim_store_full"       // the claim store has no free capacity
@@ -94,6 +95,7 @@
 	ClaimsUnavailable:    {NotRun, http.StatusServiceUnavailable, time.Second},
 	ControlUnavailable:   {NotRun, http.StatusServiceUnavailable, time.Second},
 	QueueFull:            {Overloaded, http.StatusServiceUnavailable, time.Second},
+	RateLimited:          {Overloaded, http.StatusServiceUnavailable, time.Second},
 	SlotsReserved:        {Overloaded, http.StatusServiceUnavailable, time.Second},
 	RetryBudgetExhausted: {Overloaded, http.StatusServiceUnavailable, time.Second},
 	ClaimStoreFull:       {Overloaded, http.StatusServiceUnavailable, 10 * time.Second},
--- a/filter/attempts.go
+++ b/filter/attempts.go
@@ -197,7 +197,7 @@
 // or could not be reached, before the backend server was called.
 func backendNotCalled(k errkind.Kind) bool {
 	switch k {
-	case errkind.ServerSlow, errkind.QueueFull, errkind.SlotsReserved, errkind.Draining, errkind.StaleTarget,
+	case errkind.ServerSlow, errkind.QueueFull, errkind.RateLimited, errkind.SlotsReserved, errkind.Draining, errkind.StaleTarget,
 		errkind.BackendDown, errkind.DeadlineBeforeRun:
 		return true
 	}
@@ -206,7 +206,9 @@
 
 // isServerFull reports whether kind k means that a server refused an attempt because it
 // had no free capacity. If it is the only server that accepts work, a retry is pointless.
-func isServerFull(k errkind.Kind) bool { return k == errkind.QueueFull || k == errkind.SlotsReserved }
+func isServerFull(k errkind.Kind) bool {
+	return k == errkind.QueueFull || k == errkind.SlotsReserved || k == errkind.RateLimited
+}
 
 // isServerBusy reports whether kind k is a refusal of a server node because of its load or
 // slowdown. Such a server may admit another attempt that is not reroutable.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -79,6 +79,11 @@
 	// that it is not known.
 	Slowdown    float64       `cbor:"11,keyasint,omitempty"`
 	SlowdownAge time.Duration `cbor:"12,keyasint,omitempty"` // time since the server reported Slowdown
+	// RateWait is the time until the rate limit of the server lets a further request start.
+	RateWait time.Duration `cbor:"13,keyasint,omitempty"`
+	// Condition is what the server has stated about itself. Nil: nothing since the start of
+	// its node, which does not show that an earlier statement has ended.
+	Condition *Condition `cbor:"14,keyasint,omitempty"`
 }
 
 // Urgency orders the classes in the queue of a backend server. A higher urgency is served
@@ -124,6 +129,9 @@
 	// Repeated states that an earlier attempt of the request, or of a request that it is
 	// nested in, has reached a backend server. Its nested calls then count as repeated load.
 	Repeated bool `cbor:"23,keyasint,omitempty"`
+	// Told is the condition that the entry node was told by the backend server of Target
+	// through an earlier incarnation of Target. Nil: none, or Target has reported one since.
+	Told *Condition `cbor:"24,keyasint,omitempty"`
 }
 
 // MaxDepth is the maximum depth of nested calls; deeper calls are rejected.
--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -17,6 +17,8 @@
 
 	mu    sync.Mutex // serializes Update and ejections
 	zones map[string]*zoneDelay
+	// departed holds the newest condition of nodes that are no longer announced.
+	departed map[fleet.NodeID]*toldCondition
 }
 
 // pool is an immutable snapshot of the announced servers.
@@ -44,7 +46,7 @@
 
 // New returns a Balancer with an empty pool.
 func New(c Config) *Balancer {
-	b := &Balancer{config: c.withDefaults(), zones: map[string]*zoneDelay{}}
+	b := &Balancer{config: c.withDefaults(), zones: map[string]*zoneDelay{}, departed: map[fleet.NodeID]*toldCondition{}}
 	b.meanServiceTime.Store(float64(b.config.ServiceTime))
 	b.pool.Store(&pool{})
 	return b
@@ -75,6 +77,7 @@
 			}
 		}
 	}
+	b.rememberDeparted(old, next, next.sinceEpoch(now))
 	next.limitEjected(next.sinceEpoch(now))
 	b.pool.Store(next)
 }
@@ -92,6 +95,7 @@
 	e.readyAt = int64(now.Sub(epoch)) - min(sinceReady, maxReadyMillis)*int64(time.Millisecond)
 	if old == nil || old.Server.Incarnation != s.Incarnation {
 		e.load = newLoad(s.Slots)
+		b.inheritCondition(e.load, s.Node, old)
 		return e
 	}
 	e.load = old.load
--- /dev/null
+++ b/pick/condition_test.go
@@ -0,0 +1,91 @@
+package pick
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bramleymill/fleet"
+)
+
+func limited(instance string, rate float64) *fleet.Condition {
+	return &fleet.Condition{Instance: instance, Limited: true, RateLimit: rate}
+}
+
+// Guards against requests that are sent to a server whose rate limit is used up while
+// another one accepts them, and against avoiding the limited one when it has a permit again.
+func TestServerWithoutPermitIsAvoided(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{})
+	b.Update(now, []fleet.Server{
+		{Node: "a", Incarnation: 1, State: fleet.Ready, Slots: 10},
+		{Node: "b", Incarnation: 1, State: fleet.Ready, Slots: 10},
+	}, "")
+	b.Observe("a", now, &fleet.LoadReport{Incarnation: 1, Sequence: 1, Slots: 10, ServiceTime: 100 * time.Millisecond,
+		Condition: limited("i", 2), RateWait: 400 * time.Millisecond})
+	b.Observe("b", now, &fleet.LoadReport{Incarnation: 1, Sequence: 1, InFlight: 6, Slots: 10, ServiceTime: 100 * time.Millisecond})
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 20 {
+		if e, _ := b.Pick(now, rng, nil); e.Server.Node != "b" {
+			t.Fatalf("server picked = %s, want b: a accepts no request for 400 ms", e.Server.Node)
+		}
+	}
+	later := now.Add(450 * time.Millisecond)
+	e, _ := b.Pick(later, rng, nil)
+	if e.Server.Node != "a" {
+		t.Fatalf("server picked after the wait = %s, want a, the idle one", e.Server.Node)
+	}
+	b.Started(e, later) // takes the permit; the next one follows after half a second
+	for range 20 {
+		if e, _ := b.Pick(later, rng, nil); e.Server.Node != "b" {
+			t.Fatalf("server picked after the permit was used = %s, want b", e.Server.Node)
+		}
+	}
+}
+
+// Guards against a selecting node that forgets what a backend server has stated when the node
+// beside the server restarts or is not announced for a moment, and against repeating it for
+// ever.
+func TestToldConditionOutlivesTheNodeThatReportedIt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Config{})
+	update := func(servers ...fleet.Server) { b.Update(now, servers, "") }
+	told := func() string {
+		if c := b.Told(b.Endpoint("a"), now); c != nil {
+			return c.Instance
+		}
+		return ""
+	}
+	a := fleet.Server{Node: "a", Incarnation: 1, State: fleet.Ready, Slots: 10}
+	update(a)
+	b.Observe("a", now, &fleet.LoadReport{Incarnation: 1, Sequence: 1, Condition: limited("i-1", 2)})
+	if got := told(); got != "" {
+		t.Errorf("condition to tell the incarnation that reported it = %q, want none", got)
+	}
+	a.Incarnation = 2
+	update(a)
+	if got := told(); got != "i-1" {
+		t.Errorf("condition to tell the next incarnation = %q, want i-1", got)
+	}
+	a.Incarnation = 3
+	update(a)
+	if got := told(); got != "i-1" {
+		t.Errorf("condition to tell the incarnation after that = %q, want i-1", got)
+	}
+	update()
+	a.Incarnation = 4
+	update(a)
+	if got := told(); got != "i-1" {
+		t.Errorf("condition to tell the incarnation after a gap = %q, want i-1", got)
+	}
+	b.Observe("a", now, &fleet.LoadReport{Incarnation: 4, Sequence: 1, Condition: limited("i-2", 3)})
+	if got := told(); got != "" {
+		t.Errorf("condition to tell after a report of the incarnation = %q, want none", got)
+	}
+	a.Incarnation = 5
+	update(a)
+	now = now.Add(conditionMemory + time.Second)
+	if got := told(); got != "" {
+		t.Errorf("condition to tell after %v = %q, want none", conditionMemory, got)
+	}
+}
--- a/pick/load.go
+++ b/pick/load.go
@@ -36,6 +36,10 @@
 	meanFailures   atomicFloat  // exponentially weighted share of failed answers
 	meanFailuresAt atomic.Int64 // when meanFailures was last updated
 	trialAt        atomic.Int64 // start of the latest trial request; noTime: none
+	permitAt       atomic.Int64 // when the rate limit lets a further request start, from the newest report
+	permitPeriod   atomic.Int64 // time between two requests at the rate limit; zero: no limit
+
+	conditions conditions
 
 	starts [trackedStarts]atomic.Int64 // start times of outstanding requests; noTime: free element
 
@@ -157,6 +161,7 @@
 	l.startedAtReport.Store(l.started.Load())
 	l.reportAt.Store(now)
 	l.draining.Store(r.Draining)
+	l.recordLimit(now, r)
 }
 
 // Weights of a new service time in the estimate. An answer that is slower than the
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -227,7 +227,8 @@
 }
 
 // cost returns the expected completion time of a further request at e in nanoseconds: the
-// delay of the zone, the wait for the requests at the server and the service time itself.
+// delay of the zone, the wait for the requests at the server and for a permit of its rate
+// limit, and the service time itself.
 // Servers that warm up or fail cost more.
 func (b *Balancer) cost(e *Endpoint, t int64) float64 {
 	c := &b.config
@@ -237,6 +238,7 @@
 	if sinceReady := t - e.readyAt; sinceReady < int64(c.SlowStart) {
 		cost *= 1 + (c.SlowStartFactor-1)*(1-float64(max(sinceReady, 0))/float64(c.SlowStart))
 	}
+	cost += l.permitWait(t)
 	return cost + l.failureRate(t, int64(c.FailureHalfLife))*float64(c.FailurePenalty)
 }
 
--- a/proxy/announced.go
+++ b/proxy/announced.go
@@ -87,6 +87,7 @@
 type announcedState struct {
 	config         *Config
 	onChange       func()
+	onHealth       func(healthAnswer) // called with each answer of the health endpoint
 	client         *http.Client
 	wake           chan struct{}
 	healthRequests singleflight.Group
@@ -98,7 +99,7 @@
 }
 
 func newAnnouncedState(c *Config, changed func()) *announcedState {
-	return &announcedState{config: c, onChange: changed, wake: make(chan struct{}, 1), client: newHealthClient(identifyTimeout)}
+	return &announcedState{config: c, onChange: changed, onHealth: func(healthAnswer) {}, wake: make(chan struct{}, 1), client: newHealthClient(identifyTimeout)}
 }
 
 // accept applies an announcement unless it is older than the current one. An older
@@ -214,6 +215,7 @@
 	h, err := a.health(ctx)
 	if err == nil && h.instance != "" {
 		a.applyIdentity(h.instance, h.healthy, h.load.Slots, h.hasLoad)
+		a.onHealth(h)
 	}
 }
 
@@ -223,6 +225,7 @@
 	healthy  bool
 	load     LoadState
 	hasLoad  bool // the answer has a valid load header
+	header   http.Header
 }
 
 // health sends one request to the health endpoint. Concurrent calls share one
@@ -249,7 +252,7 @@
 	if _, err := io.CopyN(io.Discard, resp.Body, maxHealthBytes); err != nil && !errors.Is(err, io.EOF) {
 		return healthAnswer{}, err
 	}
-	h := healthAnswer{instance: resp.Header.Get(a.config.Dialect.Instance), healthy: resp.StatusCode == http.StatusOK}
+	h := healthAnswer{instance: resp.Header.Get(a.config.Dialect.Instance), healthy: resp.StatusCode == http.StatusOK, header: resp.Header}
 	h.load, h.hasLoad = parseLoad(resp.Header.Get(a.config.Dialect.Load))
 	return h, nil
 }
--- a/proxy/backend.go
+++ b/proxy/backend.go
@@ -36,12 +36,15 @@
 	// server announces itself.
 	announced *announcedState
 	onLoad    func(LoadState) // called with the load in each answer
+	// onAnswer is called with the instance to which a request was sent and the headers of an
+	// answer that belongs to the request.
+	onAnswer func(instance string, h http.Header)
 }
 
 func newBackend(c *Config, t *tokens, m *monitor) *backend {
 	connections := max(1, c.Backend.Connections-spareConnections)
 	b := &backend{node: c.Node, address: c.Backend.Address, tokens: t, monitor: m, clock: c.Clock,
-		rules: headerRules{c.Dialect}, service: c.Backend.Service, onLoad: func(LoadState) {},
+		rules: headerRules{c.Dialect}, service: c.Backend.Service, onLoad: func(LoadState) {}, onAnswer: func(string, http.Header) {},
 		spares: newSpares(c.Backend.Address, connections)}
 	// Idle connections have no maximum age. They stay open until the backend server
 	// closes them.
--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -70,7 +70,11 @@
 		_ = resp.Body.Close()
 		return errkind.New(kind, "the backend server %s: status %d", reason, resp.StatusCode)
 	}
-	switch d.classify(x.id, resp) {
+	verdict := d.classify(x.id, resp)
+	if verdict == answered && resp.Header.Get(d.Stamp) != "" || verdict == notRun && resp.StatusCode != http.StatusMisdirectedRequest {
+		b.onAnswer(instance, resp.Header)
+	}
+	switch verdict {
 	case notRun:
 		if resp.StatusCode == http.StatusMisdirectedRequest {
 			if b.announced != nil {
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -192,6 +192,7 @@
 	defer task.end()
 	c.Ctx = task.bind(c.Ctx)
 	task.setCall(c)
+	p.local.adoptCondition(c.Meta.Told)
 	return p.runAttempt(c)
 }
 
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -27,6 +27,7 @@
 	// announced holds the latest announcement of the backend server. It is nil unless the
 	// server announces itself.
 	announced  *announcedState
+	condition  conditionState
 	noSlowdown atomic.Bool // the latest answer to refreshSlowdown did not state a slowdown
 
 	mu               sync.Mutex
@@ -49,11 +50,21 @@
 	l.backend = newBackend(c, p.tokens, l.monitor)
 	if c.Backend.Announces {
 		l.announced = newAnnouncedState(c, l.refresh)
-		l.backend.announced, l.backend.onLoad = l.announced, l.recordLoad
+		l.announced.onHealth = l.recordHealth
+		l.backend.announced, l.backend.onLoad, l.backend.onAnswer = l.announced, l.recordLoad, l.recordStatement
 	}
 	return l
 }
 
+// recordHealth applies the condition that an answer of the health endpoint states. An answer
+// without one shows nothing: the endpoint may be served by another part of the server than
+// its requests.
+func (l *localServer) recordHealth(h healthAnswer) {
+	if s, ok := l.config.Dialect.statement(h.header); ok && s != (statement{}) {
+		l.recordStatement(h.instance, h.header)
+	}
+}
+
 // recordLoad applies the slowdown from the load that an answer of the backend server
 // reports.
 func (l *localServer) recordLoad(s LoadState) { l.gate.SetSlowdown(s.Slowdown) }
@@ -83,6 +94,7 @@
 			return // the next request queries again
 		}
 		l.recordLoad(h.load)
+		l.recordHealth(h)
 		l.noSlowdown.Store(h.load.Slowdown == 0)
 	}()
 	t := time.NewTimer(slowdownWait)
@@ -186,6 +198,9 @@
 	if a == nil {
 		return
 	}
+	if l.condition.reset(a) {
+		l.gate.SetRateLimit(noRateLimit)
+	}
 	if a.Slots > 0 {
 		l.gate.SetSlots(a.Slots)
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -202,6 +202,7 @@
 		r.ServiceAge = load.ServiceAge
 		r.Slowdown, r.SlowdownAge = load.Slowdown, load.SlowdownAge
 		r.Draining = p.State() == fleet.Draining
+		r.RateWait, r.Condition = load.RateWait, p.local.condition.latest()
 	}
 	return r
 }
--- a/proxy/requestlog.go
+++ b/proxy/requestlog.go
@@ -154,6 +154,8 @@
 		slog.Duration("service_time", load.ServiceTime),
 		slog.Float64("pace", load.Slowdown),
 		slog.Duration("pace_age", load.SlowdownAge),
+		slog.Float64("limit", load.RateLimit),
+		slog.Duration("limit_wait", load.RateWait),
 		slog.Duration("left", c.Meta.Remaining),
 		slog.Bool("movable", c.Meta.Reroutable),
 		slog.String("error", err.Error()),
--- a/proxy/reservations.go
+++ b/proxy/reservations.go
@@ -43,7 +43,8 @@
 // node.
 type reservations struct {
 	gate        *admit.Gate
-	refresh     func(context.Context) // updates the slowdown of the backend server; may be nil
+	adopt       func(*fleet.Condition) // applies what the entry node was told by the backend server; may be nil
+	refresh     func(context.Context)  // updates the slowdown of the backend server; may be nil
 	clock       clock.Clock
 	checkTarget func(fleet.Incarnation) error          // checks that the message is for this incarnation of the node
 	load        func() fleet.LoadReport                // load that a refusal reports
@@ -63,7 +64,7 @@
 	if p.local == nil {
 		return r
 	}
-	r.gate = p.local.gate
+	r.gate, r.adopt = p.local.gate, p.local.adoptCondition
 	r.checkTarget = func(i fleet.Incarnation) error { return filter.CheckIncarnation(i, p.config.Node, p.Incarnation()) }
 	r.onRefusal = func(m *reservationMessage, err error) {
 		c := &filter.Call{Meta: *m.Meta, Record: &explain.Record{CallerID: string(m.Caller)}}
@@ -87,7 +88,7 @@
 // cancel ends a reservation and releases its slot.
 func (r *reservations) cancel(k reservationKey) {
 	if slot, held := r.end(k); held {
-		slot.Release(0)
+		slot.Abandon()
 	}
 }
 
@@ -115,6 +116,9 @@
 		r.refuse(from, m, err)
 		return
 	}
+	if r.adopt != nil {
+		r.adopt(m.Meta.Told)
+	}
 	k := reservationKey{m.Entry, m.Number}
 	ctx, cancel := context.WithTimeout(context.Background(), m.Meta.Remaining)
 	v, err := r.add(k, cancel)
@@ -159,7 +163,7 @@
 	case err == nil && r.hold(k, slot):
 		r.grant(from, m)
 	case err == nil:
-		slot.Release(0) // the reservation was cancelled in the meantime
+		slot.Abandon() // the reservation was cancelled in the meantime
 	case r.forget(k):
 		r.refuse(from, m, err)
 	}
