Send no request to a backend server that states that it is leaving

What callers saw: nothing yet from users. After an answer with the header, the server got further requests until it was announced as draining or its process had ended; requests that ran then could be lost with it. Cause: nobody read the statement. Change: the node beside the server treats the statement like an announcement of the server's departure: it refuses at once, reports the state to the fleet, and the refused requests go to other servers. The statement is part of the condition that load reports carry and that entry nodes pass back to a restarted node, which would otherwise see only a health answer that may be good. It belongs to one process: a later one of the same instance is ready again.

--- a/fleet/condition.go
+++ b/fleet/condition.go
@@ -9,6 +9,7 @@
 	// nodes together.
 	Limited   bool    `cbor:"3,keyasint,omitempty"`
 	RateLimit float64 `cbor:"4,keyasint,omitempty"`
+	Leaving   bool    `cbor:"5,keyasint,omitempty"` // the server takes no new requests and will end
 }
 
 // SameProcess reports whether c and other describe the same process of a backend server. If
--- a/proxy/announced.go
+++ b/proxy/announced.go
@@ -159,6 +159,26 @@
 	return false
 }
 
+// markLeaving records that the process with the condition c is leaving. From then on it gets
+// no new requests, as after an announcement of its departure.
+func (a *announcedState) markLeaving(c *fleet.Condition) {
+	a.mu.Lock()
+	old := a.current
+	changed := old != nil && old.Instance == c.Instance && (old.State == fleet.Ready || old.State == fleet.Starting)
+	if changed {
+		next := *old
+		next.State = fleet.Draining
+		if next.StartedAt.IsZero() && c.StartedAt != 0 {
+			next.StartedAt = time.UnixMilli(c.StartedAt) // a later process of the instance supersedes it
+		}
+		a.current = &next
+	}
+	a.mu.Unlock()
+	if changed {
+		a.onChange()
+	}
+}
+
 // requestIdentification makes run query the health endpoint without delay.
 func (a *announcedState) requestIdentification() {
 	select {
@@ -183,6 +203,16 @@
 	}
 }
 
+// forgetUnstarted removes the current announcement if the start of its process is not known.
+// It is called when the process has ended: another one may start under the same instance.
+func (a *announcedState) forgetUnstarted() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.current != nil && a.current.StartedAt.IsZero() {
+		a.current, a.fromHealth = nil, false
+	}
+}
+
 // latest returns the current announcement, or nil if the instance is not known.
 func (a *announcedState) latest() *Announcement {
 	a.mu.Lock()
--- a/proxy/condition.go
+++ b/proxy/condition.go
@@ -13,11 +13,15 @@
 type statement struct {
 	limited   bool
 	rateLimit float64 // requests a second; used only if limited
+	leaving   bool
 }
 
 // statement reads what an answer states about the backend server. It returns false if the
 // stated limit is not a number that a limit can have; the answer then states nothing.
 func (d *Dialect) statement(h http.Header) (s statement, ok bool) {
+	if d.Leaving != "" {
+		s.leaving = h.Get(d.Leaving) != ""
+	}
 	text := ""
 	if d.RateLimit != "" {
 		text = h.Get(d.RateLimit)
@@ -36,8 +40,8 @@
 // conditionState holds the condition that the backend server beside the node has stated.
 type conditionState struct {
 	mu sync.Mutex
-	// current is nil until the server has stated a limit. It then remains
-	// set, so that load reports also state the end of a limit.
+	// current is nil until the server has stated a limit or that it is leaving. It then
+	// remains set, so that load reports also state the end of a limit.
 	current *fleet.Condition
 }
 
@@ -55,9 +59,12 @@
 	if s.current == nil && st == (statement{}) {
 		return nil
 	}
-	next := &fleet.Condition{Instance: a.Instance, StartedAt: unixMillis(a), Limited: st.limited, RateLimit: st.rateLimit}
-	if s.current != nil && *s.current == *next {
-		return nil
+	next := &fleet.Condition{Instance: a.Instance, StartedAt: unixMillis(a), Limited: st.limited, RateLimit: st.rateLimit, Leaving: st.leaving}
+	if s.current != nil {
+		next.Leaving = next.Leaving || s.current.Leaving && s.current.SameProcess(next)
+		if *s.current == *next {
+			return nil
+		}
 	}
 	s.current = next
 	return next
@@ -129,14 +136,18 @@
 	}
 }
 
-// applyCondition applies a condition of the running process to admission. source names where it comes from.
+// applyCondition applies a condition of the running process to admission and to the state of
+// the server. source names where it comes from.
 func (l *localServer) applyCondition(c *fleet.Condition, source string) {
-	l.config.Log.Info("backend server condition", "instance", c.Instance, "limited", c.Limited, "limit", c.RateLimit, "source", source)
+	l.config.Log.Info("backend server condition", "instance", c.Instance, "limited", c.Limited, "limit", c.RateLimit, "leaving", c.Leaving, "source", source)
 	if c.Limited {
 		l.gate.SetRateLimit(c.RateLimit)
 	} else {
 		l.gate.SetRateLimit(noRateLimit)
 	}
+	if c.Leaving {
+		l.announced.markLeaving(c)
+	}
 }
 
 // noRateLimit removes the rate limit of an admission gate.
--- a/proxy/leaving_test.go
+++ b/proxy/leaving_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
+	"time"
+
+	"bramleymill/fleet"
 )
 
 // Guards against requests to a backend server after it has stated that it is leaving, also
@@ -28,3 +32,31 @@
 		t.Errorf("requests at a server that states that it is leaving = %d, want only the first one", got)
 	}
 }
+
+// Guards against a backend server that gets no requests any more because an earlier process
+// of the same instance was leaving.
+func TestNextProcessOfALeavingInstanceIsReady(t *testing.T) {
+	started := time.UnixMilli(5000)
+	for name, replace := range map[string]func(a *announcedState){
+		"start unknown, the process has ended": func(a *announcedState) {
+			a.accept(Announcement{Instance: "i", Sequence: 1, State: fleet.Ready})
+			a.markLeaving(&fleet.Condition{Instance: "i", Leaving: true})
+			a.forgetUnstarted()
+		},
+		"start known to the entry node": func(a *announcedState) {
+			a.accept(Announcement{Instance: "i", Sequence: 1, State: fleet.Ready})
+			a.markLeaving(&fleet.Condition{Instance: "i", StartedAt: 1000, Leaving: true})
+		},
+		"start announced": func(a *announcedState) {
+			a.accept(Announcement{Instance: "i", StartedAt: time.UnixMilli(1000), Sequence: 1, State: fleet.Ready})
+			a.markLeaving(&fleet.Condition{Instance: "i", StartedAt: 1000, Leaving: true})
+		},
+	} {
+		a := newAnnouncedState(&Config{Log: slog.New(slog.DiscardHandler)}, func() {})
+		replace(a)
+		a.accept(Announcement{Instance: "i", StartedAt: started, Sequence: 1, State: fleet.Ready})
+		if got := a.latest(); got == nil || got.State != fleet.Ready || !got.StartedAt.Equal(started) {
+			t.Errorf("%s: state after the announcement of the next process = %+v, want ready", name, got)
+		}
+	}
+}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -124,6 +124,9 @@
 func (l *localServer) aliveChanged() {
 	l.health.reset()
 	l.backend.spares.kick()
+	if l.announced != nil && !l.monitor.Alive() {
+		l.announced.forgetUnstarted()
+	}
 	l.refresh()
 }
 
