Let a replica go on after a full disk has failed a sync, a truncation or a name

When the sync, the truncation of a failed record, a rename or the sync of the folder reported it, the replica stopped until the end of its process. File systems that allocate blocks late report it at the sync; those that never overwrite blocks need space to truncate or remove a file. After three of five disks no majority is left, with all processes running. It may also end service: nodes refuse everything once their configuration is unconfirmed. Change: a lack of space is never kept as the failure of the log. A record whose write or sync failed is truncated and written again from the end of what was synced before; the truncation itself is retried before the next record. A new segment that has its name is the one written to, and its name is made durable before the next record. Files that cannot be removed are left for later. Any other error still stops the replica (TestFailedSyncStopsTheReplica).

--- a/replica/disk_test.go
+++ b/replica/disk_test.go
@@ -86,6 +86,36 @@
 	c.propose(leader, "three")
 }
 
+// Guards against replicas that stop for good, one after the other, because their disks are
+// full for a short time. No change is accepted once a majority has stopped.
+func TestDisksFullInTurnStopNoReplica(t *testing.T) {
+	for operations, name := range map[faultfs.Op]string{
+		faultfs.Write: "write", faultfs.Sync: "sync", faultfs.Write | faultfs.Truncate: "write and truncate", ^faultfs.Op(0): "all",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, disks := newFaultyCluster(t)
+			c.snapshotEvery = 5
+			for _, full := range []string{"a", "b", "c"} {
+				c.propose(c.leader(), "before "+full)
+				disks[full].RunOutOfSpace(operations)
+				ctx, cancel := context.WithTimeout(context.Background(), 2*testTiming.ElectionMax)
+				for i := range 8 {
+					// Refused at a leader whose disk is full, otherwise accepted.
+					_, _ = c.processes[c.leader()].group.Propose(ctx, fmt.Appendf(nil, "%s-%d", full, i))
+				}
+				cancel()
+				disks[full].RunOutOfSpace(0)
+			}
+			for _, replica := range []string{"a", "b", "c"} {
+				if s := c.processes[replica].group.Status(); s.Stopped {
+					t.Errorf("replica %s stopped: %v, want it to continue when its disk has space", replica, s.Err)
+				}
+			}
+			c.propose(c.leader(), "after")
+		})
+	}
+}
+
 // Guards against losing accepted commands when all replicas crash at the same time.
 func TestAllReplicasCrash(t *testing.T) {
 	c, disks := newFaultyCluster(t)
--- a/replica/storage.go
+++ b/replica/storage.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"path/filepath"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -182,9 +183,19 @@
 	if err := s.saveSnapshot(r.Meta, snap.Snapshot{Data: r.Data}); err != nil {
 		return err
 	}
-	return s.reset(r.HardState, r.Meta, nil)
+	err := s.reset(r.HardState, r.Meta, nil)
+	// The log has already been emptied, so that entries before the snapshot can no longer be
+	// appended. The disk counts as stalled meanwhile.
+	for isDiskFull(err) && s.log.Unsettled() {
+		time.Sleep(settleInterval)
+		err = s.log.Settle()
+	}
+	return err
 }
 
+// settleInterval is the time between two attempts to make an emptied log durable.
+const settleInterval = 50 * time.Millisecond
+
 // readChunk reads the data of the part of a snapshot that c describes.
 func (s *storage) readChunk(c *raft.Chunk) error {
 	data, total, err := s.snapshots.ReadAt(c.Meta.Index, c.Offset, raft.MaxChunkBytes)
--- a/snap/snap.go
+++ b/snap/snap.go
@@ -92,7 +92,8 @@
 	}
 	for _, name := range names {
 		if strings.HasSuffix(name, fileSuffix+temporarySuffix) {
-			if err := fs.Remove(filepath.Join(folder, name)); err != nil {
+			// A file that a full disk keeps in place is emptied by the next Save of its index.
+			if err := fs.Remove(filepath.Join(folder, name)); err != nil && !wal.IsDiskFull(err) {
 				return nil, fmt.Errorf("snap: remove unfinished file: %w", err)
 			}
 		}
@@ -218,16 +219,15 @@
 		defer f.Close()
 		err = write(f, x)
 	}
+	if err == nil {
+		err = f.Sync()
+	}
 	if wal.IsDiskFull(err) {
 		_ = s.fs.Remove(name) // if this fails, the next Open removes the file
-		return fmt.Errorf("%w: %w", ErrDiskFull, err)
 	}
 	if err != nil {
 		return s.fail(err)
 	}
-	if err := f.Sync(); err != nil {
-		return s.fail(err)
-	}
 	return nil
 }
 
@@ -279,9 +279,15 @@
 	return len(b), nil
 }
 
+// removeOld removes the snapshots that are no longer needed. Those that a full disk keeps in
+// place are removed later.
 func (s *Store) removeOld() error {
 	for len(s.indices) > keptSnapshots {
-		if err := s.fs.Remove(s.path(s.indices[0])); err != nil {
+		err := s.fs.Remove(s.path(s.indices[0]))
+		if wal.IsDiskFull(err) {
+			return nil
+		}
+		if err != nil {
 			return s.fail(err)
 		}
 		s.indices = s.indices[1:]
@@ -289,7 +295,12 @@
 	return nil
 }
 
+// fail returns the error of a failed operation. Unless the disk is full, it records the error,
+// so that all later calls of Save fail too.
 func (s *Store) fail(err error) error {
+	if wal.IsDiskFull(err) {
+		return fmt.Errorf("%w: %w", ErrDiskFull, err)
+	}
 	s.failure = fmt.Errorf("%w: %w", ErrFailed, err)
 	return s.failure
 }
--- a/snap/snap_test.go
+++ b/snap/snap_test.go
@@ -63,6 +63,40 @@
 	}
 }
 
+// Guards against a store that saves no more snapshots after a full disk has failed an
+// operation other than a write.
+func TestStoreRecoversFromEveryOperationWithoutSpace(t *testing.T) {
+	for name, failing := range map[string]faultfs.Op{
+		"sync": faultfs.Sync, "create": faultfs.Create, "rename": faultfs.Rename, "remove": faultfs.Remove,
+		"folder": faultfs.SyncFolder, "all": ^faultfs.Op(0),
+	} {
+		fs := faultfs.New(1)
+		s := open(t, fs)
+		newest := uint64(0)
+		for index := uint64(1); index < 20; index++ {
+			full := index%3 == 0
+			if full {
+				fs.RunOutOfSpace(failing)
+			}
+			err := s.Save(snapshot(index, 100))
+			fs.RunOutOfSpace(0)
+			if err != nil && !(full && errors.Is(err, snap.ErrDiskFull)) {
+				t.Fatalf("%s: save of snapshot %d: error %v (disk full: %v), want none, or ErrDiskFull on a full disk", name, index, err, full)
+			}
+			if err == nil {
+				newest = index
+			}
+			if index%5 == 0 {
+				fs.Crash()
+				s = open(t, fs)
+			}
+			if got, err := s.Latest(); err != nil || got.Index < newest {
+				t.Fatalf("%s: Latest = %+v, error %v; want at least snapshot %d", name, got, err, newest)
+			}
+		}
+	}
+}
+
 // Guards against restoring a damaged snapshot.
 func TestDamagedSnapshotIsRefused(t *testing.T) {
 	fs := faultfs.New(1)
--- a/wal/faultfs/faultfs.go
+++ b/wal/faultfs/faultfs.go
@@ -39,9 +39,26 @@
 	writeFails bool
 	syncFails  bool
 	free       int // bytes that can be written until the disk is full; negative: unlimited
+	noSpace    Op  // operations that fail because the disk is full
 	syncs      int
 }
 
+// Op is a set of operations that need space.
+type Op uint
+
+// The operations that need space. A write or a change of a folder may need a new block.
+// File systems that allocate blocks late report the lack of space only at the sync, and those
+// that never overwrite blocks need space even to truncate or remove a file.
+const (
+	Write Op = 1 << iota
+	Sync
+	Truncate
+	Create
+	Rename
+	Remove
+	SyncFolder
+)
+
 // New returns an empty file system.
 func New(seed uint64) *FS {
 	return &FS{
@@ -81,6 +98,19 @@
 // negative number removes the limit.
 func (f *FS) SetFreeBytes(bytes int) { f.withLock(func() { f.free = bytes }) }
 
+// RunOutOfSpace makes the given operations fail because the disk is full, until it is called
+// with zero.
+func (f *FS) RunOutOfSpace(operations Op) { f.withLock(func() { f.noSpace = operations }) }
+
+// checkSpace returns an error if an operation fails because the disk is full. The caller
+// holds mu.
+func (f *FS) checkSpace(operation Op) error {
+	if f.noSpace&operation != 0 {
+		return syscall.ENOSPC
+	}
+	return nil
+}
+
 // Syncs returns the number of file syncs so far.
 func (f *FS) Syncs() int {
 	f.mu.Lock()
@@ -144,6 +174,9 @@
 func (f *FS) Create(name string) (wal.File, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err := f.checkSpace(Create); err != nil {
+		return nil, err
+	}
 	n := &inode{}
 	f.names[name] = n
 	return &file{fs: f, inode: n, crashesAtOpen: f.crashes}, nil
@@ -171,6 +204,9 @@
 	if !ok {
 		return &os.PathError{Op: "rename", Path: from, Err: os.ErrNotExist}
 	}
+	if err := f.checkSpace(Rename); err != nil {
+		return err
+	}
 	delete(f.names, from)
 	f.names[to] = n
 	return nil
@@ -178,7 +214,12 @@
 
 // Remove removes a file.
 func (f *FS) Remove(name string) error {
-	f.withLock(func() { delete(f.names, name) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.checkSpace(Remove); err != nil {
+		return err
+	}
+	delete(f.names, name)
 	return nil
 }
 
@@ -204,6 +245,9 @@
 	if f.syncFails {
 		return ErrInjected
 	}
+	if err := f.checkSpace(SyncFolder); err != nil {
+		return err
+	}
 	inFolder := func(name string, _ *inode) bool { return filepath.Dir(name) == folder }
 	maps.DeleteFunc(f.synced, inFolder)
 	for name, n := range f.names {
@@ -267,6 +311,9 @@
 	if h.fs.writeFails {
 		return 0, ErrInjected
 	}
+	if err := h.fs.checkSpace(Write); err != nil {
+		return 0, err
+	}
 	n := len(b)
 	if h.fs.free >= 0 {
 		n = min(n, h.fs.free)
@@ -291,6 +338,10 @@
 		h.inode.data = slices.Clone(h.inode.synced)
 		return ErrInjected
 	}
+	if err := h.fs.checkSpace(Sync); err != nil {
+		h.inode.data = slices.Clone(h.inode.synced)
+		return err
+	}
 	h.inode.synced = slices.Clone(h.inode.data)
 	return nil
 }
@@ -301,6 +352,9 @@
 		return err
 	}
 	defer unlock()
+	if err := h.fs.checkSpace(Truncate); err != nil {
+		return err
+	}
 	h.inode.data = h.inode.data[:size:size]
 	return nil
 }
--- a/wal/log.go
+++ b/wal/log.go
@@ -30,6 +30,8 @@
 	segments     []uint64 // numbers in ascending order; the last one is written to
 	offset       int64    // end of the last intact frame
 	nextFrame    uint64   // number of the next frame
+	tailPending  bool     // remains of a failed record may follow offset; they are removed before the next record
+	namePending  bool     // the name of the newest segment may not be durable yet
 	failure      error    // returned by all later writes; nil: none
 	buffer       []byte
 }
@@ -73,7 +75,8 @@
 	}
 	for _, name := range names {
 		if strings.HasSuffix(name, segmentSuffix+temporarySuffix) {
-			if err := l.fs.Remove(filepath.Join(l.folder, name)); err != nil {
+			// A file that a full disk keeps in place is emptied when its segment starts.
+			if err := l.fs.Remove(filepath.Join(l.folder, name)); err != nil && !IsDiskFull(err) {
 				return fmt.Errorf("wal: remove unfinished segment: %w", err)
 			}
 			continue
@@ -93,7 +96,9 @@
 
 // create starts a new segment whose first record is record. The segment is first
 // written to a temporary file, so that every segment has a complete header and
-// first frame.
+// first frame. Once the segment has its name, it is the one that is written to, even if the
+// name cannot be made durable on a full disk: a later record in the segment before it would
+// be lost if the name survives a crash.
 func (l *Log) create(reset bool, record []byte) error {
 	number := uint64(1)
 	if n := len(l.segments); n > 0 {
@@ -110,16 +115,22 @@
 		f.Close()
 		return l.fail(err)
 	}
-	if err := l.fs.SyncFolder(l.folder); err != nil {
-		f.Close()
-		return l.fail(err)
-	}
 	if l.file != nil {
 		l.file.Close()
 	}
-	l.file, l.header, l.offset = f, h, int64(len(content))
+	l.file, l.header, l.offset, l.tailPending = f, h, int64(len(content)), false
 	l.segments = append(l.segments, number)
 	l.nextFrame++
+	l.namePending = true
+	return l.syncName()
+}
+
+// syncName makes the name of the newest segment durable.
+func (l *Log) syncName() error {
+	if err := l.fs.SyncFolder(l.folder); err != nil {
+		return l.fail(err)
+	}
+	l.namePending = false
 	return nil
 }
 
@@ -132,69 +143,115 @@
 		if f != nil {
 			f.Close()
 		}
-		if IsDiskFull(err) {
-			_ = l.fs.Remove(name) // if this fails, the next Open removes the file
-			return nil, fmt.Errorf("%w: %w", ErrDiskFull, err)
-		}
-		return nil, l.fail(err)
+		return nil, l.failTemporary(name, err)
 	}
 	if err := f.Sync(); err != nil {
 		f.Close()
-		return nil, l.fail(err)
+		return nil, l.failTemporary(name, err)
 	}
 	return f, nil
 }
 
-// fail records err, so that all later writes fail too.
+// failTemporary is fail for a temporary file. It frees the space of the file.
+func (l *Log) failTemporary(name string, err error) error {
+	if IsDiskFull(err) {
+		_ = l.fs.Remove(name) // if this fails, the next Open removes the file
+	}
+	return l.fail(err)
+}
+
+// fail returns the error of a failed operation. Unless the disk is full, it records the error,
+// so that all later writes fail too.
 func (l *Log) fail(err error) error {
+	if IsDiskFull(err) {
+		return fmt.Errorf("%w: %w", ErrDiskFull, err)
+	}
 	l.failure = fmt.Errorf("%w: %w", ErrFailed, err)
 	return l.failure
 }
 
-// Append writes one record and syncs it.
+// Append writes one record and syncs it. After ErrDiskFull the record may still be found by
+// the next Open.
 func (l *Log) Append(record []byte) error {
+	if err := l.check(record); err != nil {
+		return err
+	}
+	if err := l.finishPending(); err != nil {
+		return err
+	}
 	switch {
-	case l.failure != nil:
-		return l.failure
-	case len(record) > MaxRecordBytes:
-		return ErrTooLarge
 	case l.file == nil:
 		return l.create(true, record)
 	case l.offset >= l.segmentLimit:
 		return l.create(false, record)
 	}
 	l.buffer = l.header.appendFrame(l.buffer[:0], l.nextFrame, record)
-	if _, err := l.file.Write(l.buffer); err != nil {
-		return l.undoFailedWrite(err)
+	_, err := l.file.Write(l.buffer)
+	if err == nil {
+		err = l.file.Sync()
 	}
-	if err := l.file.Sync(); err != nil {
-		return l.fail(err)
+	if err != nil {
+		return l.undoFailedWrite(err)
 	}
 	l.offset += int64(len(l.buffer))
 	l.nextFrame++
 	return nil
 }
 
-// undoFailedWrite removes the remains of a failed write. After a full disk the
-// log can be used again; any other failure leaves the state of the file unknown.
+// check returns an error if the log has failed or record is too large.
+func (l *Log) check(record []byte) error {
+	if l.failure != nil {
+		return l.failure
+	}
+	if len(record) > MaxRecordBytes {
+		return ErrTooLarge
+	}
+	return nil
+}
+
+// finishPending performs what a full disk has prevented earlier.
+func (l *Log) finishPending() error {
+	if l.namePending {
+		if err := l.syncName(); err != nil {
+			return err
+		}
+	}
+	if l.tailPending {
+		return l.removeTail()
+	}
+	return nil
+}
+
+// undoFailedWrite removes the remains of a record that could not be written or synced. After
+// a full disk the log can be used again: everything before the record was synced earlier, and
+// the record is written again from its start. Any other failure leaves the state of the file
+// unknown.
 func (l *Log) undoFailedWrite(cause error) error {
 	if !IsDiskFull(cause) {
 		return l.fail(cause)
 	}
+	l.tailPending = true
+	if err := l.removeTail(); err != nil && l.failure != nil {
+		return err
+	}
+	return l.fail(cause)
+}
+
+// removeTail removes what follows the last intact frame.
+func (l *Log) removeTail() error {
 	if err := l.file.Truncate(l.offset); err != nil {
 		return l.fail(err)
 	}
-	return fmt.Errorf("%w: %w", ErrDiskFull, cause)
+	l.tailPending = false
+	return nil
 }
 
 // Reset replaces the whole log by one record. After a crash the log holds either
-// the old records or the new one.
+// the old records or the new one. After ErrDiskFull the old records are still there, unless
+// Unsettled returns true.
 func (l *Log) Reset(record []byte) error {
-	if l.failure != nil {
-		return l.failure
-	}
-	if len(record) > MaxRecordBytes {
-		return ErrTooLarge
+	if err := l.check(record); err != nil {
+		return err
 	}
 	if err := l.create(true, record); err != nil {
 		return err
@@ -203,17 +260,37 @@
 }
 
 // removeBefore removes the first n segments, oldest first, so that a crash leaves
-// no gap between the segments.
+// no gap between the segments. Those that a full disk keeps in place are removed by a later
+// Reset or Open.
 func (l *Log) removeBefore(n int) error {
+	removed := 0
 	for _, s := range l.segments[:n] {
-		if err := l.fs.Remove(l.path(s)); err != nil {
+		err := l.fs.Remove(l.path(s))
+		if IsDiskFull(err) {
+			break
+		}
+		if err != nil {
 			return l.fail(err)
 		}
+		removed++
 	}
-	l.segments = append([]uint64(nil), l.segments[n:]...)
+	l.segments = append([]uint64(nil), l.segments[removed:]...)
 	return nil
 }
 
+// Unsettled reports whether a segment was started although a full disk prevented its name
+// from becoming durable. If Reset started it, the log holds only the new record, or after a
+// crash the old ones. Settle, Append and Reset try again.
+func (l *Log) Unsettled() bool { return l.namePending }
+
+// Settle makes the name of an unsettled segment durable.
+func (l *Log) Settle() error {
+	if l.failure != nil {
+		return l.failure
+	}
+	return l.finishPending()
+}
+
 // Close closes the log. All appended records are durable already.
 func (l *Log) Close() error {
 	if l.failure == nil {
--- a/wal/log_test.go
+++ b/wal/log_test.go
@@ -211,6 +211,65 @@
 	}
 }
 
+// Guards against a log that stays unusable after a full disk has failed an operation other
+// than a write, and against one that loses a synced record then.
+func TestLogRecoversFromEveryOperationWithoutSpace(t *testing.T) {
+	for name, failing := range map[string]faultfs.Op{
+		"sync": faultfs.Sync, "write, truncate": faultfs.Write | faultfs.Truncate, "sync, truncate": faultfs.Sync | faultfs.Truncate,
+		"create": faultfs.Create, "rename": faultfs.Rename, "remove": faultfs.Remove, "folder": faultfs.SyncFolder, "all": ^faultfs.Op(0),
+	} {
+		for seed := range uint64(40) {
+			fs := faultfs.New(seed)
+			random := rand.New(rand.NewPCG(seed, 5))
+			l, want := open(t, fs)
+			for step := range 30 {
+				full := random.IntN(3) == 0
+				if full {
+					fs.RunOutOfSpace(failing)
+				}
+				r := fmt.Sprintf("%s-%d-%d-%s", name, seed, step, bytes.Repeat([]byte{'x'}, random.IntN(60)))
+				replace := random.IntN(6) == 0
+				write := l.Append
+				if replace {
+					write = l.Reset
+				}
+				err := write([]byte(r))
+				fs.RunOutOfSpace(0)
+				switch {
+				case err != nil && !(full && errors.Is(err, wal.ErrDiskFull)):
+					t.Fatalf("%s, seed %d, step %d: error %v (disk full: %v), want none, or ErrDiskFull on a full disk", name, seed, step, err, full)
+				case err != nil && replace && l.Unsettled():
+					want = nil // the reset may have taken effect
+					continue
+				case err != nil:
+					continue
+				case replace:
+					want = nil
+				}
+				want = append(want, r)
+				if random.IntN(4) == 0 {
+					fs.Crash()
+					var got []string
+					if l, got = open(t, fs); !containsInOrder(got, want) {
+						t.Fatalf("%s, seed %d, step %d: replayed %q, want all of %q in this order", name, seed, step, got, want)
+					}
+				}
+			}
+		}
+	}
+}
+
+// containsInOrder reports whether all of want are in got, in the same order. Between them may
+// be records of writes that failed.
+func containsInOrder(got, want []string) bool {
+	for _, r := range got {
+		if len(want) > 0 && r == want[0] {
+			want = want[1:]
+		}
+	}
+	return len(want) == 0
+}
+
 func BenchmarkAppend(b *testing.B) {
 	l, err := wal.Open(wal.OS{}, b.TempDir(), wal.Options{}, nil)
 	if err != nil {
--- a/wal/replay.go
+++ b/wal/replay.go
@@ -1,6 +1,9 @@
 package wal
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // segment is a segment file that was read into memory.
 type segment struct {
@@ -42,19 +45,21 @@
 	if err != nil {
 		return err
 	}
+	first := l.segments[start]
 	if err := l.removeBefore(start); err != nil {
 		return err
 	}
-	for i, number := range l.segments {
+	kept := l.segments[slices.Index(l.segments, first):]
+	for i, number := range kept {
 		s, err := l.read(number)
 		if err != nil {
 			return err
 		}
-		if i > 0 && (number != l.segments[i-1]+1 || s.header.first != l.nextFrame) {
+		if i > 0 && (number != kept[i-1]+1 || s.header.first != l.nextFrame) {
 			return &CorruptError{File: s.name, Reason: "the segment before this one is missing or incomplete"}
 		}
 		l.header, l.nextFrame = s.header, s.header.first
-		if err := l.replaySegment(s, i == len(l.segments)-1, f); err != nil {
+		if err := l.replaySegment(s, i == len(kept)-1, f); err != nil {
 			return err
 		}
 	}
@@ -96,10 +101,15 @@
 	if intact {
 		return nil
 	}
-	if err := f.Truncate(l.offset); err != nil {
-		return l.fail(err)
+	err = f.Truncate(l.offset)
+	if err == nil {
+		err = f.Sync()
+	}
+	if IsDiskFull(err) {
+		l.tailPending = true
+		return nil
 	}
-	if err := f.Sync(); err != nil {
+	if err != nil {
 		return l.fail(err)
 	}
 	return nil
