End calls that come during a drain with the drain

What callers saw, as other operators report: in a planned stop of one machine, requests that came late were passed on and cut at the end of the grace time with no answer. Cause here: a stopping node refuses new requests of callers from 2.2 s on, and those that it took before run until the last sixth of the grace time. But it still takes the calls that its backend server makes for requests in flight, and passed them on with the time that those requests had left, which may end after the drain. Such a call was cut off while its server was at work. Evidence: TestCallDuringADrainEndsWithIt failed before (the server had 10 s for a call in a drain of 5 s). Change: the deadline of such a call is at most the end of the drain. A server that needs longer refuses it before it has run. Measured: by the test only.

--- a/proxy/drain.go
+++ b/proxy/drain.go
@@ -18,6 +18,7 @@
 	mu        sync.Mutex
 	active    map[*task]struct{}
 	closed    bool
+	cancelAt  time.Time     // when the tasks that are left are cancelled; zero: not planned
 	drained   chan struct{} // closed when the tracker is closed and no task is left
 	signalled bool          // drained is closed
 }
@@ -83,15 +84,30 @@
 	}
 }
 
-// close stops accepting tasks. The returned channel is closed when no task is left.
-func (w *taskTracker) close() <-chan struct{} {
+// close stops accepting tasks. Those that are left at cancelAt are cancelled then; a zero
+// cancelAt means that they are not. The returned channel is closed when no task is left.
+func (w *taskTracker) close(cancelAt time.Time) <-chan struct{} {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.closed = true
+	w.closed, w.cancelAt = true, cancelAt
 	w.signal()
 	return w.drained
 }
 
+// limitParent returns p with a deadline that is not after the time at which tasks are
+// cancelled. A nested call then gets no more time than is left, so that a server which needs
+// longer refuses it before it has run. p may be nil.
+func (w *taskTracker) limitParent(p *filter.Parent) *filter.Parent {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p == nil || w.cancelAt.IsZero() || p.Deadline.Before(w.cancelAt) {
+		return p
+	}
+	limited := *p
+	limited.Deadline = w.cancelAt
+	return &limited
+}
+
 // cancelAll cancels all tasks and returns their descriptions.
 func (w *taskTracker) cancelAll() []CancelledRequest {
 	w.mu.Lock()
@@ -132,7 +148,11 @@
 	if p.local != nil {
 		p.local.drain()
 	}
-	idle := p.tasks.close()
+	var cancelAt time.Time
+	if end, ok := ctx.Deadline(); ok {
+		cancelAt = p.config.Clock.Now().Add(time.Until(end))
+	}
+	idle := p.tasks.close(cancelAt)
 	var report DrainReport
 	select {
 	case <-idle:
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,6 +105,40 @@
 	}
 }
 
+// Guards against a nested call that arrives late in a drain, is sent to a server that has
+// longer for it than the drain lasts, and is cut off without the answer of that server.
+func TestCallDuringADrainEndsWithIt(t *testing.T) {
+	const drain = 5 * time.Second // half of what the request that makes the call has left
+	c := newCluster(t)
+	var n *node
+	var left atomic.Int64
+	c.node("b", http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		ms, _ := strconv.ParseInt(r.Header.Get(fleet.HeaderDeadlineMillis), 10, 64)
+		left.Store(ms)
+	}))
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	n = c.node("a", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-proceed
+		w.WriteHeader(nestedCall(t, n, r, "/leaf").StatusCode)
+	}))
+	answered := make(chan int)
+	go func() { answered <- n.forward(t, "entry", "POST", n.meta("entry")).StatusCode }()
+	<-arrived
+	ctx, cancel := context.WithTimeout(t.Context(), drain)
+	defer cancel()
+	go n.Drain(ctx, time.Second)
+	n.await(fleet.Draining)
+	<-trackerClosed(&n.tasks)
+	close(proceed)
+	if status := <-answered; status != 200 {
+		t.Fatalf("status of the request whose call came during the drain = %d, want 200", status)
+	}
+	if got := time.Duration(left.Load()) * time.Millisecond; got <= 0 || got > drain {
+		t.Errorf("time that the server had for the call = %v, want at most %v, the rest of the drain", got, drain)
+	}
+}
+
 // Guards against an outage caused by forged answers that suggest that the backend server
 // is draining. Such hints count only if they are consecutive, are ignored after a healthy
 // health answer, and expire.
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -55,6 +55,7 @@
 		return
 	}
 	defer task.end()
+	c.Parent = p.tasks.limitParent(c.Parent)
 	c.Ctx = task.bind(c.Ctx)
 	task.setCall(c)
 	if err := p.entry.Serve(c); err != nil {
