--- /dev/null
+++ b/review/harness/backend.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// backendConfig describes how a backend server works.
+type backendConfig struct {
+	slots int
+	work  time.Duration // work of a request
+}
+
+// backend is a stand-in for a backend server.
+type backend struct {
+	fleet    *fleet
+	machine  *machine
+	service  string
+	instance string
+	born     int64
+	config   backendConfig
+	listener net.Listener
+	server   *http.Server
+	slots    chan struct{}
+	waiting  atomic.Int32
+	answers  atomic.Int64
+	sequence atomic.Uint64
+	leaving  atomic.Bool // shown by the health path
+	silent   atomic.Bool // sends no heartbeats
+	closed   chan struct{}
+
+	// spoil returns the bytes that the server sends instead of its n-th answer, or nothing. It
+	// may be nil.
+	spoil atomic.Pointer[func(n int64) string]
+}
+
+// queueLimit is the number of requests that wait for a slot.
+const queueLimit = 12
+
+// heartbeatInterval is the setting of the same name.
+const heartbeatInterval = 1500 * time.Millisecond
+
+// startBackend starts a backend server at the address on m.
+func (f *fleet) startBackend(m *machine, service string, c backendConfig) (*backend, error) {
+	l, err := net.Listen("tcp", m.address(f.ports.App))
+	if err != nil {
+		return nil, err
+	}
+	b := &backend{fleet: f, machine: m, service: service, instance: fmt.Sprintf("i-%08x", rand.Uint32()), born: time.Now().UnixMilli(),
+		config: c, listener: l, slots: make(chan struct{}, c.slots), closed: make(chan struct{})}
+	b.server = &http.Server{Handler: http.HandlerFunc(b.serve), IdleTimeout: 10 * time.Second}
+	f.mu.Lock()
+	f.backends = append(f.backends, b)
+	f.mu.Unlock()
+	f.rec.add("backend %s of %s starts at %s", b.instance, service, m.Name)
+	go func() { _ = b.server.Serve(l) }() // ends with close
+	go b.sendHeartbeats()
+	return b, nil
+}
+
+// close ends the server: its connections close and its address refuses new ones.
+func (b *backend) close() {
+	select {
+	case <-b.closed:
+	default:
+		close(b.closed)
+		_ = b.server.Close() // there is nothing to save
+	}
+}
+
+func (b *backend) sendHeartbeats() {
+	for {
+		if !b.silent.Load() {
+			b.heartbeat("ready")
+		}
+		select {
+		case <-b.closed:
+			return
+		case <-time.After(heartbeatInterval):
+		}
+	}
+}
+
+func (b *backend) heartbeatText(state string) string {
+	return render("heartbeat.tmpl", map[string]any{"Address": b.machine.address(b.fleet.ports.App), "Service": b.service, "Zone": b.machine.Zone,
+		"Slots": b.config.slots, "State": state, "Sequence": b.sequence.Add(1), "Born": b.born})
+}
+
+func (b *backend) heartbeatURL() string {
+	return "http://" + b.machine.address(b.fleet.ports.Control) + "/v1/instances/" + b.instance
+}
+
+// heartbeat sends one heartbeat and returns the status of the answer.
+func (b *backend) heartbeat(state string) int {
+	status, _ := b.fleet.call("PUT", b.heartbeatURL(), b.heartbeatText(state))
+	return status
+}
+
+func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(names.Load, fmt.Sprintf("%d,%d,%d,100", len(b.slots), b.waiting.Load(), b.config.slots))
+	if r.URL.Path == "/health" {
+		w.Header().Set(names.Instance, b.instance)
+		if b.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	id := r.Header.Get(headerRequestID)
+	w.Header().Set(headerRequestID, id)
+	if expected := r.Header.Get(names.ExpectInstance); expected != "" && expected != b.instance {
+		b.fleet.rec.add("reaches id=%s backend=%s service=%s and gets 421", id, b.instance, b.service)
+		w.Header().Set(names.NotExecuted, "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the request is not complete and does not run
+	}
+	if b.waiting.Add(1) > queueLimit {
+		b.waiting.Add(-1)
+		w.Header().Set(names.NotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case b.slots <- struct{}{}:
+		b.waiting.Add(-1)
+		defer func() { <-b.slots }()
+	case <-r.Context().Done():
+		b.waiting.Add(-1)
+		return
+	}
+	b.run(w, r, id, body)
+}
+
+// run runs a request and answers it.
+func (b *backend) run(w http.ResponseWriter, r *http.Request, id string, body []byte) {
+	b.fleet.rec.add("runs id=%s backend=%s service=%s %s %s body=%d", id, b.instance, b.service, r.Method, r.RequestURI, len(body))
+	b.fleet.book.recordRun(id, run{b.service, b.instance, b.fleet.rec.now()})
+	work := b.config.work * time.Duration(70+rand.IntN(60)) / 100
+	limit, err := strconv.Atoi(r.Header.Get(headerDeadline))
+	if err == nil && work > time.Duration(limit)*time.Millisecond {
+		work = time.Duration(limit) * time.Millisecond
+		w.Header().Set(names.Stamp, b.instance+"."+id)
+		time.Sleep(work)
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	select {
+	case <-time.After(work):
+	case <-r.Context().Done():
+		b.fleet.rec.add("cut id=%s backend=%s", id, b.instance)
+		return
+	}
+	if spoil := b.spoil.Load(); spoil != nil {
+		if text := (*spoil)(b.answers.Add(1)); text != "" {
+			b.writeBytes(w, id, text)
+			return
+		}
+	}
+	w.Header().Set(names.Stamp, b.instance+"."+id)
+	_, _ = io.WriteString(w, answerTo(id)) // the node may have disconnected
+}
+
+// writeBytes sends text in place of an answer and closes the connection.
+func (b *backend) writeBytes(w http.ResponseWriter, id, text string) {
+	b.fleet.rec.add("spoils id=%s backend=%s", id, b.instance)
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		b.fleet.rec.add("cannot spoil: %v", err)
+		return
+	}
+	_, _ = io.WriteString(conn, text) // the node may have disconnected
+	time.Sleep(50 * time.Millisecond) // the node reads the bytes before the connection ends
+	_ = conn.Close()
+}
+
+// answerTo returns the whole body of the answer to a request.
+func answerTo(id string) string { return "answer to " + id + strings.Repeat(".", 400) }
