--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -20,23 +20,25 @@
 
 // backend is a stand-in for a backend server.
 type backend struct {
-	fleet    *fleet
-	machine  *machine
-	service  string
-	instance string
-	born     int64
-	config   backendConfig
-	listener net.Listener
-	server   *http.Server
-	slots    chan struct{}
-	waiting  atomic.Int32
-	answers  atomic.Int64
-	sequence atomic.Uint64
-	leaving  atomic.Bool // shown by the health path
-	silent   atomic.Bool // sends no heartbeats
-	early    atomic.Bool // rejects some long requests before they are in
-	earlies  atomic.Int64
-	closed   chan struct{}
+	fleet       *fleet
+	machine     *machine
+	service     string
+	instance    string
+	born        int64
+	config      backendConfig
+	listener    net.Listener
+	server      *http.Server
+	slots       chan struct{}
+	waiting     atomic.Int32
+	answers     atomic.Int64
+	sequence    atomic.Uint64
+	leaving     atomic.Bool // shown by the health path
+	silent      atomic.Bool // sends no heartbeats
+	early       atomic.Bool // rejects some long requests before they are in
+	earlies     atomic.Int64
+	sendsStrays atomic.Bool  // sends additional bytes after some answers
+	candidates  atomic.Int64 // answers that additional bytes may follow
+	closed      chan struct{}
 
 	// spoil returns the bytes that the server sends instead of its n-th answer, or nothing. It
 	// may be nil.
@@ -57,7 +59,7 @@
 	}
 	b := &backend{fleet: f, machine: m, service: service, instance: fmt.Sprintf("i-%08x", rand.Uint32()), born: time.Now().UnixMilli(),
 		config: c, listener: l, slots: make(chan struct{}, c.slots), closed: make(chan struct{})}
-	b.server = &http.Server{Handler: http.HandlerFunc(b.serve), IdleTimeout: 10 * time.Second}
+	b.server = &http.Server{Handler: http.HandlerFunc(b.serve), IdleTimeout: 10 * time.Second, ConnContext: withConnState}
 	f.mu.Lock()
 	f.backends = append(f.backends, b)
 	f.mu.Unlock()
@@ -164,6 +166,10 @@
 func (b *backend) run(w http.ResponseWriter, r *http.Request, id string, body []byte) {
 	b.fleet.rec.add("runs id=%s backend=%s service=%s %s %s body=%d", id, b.instance, b.service, r.Method, r.RequestURI, len(body))
 	b.fleet.book.recordRun(id, run{b.service, b.instance, b.fleet.rec.now()})
+	if b.strays(r) {
+		b.runAfterStray(w, id)
+		return
+	}
 	work := b.config.work * time.Duration(70+rand.IntN(60)) / 100
 	limit, err := strconv.Atoi(r.Header.Get(headerDeadline))
 	if err == nil && work > time.Duration(limit)*time.Millisecond {
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -21,11 +21,15 @@
 
 // book holds the runs of all requests by their id.
 type book struct {
-	mu   sync.Mutex
-	runs map[string][]run
+	mu      sync.Mutex
+	runs    map[string][]run
+	done    map[string]bool   // the run has ended well
+	answers map[string]answer // what the client got
 }
 
-func newBook() *book { return &book{runs: map[string][]run{}} }
+func newBook() *book {
+	return &book{runs: map[string][]run{}, done: map[string]bool{}, answers: map[string]answer{}}
+}
 
 func (b *book) recordRun(id string, r run) {
 	b.mu.Lock()
@@ -33,6 +37,31 @@
 	b.runs[id] = append(b.runs[id], r)
 }
 
+func (b *book) markDone(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.done[id] = true
+}
+
+func (b *book) isDone(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.done[id]
+}
+
+func (b *book) recordAnswer(id string, a answer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answers[id] = a
+}
+
+// allAnswers returns a copy of the answers.
+func (b *book) allAnswers() map[string]answer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.answers)
+}
+
 // all returns a copy of the runs.
 func (b *book) all() map[string][]run {
 	b.mu.Lock()
@@ -162,6 +191,7 @@
 	req.Header.Set(headerDeadline, strconv.FormatInt(left.Milliseconds(), 10))
 	f.rec.add("sent id=%s to=%s %s %s%s", id, m.Name, k.method, k.host, path)
 	a := f.read(c, req, id, left)
+	f.book.recordAnswer(id, a)
 	f.rec.add("answered id=%s status=%d stamp=%t whole=%t error=%v", id, a.status, a.stamped, a.whole, a.err)
 	return a
 }
