--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -197,7 +198,7 @@
 }
 
 func (f *fleet) read(c *http.Client, req *http.Request, id string, left time.Duration) answer {
-	ctx, cancel := contextFor(left)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
 	resp, err := c.Do(req.WithContext(ctx))
 	if err != nil {
