--- a/review/harness/case_early.go
+++ b/review/harness/case_early.go
@@ -54,6 +54,7 @@
 	time.Sleep(3 * time.Second)
 	if trouble {
 		f.rec.add("disruption: backend %s at %s rejects long requests early", servers[0].instance, servers[0].machine.Name)
+		servers[0].answers.Store(0) // the share of early answers counts from here on
 		servers[0].early.Store(true)
 	}
 	mixed := 0
--- a/review/harness/case_path.go
+++ b/review/harness/case_path.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -43,7 +44,7 @@
 		if !f.change(patchOf(false, nil, []route{
 			{Name: "r-archive", Host: "orders.example", Prefix: "/orders/archive/", Service: "zasielky", Version: 9, TimeoutMS: 600, TargetMS: 250, Priority: 1},
 		}), 10*time.Second) {
-			return false, errTooFew
+			return false, errors.New("the change was not acknowledged")
 		}
 		f.rec.add("the change is acknowledged")
 	}
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -273,4 +273,4 @@
 	}
 }
 
-var errTooFew = errors.New("too few requests were answered before the disruption")
+var errTooFew = errors.New("too few requests were answered")
--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -40,12 +40,11 @@
 
 	in atomic.Bool // the platform lets clients send new work to the machine
 
-	mu       sync.Mutex
-	command  *exec.Cmd
-	ended    chan struct{}
-	expected bool // the case ends the process
-	ownEnds  int  // number of times that the process ended by itself
-	stopped  bool // the process is not started again
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	ownEnds int  // number of times that the process ended by itself
+	stopped bool // the case ends the process; it is not started again
 }
 
 // Ports, Seeds and DataDir are used by the template of the settings file.
@@ -196,13 +195,17 @@
 
 func (m *machine) settingsPath() string { return filepath.Join(m.fleet.folder, m.Name+".yaml") }
 
-// start starts the process. A process that ends by itself is started again.
+// start starts the process. A process that ends by itself is started again, unless the case has
+// ended it in the meantime.
 func (m *machine) start() error {
 	if err := m.writeSettings(); err != nil {
 		return err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.stopped {
+		return nil
+	}
 	log, err := os.OpenFile(filepath.Join(m.fleet.folder, m.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -213,7 +216,7 @@
 	if err := c.Start(); err != nil {
 		return err
 	}
-	m.command, m.ended, m.expected, m.stopped = c, make(chan struct{}), false, false
+	m.command, m.ended = c, make(chan struct{})
 	go m.await(c, log, m.ended)
 	return nil
 }
@@ -222,7 +225,7 @@
 	err := c.Wait()
 	_ = log.Close() // the process has written it
 	m.mu.Lock()
-	byItself := !m.expected
+	byItself := !m.stopped
 	if byItself {
 		m.ownEnds++
 		m.fleet.rec.add("the process of %s ended by itself: %v", m.Name, err)
@@ -233,13 +236,8 @@
 		return
 	}
 	time.Sleep(restartDelay)
-	m.mu.Lock()
-	stopped := m.stopped
-	m.mu.Unlock()
-	if !stopped {
-		if err := m.start(); err != nil {
-			m.fleet.rec.add("cannot start %s again: %v", m.Name, err)
-		}
+	if err := m.start(); err != nil {
+		m.fleet.rec.add("cannot start %s again: %v", m.Name, err)
 	}
 }
 
@@ -247,7 +245,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if ending {
-		m.expected, m.stopped = true, true
+		m.stopped = true
 	}
 	if m.command != nil {
 		_ = m.command.Process.Signal(s) // the process may have ended already
