Take a status below 100 as a broken answer

Cause: http.ReadResponse accepts every status of three digits. exchange.head took all statuses below 200 as informational answers and passed them on; http.ResponseWriter.WriteHeader panics on a status below 100.

Change: such bytes are no answer, so the attempt ends like one whose connection broke: 502, or another attempt if the request may be repeated. Health answers had the same gap: status 000 counted as a passed check and named an instance; they now show nothing.

--- a/proxy/announced.go
+++ b/proxy/announced.go
@@ -279,6 +279,9 @@
 		return healthAnswer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode < http.StatusContinue {
+		return healthAnswer{}, errNoStatus
+	}
 	if _, err := io.CopyN(io.Discard, resp.Body, maxHealthBytes); err != nil && !errors.Is(err, io.EOF) {
 		return healthAnswer{}, err
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -112,6 +112,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if resp.StatusCode < http.StatusContinue {
+			return nil, errNoStatus
+		}
 		if resp.StatusCode < http.StatusOK {
 			if x.interim++; x.interim > maxInformational {
 				return nil, errTooManyInformational
@@ -141,7 +144,10 @@
 // A faulty server may send them without end.
 const maxInformational = 16
 
-var errTooManyInformational = errors.New("too many informational answers")
+var (
+	errNoStatus             = errors.New("the status is below 100, so the bytes are not an answer")
+	errTooManyInformational = errors.New("too many informational answers")
+)
 
 // maxSkipped is the number of answers to other requests that an exchange skips, and
 // maxSkippedBytes bounds the body of each of them.
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -172,6 +172,9 @@
 		return 0, "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode < http.StatusContinue {
+		return 0, "", errNoStatus
+	}
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxHealthBytes))
 	return resp.StatusCode, string(b), err
 }
