Give back what a request holds when its handler panics

Each panic while an answer was passed on took a slot of the backend server for good, its connection, its place among the outstanding requests of the balancer and in the crash guard. Callers got a closed connection.

Cause: the releases stood after the call of the next filter and not in a deferred call. net/http stops the panic of a handler, so the process lives on without them. In a hedge, on a goroutine of its own, nothing would stop it.

Change: the releases are deferred. filter.NewRecovery turns a panic into an error of the kind internal around each attempt and at the edge of both chains, so that the caller gets an answer and the log the stack. A request that panicked counts as one that the server may still run, so a crash after it is attributed to it.

--- a/filter/admission.go
+++ b/filter/admission.go
@@ -45,7 +45,7 @@
 	return &admission{next, g, k, refresh, reserved}
 }
 
-func (f *admission) Serve(c *Call) error {
+func (f *admission) Serve(c *Call) (err error) {
 	arrived := f.clock.Now()
 	slot, refused := f.acquire(c)
 	if refused != nil {
@@ -67,16 +67,18 @@
 		released = true
 		slot.Release(f.serviceTime(c, start))
 	}
-	err := f.next.Serve(c)
-	c.Admitted, c.BeforeEnd = false, nil
-	switch {
-	case released:
-	case err != nil:
-		slot.Release(0) // the duration of a failed request is not a service time
-	default:
-		slot.Release(f.serviceTime(c, start))
-	}
-	return err
+	err = errPanicked
+	defer func() {
+		c.Admitted, c.BeforeEnd = false, nil
+		switch {
+		case released:
+		case err != nil:
+			slot.Release(0) // the duration of a failed request is not a service time
+		default:
+			slot.Release(f.serviceTime(c, start))
+		}
+	}()
+	return f.next.Serve(c)
 }
 
 func (f *admission) acquire(c *Call) (admit.Slot, *errkind.Error) {
--- a/filter/answer.go
+++ b/filter/answer.go
@@ -69,10 +69,12 @@
 	}
 	dst := w.rw.Header()
 	saved := dst.Clone()
+	defer func() {
+		clear(dst)
+		copyHeader(dst, saved)
+	}()
 	copyHeader(dst, h)
 	w.rw.WriteHeader(status)
-	clear(dst)
-	copyHeader(dst, saved)
 }
 
 // Begin passes on the head of the answer.
--- a/filter/choose.go
+++ b/filter/choose.go
@@ -153,7 +153,7 @@
 }
 
 // Serve selects a server that no earlier attempt of the call was sent to.
-func (f *ServerSelection) Serve(c *Call) error {
+func (f *ServerSelection) Serve(c *Call) (err error) {
 	f.subscribe(c.Ctx, c.Class.Service)
 	p := f.pool(c.Class.Service)
 	b := p.balancer
@@ -176,15 +176,20 @@
 	c.Meta.Told = b.Told(e, now)
 	f.recordCandidates(c, b, e, now)
 	a := b.Started(e, now)
-	err := f.next.Serve(c)
+	err = errPanicked
+	defer func() { f.recordEnd(c, p, a, err) }()
+	return f.next.Serve(c)
+}
+
+// recordEnd updates the estimates of the server with the result of an attempt.
+func (f *ServerSelection) recordEnd(c *Call, p *pool, a pick.Attempt, err error) {
 	r := pickResult(c, err)
-	end := f.clock.Now()
-	b.Finished(a, end, r)
-	f.recordOutcome(c, end, err)
+	now := f.clock.Now()
+	p.balancer.Finished(a, now, r)
+	f.recordOutcome(c, now, err)
 	if r.Outcome == pick.Failed || p.anyEjected.Load() {
-		f.recordEjections(p, end)
+		f.recordEjections(p, now)
 	}
-	return err
 }
 
 // pick selects a server and sets Meta.Reroutable, which states whether the attempt may be
--- a/filter/crashguard.go
+++ b/filter/crashguard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -88,15 +89,17 @@
 // Serve refuses a crash suspect unless the attempt is confined. The entry node of the request
 // may not have received the crash report yet, because reports are sent to the nodes of the
 // service first.
-func (f *CrashGuard) Serve(c *Call) error {
+func (f *CrashGuard) Serve(c *Call) (err error) {
 	if err := f.refusal(c); err != nil {
 		return err
 	}
 	g := f.track(c)
+	err = errPanicked
+	defer func() {
+		f.untrack(g, errors.Is(err, errPanicked) || c.Ctx.Err() != nil && !errkind.Of(err).ProvedNotRun())
+	}()
 	start := f.clock.Now()
-	err := f.next.Serve(c)
-	defer func() { f.untrack(g, c.Ctx.Err() != nil && !errkind.Of(err).ProvedNotRun()) }()
-	if err == nil {
+	if err = f.next.Serve(c); err == nil {
 		if clearance, ok := f.suspects.Finished(f.clock.Now(), f.key(c), start); ok {
 			f.publisher.ReportClearance(clearance)
 		}
@@ -133,6 +136,8 @@
 	return g
 }
 
+// untrack ends the tracking of a request. If the request was cancelled, the server may still
+// run it.
 func (f *CrashGuard) untrack(g *trackedRequest, cancelled bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -67,15 +67,20 @@
 	}
 	x.writesBefore = x.link.Writes()
 	x.stop = context.AfterFunc(x.call.Ctx, x.link.interrupt)
+	ended := true // also after a panic
+	defer func() {
+		if ended {
+			x.end()
+		}
+	}()
 	if err = x.send(req); err == nil {
 		x.response, err = x.head(req)
 	}
 	if err != nil {
-		written = !x.link.Unwritten(x.writesBefore)
-		x.end()
-		return nil, written, err
+		return nil, !x.link.Unwritten(x.writesBefore), err
 	}
 	x.response.Body = &answerBody{Reader: x.response.Body, exchange: x}
+	ended = false
 	return x.response, true, nil
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -106,7 +106,7 @@
 	if p.local != nil {
 		p.selection.Self, p.selection.HasLocalCapacity = c.Node, p.local.gate.HasCapacity
 	}
-	h = filter.NewAttempts(p.selection, k, p)
+	h = filter.NewAttempts(filter.NewRecovery(p.selection, p.panicked), k, p)
 	h = filter.NewClaims(h, c.Claims)
 	h = filter.NewSuspects(h, c.Suspects, c.Locks, k)
 	h = filter.NewBodyFilter(h, k)
@@ -114,7 +114,8 @@
 	h = filter.NewInternalOnly(h)
 	h = filter.NewConfirmed(h, c.Configuration)
 	h = filter.NewClassify(h, c.Configuration, c.Seed)
-	return filter.NewRequestID(h, c.Node, c.Incarnation, k)
+	h = filter.NewRequestID(h, c.Node, c.Incarnation, k)
+	return filter.NewRecovery(h, p.panicked)
 }
 
 // serverChain builds the chain of handlers that an attempt passes at its server node. The
@@ -135,7 +136,14 @@
 	h = filter.NewAdmission(l.guard, l.gate, k, refresh, reserved)
 	h = filter.NewDownReport(h, l.guard)
 	h = filter.NewDuplicates(h, k)
-	return filter.NewPeerCheck(h, c.Node, p.Incarnation, k)
+	h = filter.NewPeerCheck(h, c.Node, p.Incarnation, k)
+	return filter.NewRecovery(h, p.panicked)
+}
+
+// panicked logs a panic while a call was served. The call ends with an error.
+func (p *Proxy) panicked(c *filter.Call, value any, stack []byte) {
+	p.config.Log.Error("panic while serving a request", "request_id", c.Meta.RequestID, "class", c.Meta.Class,
+		"path", c.Request.URL.Path, "panic", value, "stack", string(stack))
 }
 
 // serveLocal runs the server chain for an attempt whose target is this node.
