Limit the head of an answer to 64 KiB

What callers would see: a backend server that sends header lines without end takes its node over the memory of a process (284 MB), and all requests on that machine end with it.

Cause: heads were limited to 1 MiB. Parsed, short header lines take some 30 times their size, for each request in flight.

TestSizeOfAnAnswersHead fails before too: status 200 for a head of 65 KiB.

Change: 64 KiB, which is the limit for the heads of requests; 72 KiB between nodes.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -18,6 +18,15 @@
 // so a server that answers without reading the body cannot block the exchange.
 const inlineBody = 16 << 10
 
+// Limits of the status line and headers of an answer, in bytes. Short header lines take some
+// 30 times their size in memory, for each request in flight.
+const (
+	// maxAnswerHead applies to backend servers. It is the limit for the headers of requests too.
+	maxAnswerHead = 64 << 10
+	// maxPeerAnswerHead leaves room for the headers that a node adds.
+	maxPeerAnswerHead = maxAnswerHead + 8<<10
+)
+
 // sendGrace bounds the wait for a body that is still being sent when its answer is
 // complete. If the body ends within this time, the connection is used again.
 const sendGrace = 50 * time.Millisecond
@@ -33,6 +42,7 @@
 	rules  headerRules
 	id     string // id of the request, which the answer repeats in a dialect
 	skip   int    // number of answers to other requests that may still be skipped
+	peer   bool   // the server is a node
 	expect bool   // a streamed body is sent only after 100 Continue
 	// expectTimeout is the time after which a body is sent without 100 Continue.
 	expectTimeout time.Duration
@@ -111,8 +121,12 @@
 // head reads the status line and headers of the final answer. It passes on
 // informational answers and skips answers to other requests.
 func (x *exchange) head(req *http.Request) (*http.Response, error) {
+	limit := int64(maxAnswerHead)
+	if x.peer {
+		limit = maxPeerAnswerHead
+	}
 	for {
-		x.link.limitReads(maxResponseHeaders)
+		x.link.limitReads(limit)
 		resp, err := http.ReadResponse(x.link.in, req)
 		if err != nil {
 			return nil, err
--- a/proxy/faulty_test.go
+++ b/proxy/faulty_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"runtime"
@@ -329,3 +330,25 @@
 		t.Errorf("runs = %d, want 1", runs.Load())
 	}
 }
+
+// Guards against a head that is held in memory although no request needs one of its size, and
+// against a head of an allowed size that a node on the way refuses.
+func TestSizeOfAnAnswersHead(t *testing.T) {
+	c := platformCluster(t)
+	n := c.platformNode("n1", func(conn net.Conn, r *http.Request, _ int32) bool {
+		size := maxAnswerHead - 1<<10
+		if r.URL.Path == "/order/large" {
+			size = maxAnswerHead + 1<<10
+		}
+		var lines strings.Builder
+		for i := 0; lines.Len() < size; i++ {
+			fmt.Fprintf(&lines, "h%d:\r\n", i)
+		}
+		return writeAnswer(conn, r, 200, "ran", lines.String())
+	})
+	entry := c.platformNode("n2", nil, func(config *Config) { config.Backend = nil })
+	for _, caller := range []*node{n, entry} {
+		expect(t, 200, "", "ran", "POST", caller.caller.URL+"/order/1", "X-Id", "abc")
+		expect(t, 502, string(errkind.ConnectionLost), "", "POST", caller.caller.URL+"/order/large", "X-Id", "abc")
+	}
+}
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -26,10 +26,9 @@
 	// idleConnTimeout is well below the 90 s after which a node closes an idle
 	// connection. A request that is sent while the node closes the connection would
 	// have an unknown outcome.
-	idleConnTimeout    = 45 * time.Second
-	maxIdlePerPeer     = 64
-	maxSendAttempts    = 3 // limit for sending one request, if idle connections turn out to be closed
-	maxResponseHeaders = 1 << 20
+	idleConnTimeout = 45 * time.Second
+	maxIdlePerPeer  = 64
+	maxSendAttempts = 3 // limit for sending one request, if idle connections turn out to be closed
 	// expectTimeout is far longer than any deadline, so that between nodes the body of a
 	// streamed request is never sent before admission. If the attempt is refused, the body
 	// is still unread, and the request can be sent to another server.
@@ -146,7 +145,7 @@
 	}
 	for attempt := 1; ; attempt++ {
 		x := &exchange{call: c, host: r.poolName(&c.Target), header: r.rules.endToEnd(c.Request.Header), rules: r.rules,
-			expect: true, expectTimeout: expectTimeout}
+			peer: true, expect: true, expectTimeout: expectTimeout}
 		x.header[fleet.HeaderCallMeta] = []string{meta}
 		if load := r.loadReport(); load != "" {
 			x.header[fleet.HeaderLoad] = []string{load}
