Close a connection whose request body was not read

Cause: the goroutine that sends a streamed body on was still reading from the caller when the handler returned. net/http interrupts such a read and uses the connection again, with the rest of the body as requests.

Change: an answer that begins before its request's body was read closes the connection, and the handler returns only after the reader has stopped. The rest of the body is read for up to 0.5 s if its sender may have the whole answer; before, the deadline for that was reset by net/http.

--- a/filter/answer.go
+++ b/filter/answer.go
@@ -38,6 +38,7 @@
 	mu      sync.Mutex // serializes Begin and Informational, which are called by different goroutines
 	started atomic.Bool
 	ended   atomic.Bool
+	flushed bool // the whole answer was sent to the receiver
 	status  int
 	stream  bool
 	sized   bool // the head has a Content-Length
@@ -56,6 +57,10 @@
 // Complete reports whether the whole answer was passed on.
 func (w *Writer) Complete() bool { return w.ended.Load() }
 
+// Sent reports whether the whole answer was sent to the receiver. Otherwise its end is sent
+// when the handler of the HTTP server returns.
+func (w *Writer) Sent() bool { return w.flushed }
+
 // Status returns the status that was passed on, or zero if the answer has not begun.
 func (w *Writer) Status() int { return w.status }
 
@@ -169,6 +174,7 @@
 		// The flush lets the caller continue without waiting for the work after the answer:
 		// records, metrics and the release of resources.
 		_ = w.Flush() // fails if the receiver has disconnected
+		w.flushed = true
 	}
 	return nil
 }
--- a/filter/body.go
+++ b/filter/body.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,6 +39,7 @@
 	rest         io.Reader // the body after prefix
 	restAcquired bool      // a reader has begun to read rest
 	restEnded    bool      // rest was read to its end
+	restReader   *bodyReader
 }
 
 // Replayable reports whether Open will succeed.
@@ -63,7 +65,7 @@
 		// the body in one write.
 		return io.NopCloser(bytes.NewReader(b.prefix)), nil
 	}
-	return &bodyReader{body: b, prefix: bytes.NewReader(b.prefix)}, nil
+	return &bodyReader{body: b, prefix: bytes.NewReader(b.prefix), done: make(chan struct{})}, nil
 }
 
 // Unread reports whether a part of the body was not read from the connection.
@@ -73,25 +75,51 @@
 	return !b.complete && !b.restEnded
 }
 
+// Discard reads and discards what is left of the body after its answer, for at most the time
+// limit. It must be called before the handler of the HTTP server returns while a part of the
+// body is unread: a reader that another goroutine still uses would make the server take the
+// rest of the body for the next request. The caller limits reads from the connection too.
+func (b *Body) Discard(limit time.Duration) {
+	b.mu.Lock()
+	reader, acquired := b.restReader, b.restAcquired
+	b.restAcquired = true
+	b.mu.Unlock()
+	if acquired && reader != nil {
+		timer := time.NewTimer(limit)
+		defer timer.Stop()
+		select {
+		case <-reader.done:
+		case <-timer.C:
+			return
+		}
+	}
+	if b.Unread() {
+		_, _ = io.Copy(io.Discard, b.rest) // the connection is closed in any case
+	}
+}
+
+// bodyReader reads a body that is not fully buffered.
 type bodyReader struct {
 	body     *Body
 	prefix   *bytes.Reader
+	closed   atomic.Bool
 	mu       sync.Mutex
-	closed   bool
-	ownsRest bool // this reader has acquired the rest of the body
+	ownsRest bool          // this reader has acquired the rest of the body
+	done     chan struct{} // closed when the reader has stopped reading the rest
+	stopped  bool          // done is closed
 }
 
 func (r *bodyReader) Read(p []byte) (int, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.closed {
+	if r.closed.Load() {
 		return 0, http.ErrBodyReadAfterClose
 	}
 	if r.prefix.Len() > 0 {
 		return r.prefix.Read(p)
 	}
 	if !r.ownsRest {
-		if !r.body.acquireRest() {
+		if !r.body.acquireRest(r) {
 			return 0, ErrBodyConsumed
 		}
 		r.ownsRest = true
@@ -100,34 +128,46 @@
 	if errors.Is(err, io.EOF) {
 		r.body.markRestEnded()
 	}
+	if err != nil || r.closed.Load() {
+		r.stop()
+	}
 	return n, err
 }
 
-func (b *Body) markRestEnded() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.restEnded = true
+// stop reports that the reader does not read any more. The caller holds mu.
+func (r *bodyReader) stop() {
+	if !r.stopped {
+		r.stopped = true
+		close(r.done)
+	}
 }
 
 // Close does not wait for a Read that is blocked on the network. The HTTP server ends such
 // a Read when it closes the connection of the caller.
 func (r *bodyReader) Close() error {
+	r.closed.Store(true)
 	if r.mu.TryLock() {
-		r.closed = true
-		r.mu.Unlock()
+		defer r.mu.Unlock()
+		r.stop()
 	}
 	return nil
 }
 
-// acquireRest reserves the rest of the body for the reader that calls it. It returns false if
-// another reader has reserved it before.
-func (b *Body) acquireRest() bool {
+func (b *Body) markRestEnded() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.restEnded = true
+}
+
+// acquireRest reserves the rest of the body for the reader r, which calls it. It returns false
+// if another reader has reserved it before.
+func (b *Body) acquireRest(r *bodyReader) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.restAcquired {
 		return false
 	}
-	b.restAcquired = true
+	b.restAcquired, b.restReader = true, r
 	return true
 }
 
--- a/proxy/handlers.go
+++ b/proxy/handlers.go
@@ -66,6 +66,7 @@
 // addRequestID adds the id of the request to the headers of its answer: in a dialect
 // the id that the caller sent, otherwise the id that the node assigned.
 func (p *Proxy) addRequestID(h http.Header, c *filter.Call) {
+	closeUnread(h, c)
 	d := p.config.Dialect
 	if d == nil {
 		h.Set(fleet.HeaderRequestID, c.Meta.RequestID)
@@ -79,23 +80,41 @@
 	}
 }
 
-// unreadGrace bounds the time for which the HTTP server continues to read a body that
-// is no longer needed. Closing the connection immediately could destroy an answer that the
-// sender of the body has not read yet.
+// unreadGrace bounds the time for which a body that is no longer needed is read to its end.
+// Closing the connection immediately could destroy an answer that the sender of the body has
+// not read yet.
 const unreadGrace = 500 * time.Millisecond
 
-// boundBodyRead limits the reading of an unread body after its answer to
-// unreadGrace.
-func boundBodyRead(c *filter.Call, w *filter.Writer) {
+// closeUnread makes an answer that begins before the body of its request was read close the
+// connection. What follows on it would otherwise depend on who reads the rest of the body.
+func closeUnread(h http.Header, c *filter.Call) {
 	if c.Body != nil && c.Body.Unread() {
-		w.SetReadDeadline(time.Now().Add(unreadGrace))
+		h.Set("Connection", "close")
 	}
 }
 
+// discardUnread ends the reading of a body that was not read to its end. It reads on for
+// unreadGrace if the sender of the body may have the whole answer.
+func discardUnread(c *filter.Call, w *filter.Writer) {
+	if c.Body == nil || !c.Body.Unread() {
+		return
+	}
+	limit := time.Duration(0)
+	if w.Sent() {
+		limit = unreadGrace
+	}
+	w.SetReadDeadline(time.Now().Add(limit))
+	c.Body.Discard(max(limit, readerStopTime))
+	w.SetReadDeadline(time.Now().Add(unreadGrace)) // for what the HTTP server reads
+}
+
+// readerStopTime is the time for which an interrupted reader of a body may need to stop.
+const readerStopTime = 50 * time.Millisecond
+
 // finishEntry records the end of a request at its entry node. It also runs when the
 // connection is aborted by a panic.
 func (p *Proxy) finishEntry(c *filter.Call, w *filter.Writer) {
-	boundBodyRead(c, w)
+	defer discardUnread(c, w)
 	now := p.config.Clock.Now()
 	c.Record.End(now, w.Status())
 	p.store.Add(c.Record)
@@ -176,7 +195,7 @@
 		err = p.serveAttempt(c)
 	}
 	defer func() {
-		boundBodyRead(c, writer)
+		defer discardUnread(c, writer)
 		c.Record.End(p.config.Clock.Now(), writer.Status())
 		p.store.Add(c.Record)
 	}()
@@ -275,6 +294,7 @@
 // addReport adds the load report and the number of unused attempts. A server node
 // states both with each answer and refusal.
 func (p *Proxy) addReport(h http.Header, c *filter.Call) {
+	closeUnread(h, c)
 	report := p.LoadReport()
 	if c.Admitted && report.InFlight > 0 {
 		report.InFlight-- // this request ends with the answer
