Pass on no answer that does not repeat the request's id

Cause: dialect.classify took an answer without an id as the request's own unless its status was a success or promised that nothing ran.

Evidence: TestAnswerWithoutAnIDIsNotPassedOn fails before for 302, 400, 401, 404, 409, 500 and 504.

Change: without the id, an answer is none: 502, or another attempt.

--- a/proxy/dialect.go
+++ b/proxy/dialect.go
@@ -118,11 +118,11 @@
 	unstamped                     // an answer that lacks what shows that it belongs to the request
 )
 
-// classify returns the verdict on an answer to the request with the given id. A refusal
-// proves that the request did not run only if it repeats the id: a faulty server may write
-// an earlier refusal once more while it runs the request. A status that callers take as a
-// refusal is passed on without that proof only if the stamp shows that the backend server
-// chose it.
+// classify returns the verdict on an answer to the request with the given id. An answer that
+// does not repeat the id may be one that a faulty server writes in addition, while it runs the
+// request: it neither answers the request nor proves that it did not run. A status that callers
+// take as a refusal is passed on without that proof only if the stamp shows that the backend
+// server chose it.
 func (d *Dialect) classify(id string, resp *http.Response) verdict {
 	echoed := resp.Header.Get(d.RequestID)
 	stamped := resp.Header.Get(d.Stamp) != ""
@@ -130,13 +130,11 @@
 	switch {
 	case echoed != "" && echoed != id:
 		return mismatched
-	case refusal && echoed == id:
-		return notRun
-	case refusal:
-		return unstamped
-	case resp.StatusCode < http.StatusMultipleChoices && (echoed == "" || !stamped):
+	case echoed != id:
 		return unstamped
-	case meansNotRun(resp.StatusCode) && (echoed == "" || !stamped):
+	case refusal:
+		return notRun
+	case (resp.StatusCode < http.StatusMultipleChoices || meansNotRun(resp.StatusCode)) && (echoed == "" || !stamped):
 		return unstamped
 	}
 	return answered
--- a/proxy/faulty_test.go
+++ b/proxy/faulty_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -352,3 +353,25 @@
 		expect(t, 502, string(errkind.ConnectionLost), "", "POST", caller.caller.URL+"/order/large", "X-Id", "abc")
 	}
 }
+
+// Guards against additional bytes without an id that become the answer to the next request on
+// the connection, which runs and has an answer of its own.
+func TestAnswerWithoutAnIDIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{200, 302, 400, 401, 404, 409, 500, 504} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			c := platformCluster(t)
+			var runs atomic.Int32
+			n := c.platformNode("n1", func(conn net.Conn, r *http.Request, _ int32) bool {
+				runs.Add(1)
+				return write(conn, fmt.Sprintf("HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n", status)) && writeAnswer(conn, r, 200, "ran")
+			})
+			entry := c.platformNode("n2", nil, func(config *Config) { config.Backend = nil })
+			for i, caller := range []*node{n, entry} {
+				expect(t, 502, string(errkind.ConnectionLost), "", "POST", caller.caller.URL+"/order/1", "X-Id", "abc")
+				if runs.Load() != int32(i+1) {
+					t.Errorf("request %d: %d runs, want %d", i, runs.Load(), i+1)
+				}
+			}
+		})
+	}
+}
