Select the class of a request by its path as sent

Cause: classify matched the decoded path.

Change: paths and prefixes are compared in the normal form of RFC 3986, 6.2.2, in documents and items alike.

--- a/class/document.go
+++ b/class/document.go
@@ -124,7 +124,7 @@
 		}
 		names[c.Name] = i
 		for _, m := range c.Match.Methods {
-			route := m + " " + c.Match.PathPrefix
+			route := m + " " + NormalizePath(c.Match.PathPrefix)
 			if other, ok := routes[route]; ok {
 				errs.Add(field+".match", route, "class "+other+" already takes these requests")
 			}
--- a/class/items.go
+++ b/class/items.go
@@ -107,7 +107,7 @@
 			if s.hosts[h] == nil {
 				s.hosts[h] = map[string]*Resolved{}
 			}
-			s.hosts[h][c.Match.PathPrefix] = r
+			s.hosts[h][NormalizePath(c.Match.PathPrefix)] = r
 		}
 	}
 	return s
@@ -155,12 +155,14 @@
 func (r *Resolved) IsSplit() bool { return len(r.parts) > 0 }
 
 // MatchHost returns the class of a request to a host, or nil. Among the classes of the
-// host the one with the longest path prefix wins. A set that was built from a document
-// has no hosts and matches by method and path.
+// host the one with the longest path prefix wins. path is the path as it was sent, with its
+// encoded characters. A set that was built from a document has no hosts and matches by
+// method and path.
 func (s *Set) MatchHost(host, method, path string) *Resolved {
 	if s.hosts == nil {
 		return s.Match(method, path)
 	}
+	path = NormalizePath(path)
 	prefixes := s.hosts[bareHost(host)]
 	if prefixes == nil {
 		return nil
--- a/class/set.go
+++ b/class/set.go
@@ -64,7 +64,7 @@
 		s.byName[r.Name] = r
 		s.probesByService[r.Service] += c.ProbesPerSecond
 		for _, m := range c.Match.Methods {
-			s.routes[m] = append(s.routes[m], route{c.Match.PathPrefix, r})
+			s.routes[m] = append(s.routes[m], route{NormalizePath(c.Match.PathPrefix), r})
 		}
 	}
 	for _, list := range s.routes {
@@ -92,8 +92,10 @@
 	}
 }
 
-// Match returns the class of a request by method and path, or nil.
+// Match returns the class of a request by method and path, or nil. path is the path as it was
+// sent, with its encoded characters.
 func (s *Set) Match(method, path string) *Resolved {
+	path = NormalizePath(path)
 	for _, r := range s.routes[method] {
 		if strings.HasPrefix(path, r.prefix) {
 			return r.class
--- a/filter/item_test.go
+++ b/filter/item_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -252,3 +253,21 @@
 		}
 	}
 }
+
+// Guards against a request whose path was decoded before its class is selected.
+func TestClassOfAnEncodedPath(t *testing.T) {
+	k := clock.NewManual(time.Unix(1000, 0))
+	item := func(prefix string) *class.Class {
+		return &class.Class{Name: prefix, Service: "shop", Match: class.Match{Hosts: []string{"shop.example"}, PathPrefix: prefix},
+			Deadline: strictjson.Duration(time.Second), Urgency: "normal"}
+	}
+	set := class.NewItemSet(1, []*class.Class{item("/orders/"), item("/orders/archive/")}, nil, class.Limits{})
+	f := NewClassify(&recordingHandler{}, &fakeConfig{set: set}, 1)
+	for path, want := range map[string]string{"/orders/archive%2F7": "/orders/", "/orders/archive/7": "/orders/archive/"} {
+		c := newCall(t, "GET", "", k)
+		c.Request = httptest.NewRequest("GET", "http://shop.example"+path, nil)
+		if err := f.Serve(c); err != nil || c.Class.Name != want {
+			t.Errorf("path %s: class %+v, error %v; want class %s", path, c.Class, err, want)
+		}
+	}
+}
