Send no requests to a backend server of another service

Cause: a health answer, which names no service, was enough to identify the server.

Evidence: TestServerOfAnotherServiceAtTheAddressGetsNoRequests fails before (200 where 503 is wanted).

Change: the node compares its service with the one that the settings name, when another instance answers and when it reads the settings again; an instance that announces itself for another configured service gets no requests, unless it has announced itself for the node's own before.

--- a/node/node.go
+++ b/node/node.go
@@ -59,6 +59,9 @@
 type Options struct {
 	Dialect   *proxy.Dialect // headers of callers and backend servers; nil: the default ones
 	Listeners []Listener     // in addition to those of the settings
+	// BackendService returns the service that the settings name at this moment for the backend
+	// server. Nil: it does not change.
+	BackendService func() (string, error)
 }
 
 // Listener is an HTTP listener that a node opens in addition to those of its settings.
--- a/proxy/announced.go
+++ b/proxy/announced.go
@@ -88,6 +88,7 @@
 	config         *Config
 	onChange       func()
 	onHealth       func(healthAnswer) // called with each answer of the health endpoint
+	onReplaced     func()             // called before an instance is identified that is not the current one
 	client         *http.Client
 	wake           chan struct{}
 	healthRequests singleflight.Group
@@ -96,16 +97,20 @@
 	current    *Announcement // nil: the instance is not known
 	fromHealth bool          // current comes from the health endpoint
 	pending    *Announcement // from another process; applied when the health endpoint names its instance
+	foreign    string        // instance that has announced itself for another service; empty: none
 }
 
 func newAnnouncedState(c *Config, changed func()) *announcedState {
-	return &announcedState{config: c, onChange: changed, onHealth: func(healthAnswer) {}, wake: make(chan struct{}, 1), client: newHealthClient(identifyTimeout)}
+	return &announcedState{config: c, onChange: changed, onHealth: func(healthAnswer) {}, onReplaced: func() {}, wake: make(chan struct{}, 1), client: newHealthClient(identifyTimeout)}
 }
 
 // accept applies an announcement unless it is older than the current one. An older
 // one is not an error, since it may have been delayed in the network.
 func (a *announcedState) accept(n Announcement) {
 	a.mu.Lock()
+	if n.Instance == a.foreign {
+		a.foreign = ""
+	}
 	changed := a.update(&n)
 	a.mu.Unlock()
 	if changed {
@@ -208,11 +213,19 @@
 func (a *announcedState) forgetUnstarted() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.foreign = ""
 	if a.current != nil && a.current.StartedAt.IsZero() {
 		a.current, a.fromHealth = nil, false
 	}
 }
 
+// unidentified reports whether the health endpoint is to be queried for the instance.
+func (a *announcedState) unidentified() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.current == nil && a.foreign == ""
+}
+
 // latest returns the current announcement, or nil if the instance is not known.
 func (a *announcedState) latest() *Announcement {
 	a.mu.Lock()
@@ -220,6 +233,28 @@
 	return a.current
 }
 
+// exclude records that instance, which answers at the address of the backend server, has
+// announced itself for another service. It gets no requests unless it announces itself for the
+// service of this node. An instance that has done so before is not excluded: another writer may
+// send announcements in its name.
+func (a *announcedState) exclude(instance string) {
+	a.mu.Lock()
+	known := a.current != nil && a.current.Instance == instance
+	if known && !a.fromHealth {
+		a.mu.Unlock()
+		return
+	}
+	a.foreign = instance
+	if known {
+		a.current, a.fromHealth = nil, false
+	}
+	a.mu.Unlock()
+	if known {
+		a.config.Log.Warn("backend server of another service at the address", "instance", instance)
+		a.onChange()
+	}
+}
+
 // run identifies the backend server on request and whenever its instance is not
 // known, until ctx ends.
 func (a *announcedState) run(ctx context.Context, alive func() bool) {
@@ -234,7 +269,7 @@
 			requested = true
 		case <-t.C:
 		}
-		if alive() && (requested || a.latest() == nil) {
+		if alive() && (requested || a.unidentified()) {
 			a.identify(ctx)
 		}
 	}
@@ -244,6 +279,9 @@
 func (a *announcedState) identify(ctx context.Context) {
 	h, err := a.health(ctx)
 	if err == nil && h.instance != "" {
+		if c := a.latest(); c == nil || c.Instance != h.instance {
+			a.onReplaced()
+		}
 		a.applyIdentity(h.instance, h.healthy, h.load.Slots, h.hasLoad)
 		a.onHealth(h)
 	}
@@ -315,6 +353,8 @@
 	a.mu.Lock()
 	changed := true
 	switch {
+	case instance == a.foreign:
+		changed = false
 	case a.pending != nil && a.pending.Instance == instance:
 		a.current, a.fromHealth = a.pending, false
 	case a.current == nil || a.current.Instance != instance:
@@ -338,12 +378,31 @@
 		return errkind.New(errkind.BadRequest, "%w: this node has no backend server", ErrOtherBackendServer)
 	}
 	b := p.config.Backend
-	if service != "" && service != b.Service || address != "" && address != b.Address {
+	other := service != "" && service != b.Service
+	invalid := n.Validate(p.config.Clock.Now())
+	if other && address == b.Address && invalid == nil && p.knowsService(service) {
+		p.local.announced.exclude(n.Instance)
+	}
+	if other || address != "" && address != b.Address {
 		return errkind.New(errkind.BadRequest, "%w: it states service %q and address %q", ErrOtherBackendServer, service, address)
 	}
-	if err := n.Validate(p.config.Clock.Now()); err != nil {
-		return err
+	if invalid != nil {
+		return invalid
 	}
 	p.local.announced.accept(n)
 	return nil
 }
+
+func (p *Proxy) knowsService(service string) bool {
+	set := p.config.Configuration.Current()
+	return set != nil && set.Service(service) != nil
+}
+
+// CheckBackendService reads again which service the settings name for the backend server. A
+// server of another service gets no requests through this node.
+func (p *Proxy) CheckBackendService() {
+	if p.local != nil {
+		p.local.checkService()
+		p.local.refresh()
+	}
+}
--- a/proxy/announced_test.go
+++ b/proxy/announced_test.go
@@ -5,10 +5,14 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"bramleymill/class"
+	"bramleymill/errkind"
 	"bramleymill/fleet"
+	"bramleymill/strictjson"
 )
 
 // Guards against an odd announcement from another writer after which the node no longer
@@ -48,3 +52,95 @@
 		}
 	}
 }
+
+// configureTwoServices configures the class order of the service shop, and the service stock.
+func configureTwoServices(c *cluster) {
+	order := &class.Class{Name: "order", Service: "shop", Match: class.Match{Hosts: []string{"127.0.0.1"}, PathPrefix: "/order/"},
+		Deadline: strictjson.Duration(time.Minute), LatencyTarget: strictjson.Duration(time.Minute), Urgency: "normal", MaxAttempts: 2}
+	c.classes.Store(class.NewItemSet(5, []*class.Class{order},
+		[]*class.Service{{Name: "shop", HealthPath: "/well"}, {Name: "stock", HealthPath: "/well"}}, class.Limits{}))
+}
+
+// Guards against a backend server of another service that gets the requests of the service that
+// had its address before.
+func TestServerOfAnotherServiceAtTheAddressGetsNoRequests(t *testing.T) {
+	for _, by := range []string{"announcement", "settings"} {
+		t.Run(by, func(t *testing.T) {
+			c := platformCluster(t)
+			configureTwoServices(c)
+			var replaced atomic.Bool
+			var foreign atomic.Int32
+			instance := func() string {
+				if replaced.Load() {
+					return "i-stock"
+				}
+				return "i-shop"
+			}
+			raw := newRawBackend(t, func(conn net.Conn, r *http.Request, _ int32) bool {
+				switch {
+				case r.URL.Path == "/well":
+					return write(conn, "HTTP/1.1 200 OK\r\nX-Instance: "+instance()+"\r\nContent-Length: 0\r\n\r\n")
+				case r.Header.Get("X-Expect") != instance():
+					return writeAnswer(conn, r, 421, "")
+				case replaced.Load():
+					foreign.Add(1)
+				}
+				return writeAnswer(conn, r, 200, "ran")
+			})
+			n := c.node("n1", nil, raw.use, func(config *Config) {
+				config.Dialect, config.AnyPlacement, config.Backend.Announces = &testDialect, true, true
+				config.BackendService = func() (string, error) {
+					if by == "settings" && replaced.Load() {
+						return "stock", nil
+					}
+					return "shop", nil
+				}
+			})
+			address := n.config.Backend.Address
+			if err := n.Announce("shop", address, Announcement{Instance: "i-shop", Sequence: 1, State: fleet.Ready}); err != nil {
+				t.Fatal(err)
+			}
+			expect(t, 200, "", "ran", "POST", n.caller.URL+"/order/1", "X-Id", "a")
+			replaced.Store(true)
+			expect(t, 503, string(errkind.StaleTarget), "", "POST", n.caller.URL+"/order/1", "X-Id", "b")
+			if by == "announcement" {
+				for c := n.local.announced.latest(); c == nil || c.Instance != "i-stock"; c = n.local.announced.latest() {
+					time.Sleep(time.Millisecond) // until the health endpoint has named the instance
+				}
+				if err := n.Announce("stock", address, Announcement{Instance: "i-stock", Sequence: 1, State: fleet.Ready}); err == nil {
+					t.Error("announcement for another service: no error, want one")
+				}
+			}
+			for range 30 {
+				expect(t, 503, string(errkind.BackendDown), "", "POST", n.caller.URL+"/order/1", "X-Id", "c")
+				time.Sleep(10 * time.Millisecond) // longer than the interval of queries of the health endpoint
+			}
+			if foreign.Load() != 0 {
+				t.Errorf("requests that the server of another service ran = %d, want 0", foreign.Load())
+			}
+			// The server of the service itself is used again.
+			replaced.Store(false)
+			n.CheckBackendService()
+			if err := n.Announce("shop", address, Announcement{Instance: "i-shop", Sequence: 2, State: fleet.Ready}); err != nil {
+				t.Fatal(err)
+			}
+			n.await(fleet.Ready)
+		})
+	}
+}
+
+// Guards against an announcement of another writer, in the name of the backend server, that
+// takes this server out of use.
+func TestForgedServiceLeavesTheServerInUse(t *testing.T) {
+	c := platformCluster(t)
+	configureTwoServices(c)
+	n := c.platformNode("n1", func(conn net.Conn, r *http.Request, _ int32) bool { return writeAnswer(conn, r, 200, "ran") })
+	address := n.config.Backend.Address
+	if err := n.Announce("shop", address, Announcement{Instance: "i-n1", Sequence: 1, State: fleet.Ready}); err != nil {
+		t.Fatal(err)
+	}
+	for _, service := range []string{"shop", "stock", "\x00"} {
+		_ = n.Announce(service, address, Announcement{Instance: "i-n1", Sequence: 2, State: fleet.Ready}) // refused unless it is from the server
+		expect(t, 200, "", "ran", "POST", n.caller.URL+"/order/1", "X-Id", "a")
+	}
+}
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -70,6 +70,11 @@
 	// nil.
 	OnLaterConfig func(version uint64)
 
+	// BackendService returns the service that the settings name at this moment for the backend
+	// server. It is called when another instance answers at the address of the server, which
+	// may then belong to another service. It may be nil.
+	BackendService func() (string, error)
+
 	// ClientTLS is the TLS configuration for connections to other nodes. Nil: these
 	// connections are not encrypted, and the name that a node states is accepted without
 	// a check.
@@ -113,6 +118,10 @@
 	if c.OnLaterConfig == nil {
 		c.OnLaterConfig = func(uint64) {}
 	}
+	if c.BackendService == nil && c.Backend != nil {
+		service := c.Backend.Service
+		c.BackendService = func() (string, error) { return service, nil }
+	}
 	if c.KeyGeneration == nil {
 		c.KeyGeneration = func() uint64 { return 0 }
 	}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -35,6 +35,7 @@
 	nodeDraining     bool // the node is draining; a drain of the node does not end
 	operatorDraining bool // an operator has ordered a drain of the backend server
 	wasUp            bool // the backend server has accepted connections before
+	otherService     bool // the settings name another service for the backend server
 }
 
 func newLocalServer(p *Proxy) *localServer {
@@ -50,7 +51,7 @@
 	l.backend = newBackend(c, p.tokens, l.monitor)
 	if c.Backend.Announces {
 		l.announced = newAnnouncedState(c, l.refresh)
-		l.announced.onHealth = l.recordHealth
+		l.announced.onHealth, l.announced.onReplaced = l.recordHealth, l.checkService
 		l.backend.announced, l.backend.onLoad, l.backend.onAnswer = l.announced, l.recordLoad, l.recordStatement
 	}
 	return l
@@ -170,7 +171,7 @@
 		return fleet.Draining
 	case !alive && l.wasUp:
 		return fleet.Down
-	case !alive:
+	case !alive, l.otherService:
 		return fleet.Starting
 	case l.announced != nil:
 		return l.announcedServerState()
@@ -182,6 +183,23 @@
 	return fleet.Ready
 }
 
+// checkService updates otherService. Settings that cannot be read change nothing.
+func (l *localServer) checkService() {
+	service, err := l.config.BackendService()
+	if err != nil {
+		return
+	}
+	l.mu.Lock()
+	other := service != l.config.Backend.Service
+	changed := other != l.otherService
+	l.otherService = other
+	l.mu.Unlock()
+	if changed && other {
+		l.config.Log.Error("the settings name another service for the backend server; it gets no requests until the process is started again",
+			"service", l.config.Backend.Service, "service_now", service)
+	}
+}
+
 // announcedServerState returns the state of a server that accepts connections and
 // announces itself.
 func (l *localServer) announcedServerState() fleet.ServerState {
