Forget old failures and slow answers of a server after 50 s

At higher load requests would queue at one server while another is idle.

Cause, by a deterministic test: the weight of a failure or a slow answer falls with 1/age only. One failed first attempt still adds 15 ms to the cost of a server after a minute, a lost connection after 2 s 145 ms, where answers take 3 ms; so the server gets no request that could show that it has recovered.

Evidence: TestServerIsTriedAgainAfterItsFailures fails before in all six cases, with costs of 18 to 148 ms against 3 ms after a minute.

Change: service times and failures have no weight from MemoryTime (50 s) on. Ruled out: a limit of 8 half-lives (32 and 40 s).

--- a/pick/balancer.go
+++ b/pick/balancer.go
@@ -160,7 +160,7 @@
 		Outstanding: int(e.load.outstanding.Load()),
 		Reported:    int(e.load.reported.Load()),
 		ReportAge:   e.ReportAge(now),
-		FailureRate: e.load.failureRate(t, int64(b.config.FailureHalfLife)),
+		FailureRate: e.load.failureRate(t, &b.config),
 		Ejected:     e.load.ejectedUntil.Load() != 0,
 	}
 }
--- a/pick/config.go
+++ b/pick/config.go
@@ -12,6 +12,7 @@
 	EstimateHalfLife    time.Duration // half-life of the service-time estimate of a server
 	SlowStart           time.Duration // warm-up period of a server after it became ready
 	SlowStartFactor     float64       // cost factor at the start of the warm-up period, falling to 1
+	MemoryTime          time.Duration // age from which the service time and the failures of a server have no weight
 	FailurePenalty      time.Duration // cost added for a failure rate of 1
 	FailureHalfLife     time.Duration // half-life of the failure rate of a server
 	ConsecutiveFailures int           // number of consecutive failures at which a server is ejected
@@ -23,11 +24,14 @@
 
 // Defaults of Config.
 const (
-	DefaultCandidates          = 3
-	DefaultServiceTime         = 10 * time.Millisecond
-	DefaultOtherZoneDelay      = time.Millisecond
-	DefaultReportHalfLife      = 50 * time.Millisecond
-	DefaultEstimateHalfLife    = 4 * time.Second
+	DefaultCandidates       = 3
+	DefaultServiceTime      = 10 * time.Millisecond
+	DefaultOtherZoneDelay   = time.Millisecond
+	DefaultReportHalfLife   = 50 * time.Millisecond
+	DefaultEstimateHalfLife = 4 * time.Second
+	// DefaultMemoryTime is shorter than the minute that operators wait for a server to be used
+	// again. Each node sends one request to a server that is still slow in this time.
+	DefaultMemoryTime          = 50 * time.Second
 	DefaultSlowStart           = 5 * time.Second
 	DefaultSlowStartFactor     = 4
 	DefaultFailurePenalty      = 2 * time.Second
@@ -49,6 +53,7 @@
 	setDefault(&c.OtherZoneDelay, DefaultOtherZoneDelay)
 	setDefault(&c.ReportHalfLife, DefaultReportHalfLife)
 	setDefault(&c.EstimateHalfLife, DefaultEstimateHalfLife)
+	setDefault(&c.MemoryTime, DefaultMemoryTime)
 	setDefault(&c.SlowStart, DefaultSlowStart)
 	setDefault(&c.SlowStartFactor, DefaultSlowStartFactor)
 	setDefault(&c.FailurePenalty, DefaultFailurePenalty)
--- a/pick/load.go
+++ b/pick/load.go
@@ -122,12 +122,22 @@
 	return max(outstanding, reported+float64(max(since, 0)))
 }
 
-func (l *load) failureRate(now, halfLife int64) float64 {
+func (l *load) failureRate(now int64, c *Config) float64 {
 	rate := l.meanFailures.Load()
 	if rate == 0 {
 		return 0
 	}
-	return rate * decay(now-l.meanFailuresAt.Load(), halfLife)
+	return rate * c.remembered(now-l.meanFailuresAt.Load(), c.FailureHalfLife)
+}
+
+// remembered is like decay, but zero from MemoryTime on. The rest of a large value would
+// otherwise exceed the costs of fast servers for many minutes, and a server that gets no
+// requests cannot show that it has recovered.
+func (c *Config) remembered(age int64, halfLife time.Duration) float64 {
+	if age >= int64(c.MemoryTime) {
+		return 0
+	}
+	return decay(age, int64(halfLife))
 }
 
 // reportWeight is the weight of a new report in the mean of the reports.
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -239,7 +239,7 @@
 		cost *= 1 + (c.SlowStartFactor-1)*(1-float64(max(sinceReady, 0))/float64(c.SlowStart))
 	}
 	cost += l.permitWait(t)
-	return cost + l.failureRate(t, int64(c.FailureHalfLife))*float64(c.FailurePenalty)
+	return cost + l.failureRate(t, c)*float64(c.FailurePenalty)
 }
 
 // slowdownHalfLife is the age of a reported slowdown at which its weight is one half.
@@ -261,8 +261,8 @@
 const outstandingFactor = 1.5
 
 // expectedServiceTime returns the expected service time at the server of l in nanoseconds.
-// As the estimate of l ages, the mean of the pool gradually replaces it, so that a straggler
-// eventually receives requests again. The age of the oldest outstanding request raises the
+// As the estimate of l ages, the mean of the pool gradually replaces it, and does so fully
+// after MemoryTime, so that a straggler receives requests again. The age of the oldest outstanding request raises the
 // result, so that a slow server is avoided before its first slow answer.
 func (b *Balancer) expectedServiceTime(l *load, t int64) float64 {
 	mean := b.meanServiceTime.Load()
@@ -270,7 +270,7 @@
 	if service == 0 {
 		service = mean
 	} else {
-		service = mean + (service-mean)*decay(t-l.serviceTimeAt.Load(), int64(b.config.EstimateHalfLife))
+		service = mean + (service-mean)*b.config.remembered(t-l.serviceTimeAt.Load(), b.config.EstimateHalfLife)
 	}
 	return max(service, outstandingFactor*float64(l.oldestAge(t)))
 }
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -231,3 +231,41 @@
 		t.Errorf("PickAmong = %+v, want the server with index 3, the least loaded of those that are given and ready", e)
 	}
 }
+
+// Guards against a server that gets no requests for a minute because of a failure or a slow
+// answer long ago, while requests are few and fast.
+func TestServerIsTriedAgainAfterItsFailures(t *testing.T) {
+	const pause, service = 20 * time.Millisecond, 2 * time.Millisecond
+	for name, prepare := range map[string]func(b *Balancer, bad fleet.NodeID){
+		"one failure": func(b *Balancer, bad fleet.NodeID) { answer(b, bad, start, time.Millisecond, Failed, nil) },
+		"four failures": func(b *Balancer, bad fleet.NodeID) {
+			for range 4 {
+				answer(b, bad, start, time.Millisecond, Failed, nil)
+			}
+		},
+		"lost connection": func(b *Balancer, bad fleet.NodeID) { answer(b, bad, start, 2*time.Second, Failed, nil) },
+		"slow answer":     func(b *Balancer, bad fleet.NodeID) { answer(b, bad, start, 2*time.Second, Succeeded, nil) },
+		"cancelled":       func(b *Balancer, bad fleet.NodeID) { answer(b, bad, start, 2*time.Second, Canceled, nil) },
+		"slow measurement": func(b *Balancer, bad fleet.NodeID) {
+			answer(b, bad, start, 2*time.Second, Succeeded, &fleet.LoadReport{Incarnation: 1, Sequence: 1, Slots: 10, ServiceTime: 2 * time.Second})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, rng := newBalancer(Config{}, servers(2))
+			bad := nodeName(1)
+			prepare(b, bad)
+			for now := start.Add(2 * time.Second); ; now = now.Add(pause) {
+				e, _ := b.Pick(now, rng, nil)
+				if e.Server.Node == bad {
+					t.Logf("tried again after %v", now.Sub(start))
+					return
+				}
+				if now.Sub(start) > time.Minute {
+					view := b.View(b.Endpoint(bad), now)
+					t.Fatalf("no request within a minute: cost %v, failure rate %.3f; cost of the other server %v", view.Cost, view.FailureRate, b.View(e, now).Cost)
+				}
+				answer(b, e.Server.Node, now, service+time.Duration(rng.Int64N(int64(service))), Succeeded, nil)
+			}
+		})
+	}
+}
