Show why a server gets no requests beside servers that report

TestServerIsTriedAgainBesideReportedServiceTimes fails and lands as known red: the mean that stands for the service time of an untried server is measured on another basis than the times that servers report.

--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -269,3 +269,25 @@
 		})
 	}
 }
+
+// Guards against a server that gets no requests because the mean that stands for its service
+// time includes what the service times that the others report do not.
+func TestServerIsTriedAgainBesideReportedServiceTimes(t *testing.T) {
+	const pause, service, overhead = 20 * time.Millisecond, 300 * time.Microsecond, 1200 * time.Microsecond
+	b, rng := newBalancer(Config{}, servers(2))
+	bad := nodeName(1)
+	answer(b, bad, start, time.Millisecond, Failed, nil)
+	sequence := uint64(0)
+	for now := start.Add(2 * time.Second); ; now = now.Add(pause) {
+		e, _ := b.Pick(now, rng, nil)
+		if e.Server.Node == bad {
+			return
+		}
+		if now.Sub(start) > 5*time.Minute {
+			t.Fatalf("no request within five minutes: cost %v, cost of the other server %v", b.View(b.Endpoint(bad), now).Cost, b.View(e, now).Cost)
+		}
+		sequence++
+		reported := service + time.Duration(rng.Int64N(int64(service)/2))
+		answer(b, e.Server.Node, now, reported+overhead, Succeeded, &fleet.LoadReport{Incarnation: 1, Sequence: sequence, Slots: 10, ServiceTime: reported})
+	}
+}
