--- a/pick/pick.go
+++ b/pick/pick.go
@@ -262,8 +262,9 @@
 
 // expectedServiceTime returns the expected service time at the server of l in nanoseconds.
 // As the estimate of l ages, the mean of the pool gradually replaces it, and does so fully
-// after MemoryTime, so that a straggler receives requests again. The age of the oldest outstanding request raises the
-// result, so that a slow server is avoided before its first slow answer.
+// after MemoryTime, so that a straggler receives requests again. The age of the oldest
+// outstanding request raises the result, so that a slow server is avoided before its first
+// slow answer.
 func (b *Balancer) expectedServiceTime(l *load, t int64) float64 {
 	mean := b.meanServiceTime.Load()
 	service := l.serviceTime.Load()
--- a/proxy/announced.go
+++ b/proxy/announced.go
@@ -392,17 +392,3 @@
 	p.local.announced.accept(n)
 	return nil
 }
-
-func (p *Proxy) knowsService(service string) bool {
-	set := p.config.Configuration.Current()
-	return set != nil && set.Service(service) != nil
-}
-
-// CheckBackendService reads again which service the settings name for the backend server. A
-// server of another service gets no requests through this node.
-func (p *Proxy) CheckBackendService() {
-	if p.local != nil {
-		p.local.checkService()
-		p.local.refresh()
-	}
-}
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -274,3 +274,17 @@
 	l.refresh()
 	return done
 }
+
+func (p *Proxy) knowsService(service string) bool {
+	set := p.config.Configuration.Current()
+	return set != nil && set.Service(service) != nil
+}
+
+// CheckBackendService reads again which service the settings name for the backend server. A
+// server of another service gets no requests through this node.
+func (p *Proxy) CheckBackendService() {
+	if p.local != nil {
+		p.local.checkService()
+		p.local.refresh()
+	}
+}
