--- a/proxy/unplanned_test.go
+++ b/proxy/unplanned_test.go
@@ -42,7 +42,9 @@
 		load := n.local.gate.Load()
 		hold("slots", load.InFlight)
 		hold("places in the queue", load.Queued)
+		n.tokens.mu.RLock()
 		hold("call tokens", len(n.tokens.inFlight))
+		n.tokens.mu.RUnlock()
 		pools = append(pools, n.local.backend.pool)
 	}
 	for _, p := range pools {
