--- a/pick/config.go
+++ b/pick/config.go
@@ -29,8 +29,8 @@
 	DefaultOtherZoneDelay   = time.Millisecond
 	DefaultReportHalfLife   = 50 * time.Millisecond
 	DefaultEstimateHalfLife = 4 * time.Second
-	// DefaultMemoryTime is shorter than the minute that operators wait for a server to be used
-	// again. Each node sends one request to a server that is still slow in this time.
+	// DefaultMemoryTime bounds what a lasting straggler costs: each node tries it with one
+	// request in this time.
 	DefaultMemoryTime          = 50 * time.Second
 	DefaultSlowStart           = 5 * time.Second
 	DefaultSlowStartFactor     = 4
