--- a/proxy/unplanned_test.go
+++ b/proxy/unplanned_test.go
@@ -117,33 +117,33 @@
 // Guards against an exchange that ends early and keeps the slot, the connection or a count of
 // its request.
 func TestUnplannedEndsGiveEverythingBack(t *testing.T) {
-	head := func(r *http.Request, headers string) string { return beginAnswer(r, headers) }
-	stall := func(conn net.Conn) bool { return !write(conn, "") || block(conn) }
 	for name, script := range map[string]func(conn net.Conn, r *http.Request) bool{
 		"connection closed": func(net.Conn, *http.Request) bool { return false },
-		"no answer":         func(conn net.Conn, _ *http.Request) bool { return stall(conn) },
-		"part of a head":    func(conn net.Conn, r *http.Request) bool { return write(conn, head(r, "X-Part: ")[:30]) && stall(conn) },
+		"no answer":         func(conn net.Conn, _ *http.Request) bool { return block(conn) },
+		"part of a head": func(conn net.Conn, r *http.Request) bool {
+			return write(conn, beginAnswer(r, "X-Part: ")[:30]) && block(conn)
+		},
 		"part of a body": func(conn net.Conn, r *http.Request) bool {
-			return write(conn, head(r, "Content-Length: 9\r\n")+"abc") && stall(conn)
+			return write(conn, beginAnswer(r, "Content-Length: 9\r\n")+"abc") && block(conn)
 		},
 		"part of a large body": func(conn net.Conn, r *http.Request) bool {
-			return write(conn, head(r, "Content-Length: 200000\r\n")+strings.Repeat("x", 100000)) && stall(conn)
+			return write(conn, beginAnswer(r, "Content-Length: 200000\r\n")+strings.Repeat("x", 100000)) && block(conn)
 		},
 		"part of a chunk": func(conn net.Conn, r *http.Request) bool {
-			return write(conn, head(r, "Transfer-Encoding: chunked\r\n")+"9\r\nabc") && stall(conn)
+			return write(conn, beginAnswer(r, "Transfer-Encoding: chunked\r\n")+"9\r\nabc") && block(conn)
 		},
 		"part of a trailer": func(conn net.Conn, r *http.Request) bool {
-			return write(conn, head(r, "Transfer-Encoding: chunked\r\nTrailer: X-End\r\n")+"3\r\nabc\r\n0\r\nX-En") && stall(conn)
+			return write(conn, beginAnswer(r, "Transfer-Encoding: chunked\r\nTrailer: X-End\r\n")+"3\r\nabc\r\n0\r\nX-En") && block(conn)
 		},
-		"informational answer only": func(conn net.Conn, _ *http.Request) bool { return write(conn, "HTTP/1.1 103 x\r\n\r\n") && stall(conn) },
+		"informational answer only": func(conn net.Conn, _ *http.Request) bool { return write(conn, "HTTP/1.1 103 x\r\n\r\n") && block(conn) },
 		"switched protocols": func(conn net.Conn, _ *http.Request) bool {
-			return write(conn, "HTTP/1.1 101 x\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n") && stall(conn)
+			return write(conn, "HTTP/1.1 101 x\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n") && block(conn)
 		},
 		"another request's answer": func(conn net.Conn, _ *http.Request) bool {
-			return write(conn, "HTTP/1.1 200 x\r\nX-Id: other\r\nX-Stamp: s\r\nContent-Length: 3\r\n\r\nold") && stall(conn)
+			return write(conn, "HTTP/1.1 200 x\r\nX-Id: other\r\nX-Stamp: s\r\nContent-Length: 3\r\n\r\nold") && block(conn)
 		},
 		"no bytes of an answer": func(conn net.Conn, _ *http.Request) bool {
-			return write(conn, "\x00\x01 nonsense\r\n\r\n") && stall(conn)
+			return write(conn, "\x00\x01 nonsense\r\n\r\n") && block(conn)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
