--- /dev/null
+++ b/review/trials/servers.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// clockAhead is how far the clock of the machine is ahead when the first process starts. It
+// is the step of clock_step in the site file.
+const clockAhead = 2400 * time.Millisecond
+
+// earlierStart restarts a backend server under its instance id. The clock of its machine was
+// set back in between, so the second process states an earlier start than the first. It then
+// leaves as planned.
+func earlierStart(f *fleet, trouble bool) ([]string, error) {
+	if err := f.start("shop", "shop", "shop"); err != nil {
+		return nil, err
+	}
+	for i, m := range f.sidecars[1:] {
+		if _, err := f.startBackend(m, fmt.Sprintf("i-other%d", i+2), "shop", time.Now()); err != nil {
+			return nil, err
+		}
+	}
+	if err := f.apply(limits(1), service("shop", 1), route("r-main", 1, "main.example", "/main/", "shop", "idempotent")); err != nil {
+		return nil, err
+	}
+	if err := f.awaitReady(20 * time.Second); err != nil {
+		return nil, err
+	}
+	m := f.sidecars[0]
+	step := time.Duration(0)
+	if trouble {
+		step = clockAhead
+	}
+	first, err := f.startBackend(m, "i-same", "shop", time.Now().Add(step))
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(700 * time.Millisecond)
+	first.end() // it crashes
+	f.record.add("the clock of %s is set back by %v", m.name, step)
+	time.Sleep(700 * time.Millisecond)
+	second, err := f.startBackend(m, "i-same", "shop", time.Now())
+	if err != nil {
+		return nil, err
+	}
+	clients := []*client{f.newClient(f.sidecars[0], "a"), f.newClient(f.sidecars[1], "b"), f.newClient(f.sidecars[2], "c")}
+	if err := clients[0].awaitServed(http.MethodGet, "main.example", "/main/warm", 10*time.Second); err != nil {
+		return nil, err
+	}
+	done := make(chan struct{})
+	var waits []func()
+	for _, c := range clients {
+		waits = append(waits, repeat(50*time.Millisecond, done, func() { c.send(http.MethodGet, "main.example", "/main/x", "", nil) }))
+	}
+	stop := func() {
+		close(done)
+		for _, wait := range waits {
+			wait()
+		}
+	}
+	time.Sleep(2*contact + time.Second)
+	before := len(second.runs())
+	acked, err := second.reportDraining()
+	if err != nil || before == 0 {
+		stop()
+		return nil, errors.Join(err, fmt.Errorf("the second process ran %d requests before", before))
+	}
+	f.record.add("draining of i-same is acknowledged; it has run %d requests", before)
+	time.Sleep(drain + 3*time.Second) // the server serves a little longer than drain
+	second.leave()
+	left := time.Now()
+	time.Sleep(time.Second)
+	stop()
+	return lateRuns(f, clients, second, acked, left), nil
+}
+
+// lateRuns judges the requests that a server ran after its departure was acknowledged.
+func lateRuns(f *fleet, clients []*client, b *backend, acked, left time.Time) []string {
+	sentAt := map[string]sent{}
+	for _, c := range clients {
+		for _, s := range c.requests() {
+			sentAt[s.id] = s
+		}
+	}
+	late := 0
+	for _, a := range b.runs() {
+		if s := sentAt[a.id]; s.at.After(acked.Add(drain)) {
+			late++
+		}
+	}
+	f.record.add("%d requests that were sent later than %v after the acknowledgement ran at %s", late, drain, b.instance)
+	if late == 0 {
+		return nil
+	}
+	return []string{fmt.Sprintf("DRAIN: %d requests, sent later than %v after the draining of %s was acknowledged, ran there within %.1f s", late, drain, b.instance, left.Sub(acked).Seconds())}
+}
+
+// otherService gives the machine of a server that has left to a server of another service.
+// The settings file then names that service.
+func otherService(f *fleet, trouble bool) ([]string, error) {
+	if err := startShop(f); err != nil {
+		return nil, err
+	}
+	m := f.sidecars[0]
+	c := f.newClient(m, "a")
+	if err := c.awaitServed(http.MethodGet, "main.example", "/main/warm", 10*time.Second); err != nil {
+		return nil, err
+	}
+	time.Sleep(contact)
+	if trouble {
+		f.mu.Lock()
+		old := f.backends[0]
+		f.mu.Unlock()
+		if _, err := old.reportDraining(); err != nil {
+			return nil, err
+		}
+		time.Sleep(drain + 500*time.Millisecond)
+		old.leave()
+		time.Sleep(addrReuse + 500*time.Millisecond)
+		m.service = "stock"
+		if err := m.writeSettings(false); err != nil {
+			return nil, err
+		}
+		f.record.add("the settings of %s name the service stock", m.name)
+		m.signal(syscall.SIGHUP)
+		if _, err := f.startBackend(m, "i-stock-new", "stock", time.Now()); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(2*contact + configApply)
+	for i := range 30 {
+		c.send(http.MethodGet, "main.example", fmt.Sprintf("/main/late/%d", i), "", nil)
+	}
+	runs, wrong, named := 0, 0, ""
+	f.mu.Lock()
+	backends := f.backends
+	f.mu.Unlock()
+	for _, b := range backends {
+		for _, a := range b.runs() {
+			if strings.HasPrefix(a.path, "/main/late/") {
+				runs++
+				if a.caller != m.service {
+					wrong, named = wrong+1, a.caller
+				}
+			}
+		}
+	}
+	f.record.add("%d requests of %s were run; %d with another caller service than %s", runs, m.name, wrong, m.service)
+	switch {
+	case runs == 0:
+		return nil, errors.New("no request was run")
+	case wrong > 0:
+		return []string{fmt.Sprintf("UNASKED: %d of %d requests that began on a machine of the service %s were run with Bramleymill-Caller-Service: %s", wrong, runs, m.service, named)}, nil
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/review/trials/start.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Times of the replacement of a core machine.
+const (
+	lostAfter     = 100 * time.Millisecond // from its start to its end
+	replacedAfter = 2 * time.Second        // until an empty machine starts at another address
+	catchUp       = 4 * time.Second
+	recovery      = 15 * time.Second
+)
+
+// firstStart loses one core machine for good while the whole system starts for the first
+// time. An empty machine takes its place. The system must accept the configuration and serve.
+func firstStart(f *fleet, trouble bool) ([]string, error) {
+	if err := f.start("shop", "shop", "shop"); err != nil {
+		return nil, err
+	}
+	for i, m := range f.sidecars {
+		if _, err := f.startBackend(m, fmt.Sprintf("i-shop%d", i+1), "shop", time.Now()); err != nil {
+			return nil, err
+		}
+	}
+	if trouble {
+		if err := f.replaceFirstCore(); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(catchUp + contact)
+	body, err := patchOf(limits(1), service("shop", 1), route("r-main", 1, "main.example", "/main/", "shop", "idempotent"))
+	if err != nil {
+		return nil, err
+	}
+	// The first call is sent again until it is accepted.
+	status, err := f.sendPatch(body, 2*recovery)
+	if err != nil {
+		f.record.add("operator: %v", err)
+	}
+	served := 0
+	c := f.newClient(f.sidecars[0], "a")
+	const requests = 100
+	for i := range requests {
+		if c.send(http.MethodGet, "main.example", fmt.Sprintf("/main/%d", i), "", nil).status == http.StatusOK {
+			served++
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	f.record.add("the first configuration got status %d (0: no acknowledgement in %v); %d of %d requests were served", status, 2*recovery, served, requests)
+	if served == 0 {
+		return []string{fmt.Sprintf("Fault: no request is served: the first configuration was not acknowledged within %v, and 0 of %d requests were served in the %v after that, though 5 core machines run", 2*recovery, requests, requests*100*time.Millisecond)}, nil
+	}
+	return nil, nil
+}
+
+// replaceFirstCore ends the process of the first core machine and starts an empty machine at
+// another address. The operator's list then names the new machine.
+func (f *fleet) replaceFirstCore() error {
+	time.Sleep(lostAfter)
+	lost := f.core[0]
+	lost.kill()
+	f.record.add("%s is gone for good", lost.name)
+	time.Sleep(replacedAfter)
+	next := &machine{fleet: f, name: "core-6", ip: f.spareIP}
+	f.core = append(f.core[1:len(f.core):len(f.core)], next)
+	if err := next.writeSettings(false); err != nil {
+		return err
+	}
+	return next.start()
+}
