--- a/review/trials/fleet.go
+++ b/review/trials/fleet.go
@@ -156,6 +156,8 @@
 
 func (m *machine) settingsFile() string { return filepath.Join(m.fleet.folder, m.name+".yaml") }
 
+func (m *machine) dataFolder() string { return filepath.Join(m.fleet.folder, m.name+"-data") }
+
 // writeSettings writes the settings file as JSON, which is valid YAML.
 func (m *machine) writeSettings(first bool) error {
 	f := m.fleet
@@ -180,7 +182,7 @@
 		listen["inbound"], listen["outbound"], listen["ready"] = m.address("inbound"), m.address("outbound"), m.address("ready")
 		s["appAddr"], s["service"], s["dataDir"] = m.address("app"), m.service, nil
 	} else {
-		s["dataDir"], s["faultCounted"] = filepath.Join(f.folder, m.name+"-data"), true
+		s["dataDir"], s["faultCounted"] = m.dataFolder(), true
 	}
 	s["machineClass"], s["role"], s["serves"], s["listenAddrs"] = class, "my-"+class, []string{serves}, listen
 	text, err := json.Marshal(s)
--- a/review/trials/main.go
+++ b/review/trials/main.go
@@ -23,12 +23,11 @@
 type trial func(f *fleet, trouble bool) (violations []string, err error)
 
 var trials = map[string]trial{
-	"large-config":  largeConfig,
-	"earlier-start": earlierStart,
-	"same-key":      sameKey,
-	"other-service": otherService,
-	"surplus-brace": surplusBrace,
-	"first-start":   firstStart,
+	"planned-replacement": plannedReplacement,
+	"large-config":        largeConfig,
+	"same-key":            sameKey,
+	"earlier-start":       earlierStart,
+	"first-start":         firstStart,
 }
 
 func main() {
