--- a/review/trials/keys.go
+++ b/review/trials/keys.go
@@ -8,16 +8,19 @@
 	"time"
 )
 
-// Some clients repeat each request at once; retries is the dose of retry_abuse in the site
-// file.
+// Orders of the users. The second user comes with the burst: burstOrders is 0.8 of orders, as
+// the burst of the site files goes up to 1.8 times the traffic.
 const (
-	orders  = 20
-	retries = 3
+	orders      = 20
+	burstOrders = 16
+	orderPause  = 100 * time.Millisecond
+	secondAfter = 50 * time.Millisecond // from an order of the first user to one of the second
 )
 
-// sameKey sends orders that bear an Idempotency-Key header for the backend server. The pages
-// name no such header, so it is passed on like others. Each attempt of a client has its own
-// request id and must get the answer to that request.
+// sameKey lets users order the same article. The application of each user numbers its orders
+// from 1 in the header Idempotency-Key, which is meant for the backend server. The pages name
+// no such header, so it is passed on like others. With the burst, a second user comes on
+// another machine. Each request must get the answer to itself.
 func sameKey(f *fleet, trouble bool) ([]string, error) {
 	if err := f.start("orders", "orders", "orders"); err != nil {
 		return nil, err
@@ -33,25 +36,24 @@
 	if err := f.awaitReady(20 * time.Second); err != nil {
 		return nil, err
 	}
-	c := f.newClient(f.sidecars[0], "a")
-	if err := c.awaitServed(http.MethodPost, "order.example", "/order/warm", 10*time.Second); err != nil {
+	first, second := f.newClient(f.sidecars[0], "user1-"), f.newClient(f.sidecars[1], "user2-")
+	if err := f.newClient(f.sidecars[0], "warm").awaitServed(http.MethodPost, "order.example", "/order/warm", 10*time.Second); err != nil {
 		return nil, err
 	}
 	time.Sleep(contact)
-	for n := range orders {
-		header := map[string]string{"Idempotency-Key": fmt.Sprintf("order-%d", n)}
-		var repeats sync.WaitGroup
-		post := func(m *machine, name string) {
-			f.newClient(m, name).send(http.MethodPost, "order.example", "/order/new", `{"glove":"cotton","size":"M"}`, header)
-		}
-		post(f.sidecars[n%len(f.sidecars)], fmt.Sprintf("o%02d-first-", n))
-		if trouble {
-			for r := range retries {
-				repeats.Go(func() { post(f.sidecars[(n+r)%len(f.sidecars)], fmt.Sprintf("o%02d-again%d-", n, r)) })
-			}
+	var running sync.WaitGroup
+	order := func(c *client, number int) {
+		c.send(http.MethodPost, "order.example", "/order/new", `{"glove":"cotton","size":"M"}`, map[string]string{"Idempotency-Key": fmt.Sprintf("order-%d", number)})
+	}
+	for n := 1; n <= orders; n++ {
+		running.Go(func() { order(first, n) })
+		time.Sleep(secondAfter)
+		if trouble && n <= burstOrders {
+			running.Go(func() { order(second, n) })
 		}
-		repeats.Wait()
+		time.Sleep(orderPause - secondAfter)
 	}
+	running.Wait()
 	return foreignAnswers(f), nil
 }
 
@@ -68,7 +70,7 @@
 	answered, foreign, refused := 0, 0, map[int]int{}
 	example := ""
 	for _, s := range f.sentRequests() {
-		if !strings.HasPrefix(s.id, "o") {
+		if !strings.HasPrefix(s.id, "user") {
 			continue
 		}
 		switch {
--- a/review/trials/main.go
+++ b/review/trials/main.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -67,9 +69,13 @@
 		v, err := play(f, trouble)
 		done <- outcome{v, err}
 	}()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
 	var o outcome
 	select {
 	case o = <-done:
+	case <-stopped:
+		o.err = errors.New("the trial was stopped")
 	case <-time.After(trialTimeout):
 		o.err = errors.New("the trial took too long")
 	}
--- a/review/trials/start.go
+++ b/review/trials/start.go
@@ -8,7 +8,6 @@
 
 // Times of the replacement of a core machine.
 const (
-	lostAfter     = 100 * time.Millisecond // from its start to its end
 	replacedAfter = 2 * time.Second        // until an empty machine starts at another address
 	catchUp       = 4 * time.Second
 	recovery      = 15 * time.Second
@@ -74,10 +73,9 @@
 	return nil, nil
 }
 
-// replaceFirstCore ends the process of the first core machine and starts an empty machine at
-// another address. The operator's list then names the new machine.
+// replaceFirstCore ends the process of the first core machine as it starts, and starts an
+// empty machine at another address. The operator's list then names the new machine.
 func (f *fleet) replaceFirstCore() error {
-	time.Sleep(lostAfter)
 	lost := f.core[0]
 	lost.kill()
 	f.record.add("%s is gone for good", lost.name)
