--- a/review/trials/start.go
+++ b/review/trials/start.go
@@ -8,7 +8,7 @@
 
 // Times of the replacement of a core machine.
 const (
-	replacedAfter = 2 * time.Second        // until an empty machine starts at another address
+	replacedAfter = 2 * time.Second // until an empty machine starts at another address
 	catchUp       = 4 * time.Second
 	recovery      = 15 * time.Second
 )
