guard: bound what the kernel holds for connections

Callers saw refused connections while the process of a node was ended for its memory: bytes that have arrived and were not read count towards the memory of a machine, and nothing bounded them.

Cause: the buffers of connections were sized by the kernel, which lets them grow to megabytes for a connection that is read for a while. A process with a sixth of a core then does not read them, and a client that does not read lets the send buffer grow in the same way. The memory budget counts the heap only, and the tests looked at the resident size only.

Change: guard.Sockets sets the buffers of accepted and of opened TCP connections. They begin with 4 KiB in each direction and grow for a long transfer if the socket memory (limits.socket_memory, a quarter of the memory) holds the growth. Listeners queue at most 256 connections. The bounds on connections take the socket memory into account.

--- a/filter/body_test.go
+++ b/filter/body_test.go
@@ -262,7 +262,7 @@
 	}))
 	s := httptest.NewUnstartedServer(h)
 	limits := guard.Limits{HeadBytes: 1 << 16, HeadTime: time.Minute, IdleTime: time.Minute}
-	s.Listener = guard.New(100<<10, slog.New(slog.DiscardHandler)).Door(s.Listener, guard.DoorConfig{Limits: func() guard.Limits { return limits }})
+	s.Listener = guard.New(100<<10, nil, slog.New(slog.DiscardHandler)).Door(s.Listener, guard.DoorConfig{Limits: func() guard.Limits { return limits }})
 	s.Config.ConnContext, s.Config.ConnState = guard.ConnContext, guard.ConnState
 	s.Start()
 	defer s.Close()
--- a/guard/close.go
+++ b/guard/close.go
@@ -21,13 +21,13 @@
 	_ = t.SetReadDeadline(time.Now().Add(lingerTime))
 	_, _ = io.CopyN(io.Discard, t, lingerBytes)
 	c.release(nil)
-	_ = t.Close()
+	_ = c.Conn.Close()
 }
 
 // reset makes Close reset the connection. An answer to a client of HTTP/1.0 may end with its
 // connection, so one that breaks off would otherwise look complete.
 func (c *Conn) reset() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t := tcpConn(c.Conn); t != nil {
 		_ = t.SetLinger(0) // fails on a broken connection
 		c.lingers.Store(true)
 	}
--- a/guard/conn.go
+++ b/guard/conn.go
@@ -157,7 +157,7 @@
 
 // CloseWrite ends the sending direction.
 func (c *Conn) CloseWrite() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
+	if t := tcpConn(c.Conn); t != nil {
 		return t.CloseWrite()
 	}
 	return nil
@@ -166,7 +166,7 @@
 // Close closes the connection and returns what it holds of the budget. With unread requests it
 // does both as soon as the client has received the last answer.
 func (c *Conn) Close() error {
-	if t, ok := c.Conn.(*net.TCPConn); ok && c.pipelined.Load() && !c.left.Load() && !c.lingers.Swap(true) {
+	if t := tcpConn(c.Conn); t != nil && c.pipelined.Load() && !c.left.Load() && !c.lingers.Swap(true) {
 		go c.linger(t)
 		return nil
 	}
--- a/guard/door.go
+++ b/guard/door.go
@@ -74,7 +74,7 @@
 			bound = d.enter(address)
 		}
 		if bound == "" {
-			return newConn(raw, d, address), nil
+			return newConn(d.guard.sockets.Wrap(raw), d, address), nil
 		}
 		d.guard.report(bound, d, address)
 		if !d.config.Opaque {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -9,8 +9,9 @@
 
 // Guard bounds what the clients of all listeners of a process can make it hold.
 type Guard struct {
-	budget *Budget
-	log    *slog.Logger
+	budget  *Budget
+	sockets *Sockets
+	log     *slog.Logger
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -29,15 +30,19 @@
 	return 0
 }
 
-// New returns a Guard with a memory budget of the given size.
-func New(memory int64, log *slog.Logger) *Guard {
-	return &Guard{budget: NewBudget(memory), log: log, conns: map[*Conn]struct{}{},
+// New returns a Guard with a memory budget of the given size. sockets bounds the buffers of the
+// connections of its doors; nil leaves them to the kernel.
+func New(memory int64, sockets *Sockets, log *slog.Logger) *Guard {
+	return &Guard{budget: NewBudget(memory), sockets: sockets, log: log, conns: map[*Conn]struct{}{},
 		reached: make([]atomic.Int64, len(Bounds)), logged: make([]atomic.Int64, len(Bounds))}
 }
 
-// Budget returns the memory budget.
+// Budget returns the budget of the memory that the process itself holds.
 func (g *Guard) Budget() *Budget { return g.budget }
 
+// Sockets returns the bounds of what the kernel holds for connections.
+func (g *Guard) Sockets() *Sockets { return g.sockets }
+
 // Reached returns how often clients have reached a bound.
 func (g *Guard) Reached(b Bound) int64 { return g.reached[indexOf(b)].Load() }
 
--- a/guard/serve_test.go
+++ b/guard/serve_test.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &door{t: t, guard: New(memory, slog.New(slog.DiscardHandler)), addr: l.Addr().String(), block: make(chan struct{})}
+	d := &door{t: t, guard: New(memory, nil, slog.New(slog.DiscardHandler)), addr: l.Addr().String(), block: make(chan struct{})}
 	d.limits.Store(&calmLimits)
 	config.Limits = func() Limits { return *d.limits.Load() }
 	d.server = &http.Server{Handler: Handler(http.HandlerFunc(d.serve)), ConnContext: ConnContext, ConnState: ConnState,
--- a/node/limits.go
+++ b/node/limits.go
@@ -8,11 +8,13 @@
 	"bramleymill/errkind"
 	"bramleymill/guard"
 	"bramleymill/settings"
+	"bramleymill/strictjson"
 )
 
 // Shares of the memory of the machine.
 const (
 	requestMemoryShare = 1.0 / 4 // that clients may fill
+	socketMemoryShare  = 1.0 / 4 // that the kernel may hold for connections
 	runtimeMemoryShare = 0.6     // at which the runtime collects garbage more often
 )
 
@@ -33,6 +35,13 @@
 	peerMemoryShare   = 3.0 / 8
 )
 
+// Shares of the socket memory that connections may take, with those that wait to be accepted. The
+// rest is for other listeners and for connections that the process opens.
+const (
+	callerSocketShare = 7.0 / 16
+	peerSocketShare   = 3.0 / 8
+)
+
 // headSlack is the number of bytes that a head may have beyond its limit. The HTTP server
 // allows as many.
 const headSlack = 4 << 10
@@ -47,14 +56,24 @@
 
 // requestMemory returns the memory that clients may fill.
 func requestMemory(l *settings.Limits) int64 {
-	if l.RequestMemory > 0 {
-		return int64(l.RequestMemory)
+	return memoryPart(l, l.RequestMemory, requestMemoryShare)
+}
+
+// socketMemory returns the memory that the kernel may hold for connections.
+func socketMemory(l *settings.Limits) int64 {
+	return memoryPart(l, l.SocketMemory, socketMemoryShare)
+}
+
+// memoryPart returns the part of the memory that is set, or else a share of it.
+func memoryPart(l *settings.Limits, set strictjson.Bytes, share float64) int64 {
+	if set > 0 {
+		return int64(set)
 	}
 	memory := int64(l.Memory)
 	if memory == 0 {
 		memory = machineMemory()
 	}
-	return int64(float64(memory) * requestMemoryShare)
+	return int64(float64(memory) * share)
 }
 
 func machineMemory() int64 {
@@ -82,7 +101,7 @@
 func (n *Node) callerDoor(name string) guard.DoorConfig {
 	d := n.door(name, callerShare)
 	l := &n.settings.Limits
-	d.Connections = min(d.Connections, connectionsIn(l, callerMemoryShare))
+	d.Connections = min(d.Connections, connectionsIn(l, callerMemoryShare, callerSocketShare))
 	if l.CallerConnections > 0 {
 		d.Connections = l.CallerConnections
 	}
@@ -94,9 +113,12 @@
 	return d
 }
 
-// connectionsIn returns the number of connections that fit into a share of the request memory.
-func connectionsIn(l *settings.Limits, share float64) int {
-	return int(float64(requestMemory(l)) * share / guard.ConnCost)
+// connectionsIn returns the number of connections that fit into a share of the request memory and
+// into a share of the socket memory.
+func connectionsIn(l *settings.Limits, requestShare, socketShare float64) int {
+	inProcess := float64(requestMemory(l)) * requestShare / guard.ConnCost
+	inKernel := (float64(socketMemory(l))*socketShare - maxBacklog*guard.BacklogCost) / guard.SocketCost
+	return max(minOtherConns, int(min(inProcess, inKernel)))
 }
 
 // additionalShare returns the share of each listener of the options. A process without a listener
@@ -150,7 +172,7 @@
 // that they pass on.
 func (n *Node) peerDoor(name string) guard.DoorConfig {
 	d := n.door(name, peerShare)
-	d.Connections = min(d.Connections, connectionsIn(&n.settings.Limits, peerMemoryShare))
+	d.Connections = min(d.Connections, connectionsIn(&n.settings.Limits, peerMemoryShare, peerSocketShare))
 	d.HeadLines += addedLines
 	d.Limits = func() guard.Limits {
 		l := defaultLimits
@@ -170,6 +192,8 @@
 func (n *Node) updateGuardMetrics() {
 	n.metrics.Set("request_memory_used", float64(n.guard.Budget().Used()))
 	n.metrics.Set("request_memory_limit", float64(n.guard.Budget().Limit()))
+	n.metrics.Set("socket_memory_used", float64(n.guard.Sockets().Budget().Used()))
+	n.metrics.Set("socket_memory_limit", float64(n.guard.Sockets().Budget().Limit()))
 	n.metrics.Set("client_connections", float64(n.guard.Connections()))
 	for _, b := range guard.Bounds {
 		n.metrics.Set("bound_reached_"+string(b), float64(n.guard.Reached(b)))
--- a/node/listeners.go
+++ b/node/listeners.go
@@ -22,6 +22,13 @@
 	maxHeaderBytes    = 64 << 10
 )
 
+// maxBacklog is the number of connections that wait to be accepted at most. A process that is
+// frozen for seconds does not accept any.
+const maxBacklog = 256
+
+// backlog returns the number of connections to a listener that wait to be accepted at most.
+func backlog(connections int) int { return min(connections, maxBacklog) }
+
 // listener is an HTTP listener that the node has opened.
 type listener struct {
 	name   string
@@ -34,7 +41,7 @@
 // reported before any listener serves. Without a TLS configuration the listener serves plain
 // HTTP, and the door bounds the heads and times of its connections.
 func listen(g *guard.Guard, door guard.DoorConfig, address string, h http.Handler, tlsConfig *tls.Config, logger *slog.Logger) (*listener, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := g.Sockets().Listen(address, backlog(door.Connections))
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", door.Name, err)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -87,7 +87,7 @@
 	n := &Node{settings: s, options: options, seeds: s.Seeds, logger: logger.With("node", s.Node), seed: rand.Uint64(), metrics: metrics.New(s.Node),
 		superseded: make(chan fleet.Incarnation, 1)}
 	setMemoryLimit(&s.Limits)
-	n.guard = guard.New(requestMemory(&s.Limits), n.logger)
+	n.guard = guard.New(requestMemory(&s.Limits), guard.NewSockets(socketMemory(&s.Limits)), n.logger)
 	var err error
 	if n.keys, err = n.openKeys(); err != nil {
 		return nil, err
--- a/node/run.go
+++ b/node/run.go
@@ -119,6 +119,7 @@
 		OnStateChange:      n.member.SetState,
 		OnLaterConfig:      n.fetchConfiguration,
 		OnNoSlot:           n.guard.Relieve,
+		Sockets:            n.guard.Sockets(),
 		ClientTLS:          n.peerClientTLS(),
 		Dialect:            n.options.Dialect,
 		AnyPlacement:       n.options.Dialect != nil,
--- a/operator/body_test.go
+++ b/operator/body_test.go
@@ -35,7 +35,7 @@
 
 // Guards against bodies of operators that together exceed the memory of the process.
 func TestBodyThatMemoryDoesNotHoldIsRefused(t *testing.T) {
-	g := guard.New(guard.ConnCost+64<<10, slog.New(slog.DiscardHandler))
+	g := guard.New(guard.ConnCost+64<<10, nil, slog.New(slog.DiscardHandler))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/proxy/addresses_test.go
+++ b/proxy/addresses_test.go
@@ -12,7 +12,7 @@
 // left, and against the eviction of an address that is in use.
 func TestAddressesOfEarlierIncarnationsAreEvicted(t *testing.T) {
 	k := clock.NewManual(time.Unix(1000, 0))
-	r := newRemote(nil, func() uint64 { return 0 }, k, func() string { return "" }, nil)
+	r := newRemote(nil, nil, func() uint64 { return 0 }, k, func() string { return "" }, nil)
 	steady := fleet.Server{Node: "steady", Incarnation: 1, PeerAddress: "10.0.0.1:1"}
 	for i := range 1000 {
 		restarted := fleet.Server{Node: "restarted", Incarnation: fleet.Incarnation(i + 1), PeerAddress: "10.0.0.2:1"}
--- a/proxy/backend.go
+++ b/proxy/backend.go
@@ -47,7 +47,7 @@
 	connections := max(1, c.Backend.Connections-spareConnections)
 	b := &backend{node: c.Node, address: c.Backend.Address, tokens: t, monitor: m, clock: c.Clock,
 		rules: headerRules{c.Dialect}, service: c.Backend.Service, onLoad: func(LoadState) {}, onAnswer: func(string, http.Header) {},
-		spares: newSpares(c.Backend.Address, connections)}
+		spares: newSpares(c.Backend.Address, connections, c.Sockets)}
 	// Idle connections have no maximum age. They stay open until the backend server
 	// closes them.
 	b.pool = newPool(func(ctx context.Context, address string) (net.Conn, error) {
--- a/proxy/config.go
+++ b/proxy/config.go
@@ -12,6 +12,7 @@
 	"bramleymill/explain"
 	"bramleymill/filter"
 	"bramleymill/fleet"
+	"bramleymill/guard"
 	"bramleymill/settings"
 	"bramleymill/suspect"
 )
@@ -66,6 +67,9 @@
 	// the damage of a request that crashes servers.
 	AnyPlacement bool
 
+	// Sockets bounds the buffers of connections to backend servers and other nodes. If it is nil,
+	// the kernel sizes them.
+	Sockets *guard.Sockets
 	// OnNoSlot is called when a request was refused because no slot of the backend server is
 	// free. It may be nil.
 	OnNoSlot func()
--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"sync"
+
+	"bramleymill/guard"
 )
 
 var errSealed = errors.New("connection was abandoned before anything was written")
@@ -39,7 +41,7 @@
 // nothing. A TLS connection may have sent part of a record.
 func (c *countedConn) zeroMeansUnsent() bool {
 	switch c.Conn.(type) {
-	case *net.TCPConn, *usedConn:
+	case *net.TCPConn, *guard.Socket, *usedConn:
 		return true
 	}
 	return false
--- a/proxy/conn_test.go
+++ b/proxy/conn_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"testing"
 	"time"
+
+	"bramleymill/guard"
 )
 
 // tcpPair returns both ends of a TCP connection.
@@ -89,7 +91,7 @@
 // or as closed while it is open.
 func TestEndOfIdleConnectionIsDetected(t *testing.T) {
 	client, server := tcpPair(t)
-	conn := newLink(&usedConn{TCPConn: client, spares: newSpares("", 1)})
+	conn := newLink(&usedConn{Socket: (*guard.Sockets)(nil).WrapTCP(client), spares: newSpares("", 1, nil)})
 	if !conn.usable() {
 		t.Error("usable() = false for an open connection, want true")
 	}
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -236,7 +236,7 @@
 // Guards against counting a server as ended because it closes idle connections.
 func TestIdleConnectionClosedByAliveServer(t *testing.T) {
 	closing, dials := make(chan struct{}), make(chan struct{}, 16)
-	m := newMonitor("backend", newDrainHints(clock.System{}, func() {}), func() {}, func(generation uint64) {
+	m := newMonitor("backend", nil, newDrainHints(clock.System{}, func() {}), func() {}, func(generation uint64) {
 		t.Errorf("generation %d counts as ended although only idle connections were closed, want it to continue", generation)
 	})
 	m.dial = func(context.Context, string) (net.Conn, error) {
--- a/proxy/faulty_test.go
+++ b/proxy/faulty_test.go
@@ -198,7 +198,7 @@
 			}()
 		}
 	}()
-	m := newMonitor(listener.Addr().String(), newDrainHints(newCluster(t).clock, func() {}), func() {}, func(uint64) {})
+	m := newMonitor(listener.Addr().String(), nil, newDrainHints(newCluster(t).clock, func() {}), func() {}, func(uint64) {})
 	go m.run(t.Context())
 	select {
 	case <-taken:
--- a/proxy/local.go
+++ b/proxy/local.go
@@ -50,7 +50,7 @@
 		UtilizationLimit: c.Backend.UtilizationLimit, NoReserve: c.Dialect != nil, Weight: l.customerWeight}, c.Clock)
 	l.gate.Refuse(errkind.BackendDown)
 	l.hints = newDrainHints(c.Clock, l.onHold)
-	l.monitor = newMonitor(c.Backend.Address, l.hints, l.aliveChanged, func(generation uint64) { l.guard.Report(generation) })
+	l.monitor = newMonitor(c.Backend.Address, c.Sockets, l.hints, l.aliveChanged, func(generation uint64) { l.guard.Report(generation) })
 	l.health = newHealth(c, l.monitor, l.hints, l.refresh)
 	l.backend = newBackend(c, p.tokens, l.monitor)
 	if c.Backend.Announces {
--- a/proxy/monitor.go
+++ b/proxy/monitor.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"bramleymill/guard"
 )
 
 const (
@@ -45,14 +47,20 @@
 	redial     chan struct{} // ends a pause before the next connection
 }
 
-func newMonitor(address string, hints *drainHints, onState func(), onEnd func(uint64)) *monitor {
-	return &monitor{address: address, hints: hints, onState: onState, onEnd: onEnd, dial: dialPlain,
+func newMonitor(address string, sockets *guard.Sockets, hints *drainHints, onState func(), onEnd func(uint64)) *monitor {
+	return &monitor{address: address, hints: hints, onState: onState, onEnd: onEnd, dial: monitorDial(sockets),
 		generation: 1, changed: make(chan struct{}), redial: make(chan struct{}, 1)}
 }
 
-func dialPlain(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	return d.DialContext(ctx, "tcp", address)
+func monitorDial(sockets *guard.Sockets) func(ctx context.Context, address string) (net.Conn, error) {
+	d := backendDialer(sockets)
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return sockets.Wrap(conn), nil
+	}
 }
 
 // run monitors the backend server until ctx ends.
--- a/proxy/pipeline_test.go
+++ b/proxy/pipeline_test.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	g := guard.New(16<<20, slog.New(slog.DiscardHandler))
+	g := guard.New(16<<20, nil, slog.New(slog.DiscardHandler))
 	limits := guard.Limits{HeadBytes: 64 << 10, HeadTime: 10 * time.Second, IdleTime: 10 * time.Second}
 	s := &http.Server{Handler: guard.Handler(n.CallerHandler()), ConnContext: guard.ConnContext, ConnState: guard.ConnState, ErrorLog: log.New(io.Discard, "", 0)}
 	go func() { _ = s.Serve(g.Door(l, guard.DoorConfig{Limits: func() guard.Limits { return limits }})) }()
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -63,7 +63,7 @@
 	p.link = transmit.NewLink(c.LinkBytesPerSecond, c.Clock)
 	p.incarnation.Store(uint64(c.Incarnation))
 	p.tasks.init()
-	p.remote = newRemote(c.ClientTLS, c.KeyGeneration, c.Clock, p.encodedReport, p.reportLaterConfig)
+	p.remote = newRemote(c.ClientTLS, c.Sockets, c.KeyGeneration, c.Clock, p.encodedReport, p.reportLaterConfig)
 	p.remote.rules = p.rules()
 	if c.Backend != nil {
 		p.local = newLocalServer(p)
--- a/proxy/remote.go
+++ b/proxy/remote.go
@@ -18,6 +18,7 @@
 	"bramleymill/errkind"
 	"bramleymill/filter"
 	"bramleymill/fleet"
+	"bramleymill/guard"
 )
 
 // Limits of the connections to other nodes.
@@ -49,9 +50,9 @@
 )
 
 // peerDialer returns the dialer for connections to other nodes.
-func peerDialer(trusted bool) *net.Dialer {
+func peerDialer(trusted bool, sockets *guard.Sockets) *net.Dialer {
 	if !trusted {
-		return &net.Dialer{}
+		return &net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error { return sockets.Control(raw) }}
 	}
 	return &net.Dialer{
 		Timeout:         trustedDialTimeout,
@@ -61,7 +62,7 @@
 			err := c.Control(func(fd uintptr) {
 				setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
 			})
-			return errors.Join(err, setErr)
+			return errors.Join(err, setErr, sockets.Control(c))
 		},
 	}
 }
@@ -70,6 +71,7 @@
 type remote struct {
 	pool            *pool
 	dialer          *net.Dialer
+	sockets         *guard.Sockets // bounds the buffers of the connections
 	clientTLS       *tls.Config
 	keyGeneration   func() uint64 // generation of the keys in clientTLS
 	clock           clock.Clock
@@ -79,8 +81,8 @@
 	rules           headerRules
 }
 
-func newRemote(clientTLS *tls.Config, keyGeneration func() uint64, k clock.Clock, report func() string, onConfigVersion func(configVersion uint64)) *remote {
-	r := &remote{dialer: peerDialer(clientTLS == nil), clientTLS: clientTLS, keyGeneration: keyGeneration, clock: k, loadReport: report, onConfigVersion: onConfigVersion}
+func newRemote(clientTLS *tls.Config, sockets *guard.Sockets, keyGeneration func() uint64, k clock.Clock, report func() string, onConfigVersion func(configVersion uint64)) *remote {
+	r := &remote{dialer: peerDialer(clientTLS == nil, sockets), sockets: sockets, clientTLS: clientTLS, keyGeneration: keyGeneration, clock: k, loadReport: report, onConfigVersion: onConfigVersion}
 	r.pool = newPool(r.dial, 0, maxIdlePerPeer, idleConnTimeout)
 	return r
 }
@@ -99,6 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
+	raw = r.sockets.Wrap(raw)
 	if r.clientTLS == nil {
 		return raw, nil
 	}
--- a/proxy/spares.go
+++ b/proxy/spares.go
@@ -7,9 +7,11 @@
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"bramleymill/clock"
+	"bramleymill/guard"
 )
 
 // Parameters of the spare connections to the backend server.
@@ -34,6 +36,7 @@
 type spares struct {
 	address string
 	limit   int
+	sockets *guard.Sockets // bounds the buffers of the connections
 	dialer  func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu          sync.Mutex
@@ -46,9 +49,9 @@
 	wake        chan struct{} // makes run check again whether a spare is to be opened
 }
 
-func newSpares(address string, limit int) *spares {
-	d := &net.Dialer{Timeout: dialTimeout}
-	s := &spares{address: address, limit: limit, dialer: d.DialContext, delay: spareDelay, wake: make(chan struct{}, 1)}
+func newSpares(address string, limit int, sockets *guard.Sockets) *spares {
+	d := backendDialer(sockets)
+	s := &spares{address: address, limit: limit, sockets: sockets, dialer: d.DialContext, delay: spareDelay, wake: make(chan struct{}, 1)}
 	s.changed = sync.NewCond(&s.mu)
 	return s
 }
@@ -62,7 +65,7 @@
 		s.kick()
 		if sp.stop() {
 			s.resetBackOff(sp)
-			return &usedConn{TCPConn: sp.conn, spares: s}, nil
+			return &usedConn{Socket: sp.conn, spares: s}, nil
 		}
 		_ = sp.conn.Close()
 	}
@@ -71,10 +74,15 @@
 		s.recordClosed()
 		return nil, err
 	}
-	return &usedConn{TCPConn: conn, spares: s}, nil
+	return &usedConn{Socket: conn, spares: s}, nil
 }
 
-func (s *spares) connect(ctx context.Context, network, address string) (*net.TCPConn, error) {
+// backendDialer returns the dialer for connections to the backend server.
+func backendDialer(sockets *guard.Sockets) *net.Dialer {
+	return &net.Dialer{Timeout: dialTimeout, Control: func(_, _ string, raw syscall.RawConn) error { return sockets.Control(raw) }}
+}
+
+func (s *spares) connect(ctx context.Context, network, address string) (*guard.Socket, error) {
 	conn, err := s.dialer(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -84,7 +92,7 @@
 		_ = conn.Close()
 		return nil, errors.New("the opened connection is not a TCP connection")
 	}
-	return tcp, nil
+	return s.sockets.WrapTCP(tcp), nil
 }
 
 // resetBackOff resets the delay between spares if sp has reached the age spareSettledAge.
@@ -155,7 +163,7 @@
 }
 
 // add adds a new spare and returns the delay before the next one is opened.
-func (s *spares) add(conn *net.TCPConn, err error) time.Duration {
+func (s *spares) add(conn *guard.Socket, err error) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.opening = false
@@ -198,7 +206,7 @@
 
 // spare is an open connection without a request.
 type spare struct {
-	conn   *net.TCPConn
+	conn   *guard.Socket
 	opened time.Time
 	done   chan struct{}
 	err    error // result of the read in watch
@@ -227,7 +235,7 @@
 
 // usedConn is a connection in use. It counts against the limit until it is closed.
 type usedConn struct {
-	*net.TCPConn
+	*guard.Socket
 	spares *spares
 	once   sync.Once
 }
@@ -236,5 +244,5 @@
 // use.
 func (h *usedConn) Close() error {
 	h.once.Do(h.spares.recordClosed)
-	return h.TCPConn.Close()
+	return h.Socket.Close()
 }
--- a/proxy/spares_test.go
+++ b/proxy/spares_test.go
@@ -77,7 +77,7 @@
 }
 
 func runSpares(t *testing.T, a *acceptor, limit int) *spares {
-	s := newSpares(a.listener.Addr().String(), limit)
+	s := newSpares(a.listener.Addr().String(), limit, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
 	done.Go(func() { s.run(ctx, func() bool { return true }) })
@@ -162,7 +162,7 @@
 // Guards against dialling in a tight loop if the server closes idle connections
 // immediately.
 func TestSparesBackOff(t *testing.T) {
-	s := newSpares("", 10)
+	s := newSpares("", 10, nil)
 	var waits []time.Duration
 	for range 12 {
 		s.closedEarly = true
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -11,6 +11,7 @@
 type Limits struct {
 	Memory             strictjson.Bytes    `json:"memory,omitempty"`              // memory of the machine for the process; default: all of its memory
 	RequestMemory      strictjson.Bytes    `json:"request_memory,omitempty"`      // part of Memory that clients may fill; default: a quarter
+	SocketMemory       strictjson.Bytes    `json:"socket_memory,omitempty"`       // part of Memory that the kernel may hold for connections; default: a quarter
 	Descriptors        int                 `json:"descriptors,omitempty"`         // open descriptors of the process; default: the limit of the operating system
 	CallerConnections  int                 `json:"caller_connections,omitempty"`  // connections of callers; default: 5/16 of Descriptors, fewer if RequestMemory does not hold them
 	AddressConnections int                 `json:"address_connections,omitempty"` // connections of callers from one address; default: half of CallerConnections
@@ -41,6 +42,9 @@
 	if l.RequestMemory < 0 || l.Memory != 0 && l.RequestMemory > l.Memory {
 		errs.Add("limits.request_memory", int64(l.RequestMemory), "use at most limits.memory")
 	}
+	if l.SocketMemory < 0 || l.Memory != 0 && l.SocketMemory > l.Memory {
+		errs.Add("limits.socket_memory", int64(l.SocketMemory), "use at most limits.memory")
+	}
 	if l.Descriptors != 0 && l.Descriptors < minDescriptors {
 		errs.Add("limits.descriptors", l.Descriptors, "use at least 64")
 	}
