transport: bound connections and memory of control messages

What operators would see: the process of a node is ended for its memory, although neither callers nor requests are many.

Cause: the number of connections for control messages was not bounded, nor was the memory of messages that are being received, which may be 1 MiB for each of 64 streams of a connection. On a trusted network every dialer is accepted. The library also sets a receive buffer of several MiB.

Change: a connection beyond limits.control_connections (default: as many as an eighth of the memory holds) closes one without a message or one that has been idle for 5 s, or is refused before its handshake. Messages, replies and receive windows draw on a memory of their own, so that a crowd of callers does not stop heartbeats; the transfer that holds most for the longest time is given up, and its sender learns that the message was not handled. The socket asks for 1 MiB.

Evidence: TestUncontrolledMessages failed in all four cases before (439, 132, 100 and 102 MiB at a node of 96 MiB) and passes now (52, 58, 49 and 46 MiB), beside other load. TestAdmissionClosesTheMostExpendableConnection and TestMessageMemoryGivesUpTheHeaviestTransfer test the decisions.

--- a/node/limits.go
+++ b/node/limits.go
@@ -9,13 +9,16 @@
 	"bramleymill/guard"
 	"bramleymill/settings"
 	"bramleymill/strictjson"
+	"bramleymill/transport"
 )
 
 // Shares of the memory of the machine.
 const (
-	requestMemoryShare = 1.0 / 4 // that clients may fill
-	socketMemoryShare  = 1.0 / 4 // that the kernel may hold for connections
-	runtimeMemoryShare = 0.6     // at which the runtime collects garbage more often
+	requestMemoryShare = 1.0 / 4  // that clients may fill
+	socketMemoryShare  = 1.0 / 4  // that the kernel may hold for connections
+	controlMemoryShare = 1.0 / 8  // that connections for control messages may take
+	messageMemoryShare = 1.0 / 32 // that control messages may take
+	runtimeMemoryShare = 0.6      // at which the runtime collects garbage more often
 )
 
 // Shares of the descriptors of the process. The rest is for connections to backend servers,
@@ -64,6 +67,24 @@
 	return memoryPart(l, l.SocketMemory, socketMemoryShare)
 }
 
+// controlConnectionCost is the memory of a connection for control messages, without messages.
+const controlConnectionCost = 96 << 10
+
+// controlConnections returns the number of connections for control messages that other nodes may
+// open.
+func controlConnections(l *settings.Limits) int {
+	if l.ControlConnections > 0 {
+		return l.ControlConnections
+	}
+	return max(minOtherConns, int(memoryPart(l, 0, controlMemoryShare)/controlConnectionCost))
+}
+
+// messageMemory returns the memory that control messages of other nodes may take. It holds
+// several messages of the largest size.
+func messageMemory(l *settings.Limits) int64 {
+	return max(4*transport.MaxMessageBytes, memoryPart(l, 0, messageMemoryShare))
+}
+
 // memoryPart returns the part of the memory that is set, or else a share of it.
 func memoryPart(l *settings.Limits, set strictjson.Bytes, share float64) int64 {
 	if set > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -96,7 +96,8 @@
 		return nil, err
 	}
 	mux := transport.NewMux()
-	n.endpoint, err = transport.NewEndpoint(mux, transport.Config{Address: s.PeerAddress, Keys: n.keys, Logger: n.logger})
+	n.endpoint, err = transport.NewEndpoint(mux, transport.Config{Address: s.PeerAddress, Keys: n.keys, Logger: n.logger,
+		MaxConnections: controlConnections(&s.Limits), Memory: messageMemory(&s.Limits)})
 	if err != nil {
 		return nil, err
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -242,6 +242,9 @@
 	n.metrics.Set("control_bytes_sent", float64(t.BytesSent))
 	n.metrics.Set("control_bytes_received", float64(t.BytesReceived))
 	n.metrics.Set("control_connections", float64(t.Connections))
+	n.metrics.Set("control_connections_refused", float64(t.Refused))
+	n.metrics.Set("control_messages_evicted", float64(t.Evicted))
+	n.metrics.Set("control_memory_used", float64(t.MemoryUsed))
 	n.updateGuardMetrics()
 	if n.recorder != nil {
 		n.metrics.Set("decision_records_dropped", float64(n.recorder.dropped.Load()))
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -15,6 +15,7 @@
 	Descriptors        int                 `json:"descriptors,omitempty"`         // open descriptors of the process; default: the limit of the operating system
 	CallerConnections  int                 `json:"caller_connections,omitempty"`  // connections of callers; default: 5/16 of Descriptors, fewer if RequestMemory does not hold them
 	AddressConnections int                 `json:"address_connections,omitempty"` // connections of callers from one address; default: half of CallerConnections
+	ControlConnections int                 `json:"control_connections,omitempty"` // connections for control messages that other nodes open; default: as many as an eighth of Memory holds
 	HeaderLines        int                 `json:"header_lines,omitempty"`        // lines of the head of a request
 	FirstByteTimeout   strictjson.Duration `json:"first_byte_timeout,omitempty"`  // time until the first byte of a new connection; default: the idle time that the configuration states
 	BodyTimeout        strictjson.Duration `json:"body_timeout,omitempty"`        // time without a byte of a body that is being read
@@ -54,6 +55,9 @@
 	if l.AddressConnections < 0 {
 		errs.Add("limits.address_connections", l.AddressConnections, "use zero or more")
 	}
+	if l.ControlConnections < 0 {
+		errs.Add("limits.control_connections", l.ControlConnections, "use zero or more")
+	}
 	if l.HeaderLines < 0 {
 		errs.Add("limits.header_lines", l.HeaderLines, "use zero or more")
 	}
--- a/settings/limits_test.go
+++ b/settings/limits_test.go
@@ -16,6 +16,9 @@
 		"too few descriptors":               {Limits{Descriptors: 10}, false},
 		"more connections than descriptors": {Limits{Descriptors: 100, CallerConnections: 101}, false},
 		"negative connections":              {Limits{AddressConnections: -1}, false},
+		"socket memory":                     {Limits{Memory: 64 << 20, SocketMemory: 32 << 20, ControlConnections: 100}, true},
+		"more for sockets than there is":    {Limits{Memory: 64 << 20, SocketMemory: 65 << 20}, false},
+		"negative control connections":      {Limits{ControlConnections: -1}, false},
 		"negative lines":                    {Limits{HeaderLines: -1}, false},
 		"negative time":                     {Limits{BodyTimeout: -1}, false},
 	} {
--- a/transport/call.go
+++ b/transport/call.go
@@ -105,22 +105,40 @@
 func (e *Endpoint) roundTrip(s *quic.Stream, b []byte) ([]byte, error) {
 	if _, err := s.Write(b); err != nil {
 		s.CancelRead(streamCodeCancelled)
-		return nil, fmt.Errorf("send request: %w", err)
+		return nil, sendError(err)
 	}
 	e.stats.bytesSent.Add(uint64(len(b)))
 	if err := s.Close(); err != nil {
 		s.CancelRead(streamCodeCancelled)
-		return nil, fmt.Errorf("send request: %w", err)
+		return nil, sendError(err)
 	}
 	encodedReply, err := readAll(s, replyHeaderBytes+MaxMessageBytes)
 	if err != nil {
 		s.CancelRead(streamCodeTooLarge)
+		if notHandled(err) {
+			return nil, sendError(err)
+		}
 		return nil, fmt.Errorf("receive reply: %w", err)
 	}
 	e.stats.bytesReceived.Add(uint64(len(encodedReply)))
 	return encodedReply, nil
 }
 
+// sendError returns the error for a request that was not sent completely, or that the peer has
+// given up before it handled it.
+func sendError(err error) error {
+	if notHandled(err) {
+		return fmt.Errorf("%w: the memory of the peer for control messages is used up: %w", ErrNotSent, err)
+	}
+	return fmt.Errorf("send request: %w", err)
+}
+
+// notHandled reports whether the peer has given up the request for lack of memory.
+func notHandled(err error) bool {
+	var e *quic.StreamError
+	return errors.As(err, &e) && e.Remote && e.ErrorCode == streamCodeNoMemory
+}
+
 // closeIfUnresponsive closes a connection if ctx reached its deadline and no packet
 // arrived on the connection since packetsBefore was read. The peer has probably
 // restarted, changed its address or become unreachable, and a new dial detects this
@@ -139,28 +157,38 @@
 		return
 	}
 	defer e.activeHandlers.Done()
-	_ = s.SetReadDeadline(time.Now().Add(defaultDeadline))
-	b, err := readAll(s, requestHeaderBytes+MaxMessageBytes)
-	if err != nil {
-		code := streamCodeCancelled
-		if errors.Is(err, ErrTooLarge) {
-			code = streamCodeTooLarge
-			e.logger.Warn("control message refused", "node", l.peer.Node, "remote", l.peer.Address, "error", err)
-		}
+	refuse := func(code quic.StreamErrorCode) {
 		s.CancelRead(code)
 		s.CancelWrite(code)
+	}
+	m := e.memory.begin(func() { refuse(streamCodeNoMemory) })
+	defer m.end()
+	_ = s.SetReadDeadline(time.Now().Add(defaultDeadline))
+	b, err := m.read(s, requestHeaderBytes+MaxMessageBytes)
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		e.logger.Warn("control message refused", "node", l.peer.Node, "remote", l.peer.Address, "error", err)
+		refuse(streamCodeTooLarge)
+		return
+	case errors.Is(err, errNoMemory):
+		e.logBound("control message refused", l.conn.RemoteAddr(), err)
+		refuse(streamCodeNoMemory)
+		return
+	case err != nil:
+		refuse(streamCodeCancelled)
 		return
 	}
+	e.admission.receive(l.accepted)
 	e.stats.bytesReceived.Add(uint64(len(b)))
 	k, remaining, payload, err := decodeRequest(b)
 	if err != nil {
 		s.CancelWrite(streamCodeMalformed)
 		return
 	}
-	e.handleRequest(l, s, k, remaining, payload)
+	e.handleRequest(l, s, m, k, remaining, payload)
 }
 
-func (e *Endpoint) handleRequest(l *link, s *quic.Stream, k Kind, remaining time.Duration, payload []byte) {
+func (e *Endpoint) handleRequest(l *link, s *quic.Stream, m *message, k Kind, remaining time.Duration, payload []byte) {
 	if remaining == 0 {
 		remaining = defaultDeadline
 	}
@@ -169,6 +197,11 @@
 	defer cancel()
 	e.stats.served.Add(1)
 	out := EncodeReply(e.mux.Dispatch(ctx, l.peer, k, payload))
+	if !m.reply(len(out), func() { s.CancelWrite(streamCodeCancelled) }) {
+		e.logBound("reply to a control message given up", l.conn.RemoteAddr(), errNoMemory)
+		s.CancelWrite(streamCodeCancelled)
+		return
+	}
 	_ = s.SetWriteDeadline(time.Now().Add(defaultDeadline))
 	if _, err := s.Write(out); err != nil {
 		s.CancelWrite(streamCodeCancelled)
--- a/transport/endpoint.go
+++ b/transport/endpoint.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -46,10 +47,18 @@
 	closeCodeNormal       quic.ApplicationErrorCode = 0
 	closeCodeRefused      quic.ApplicationErrorCode = 1
 	closeCodeUnresponsive quic.ApplicationErrorCode = 2
+	closeCodeOverloaded   quic.ApplicationErrorCode = 3
 
 	streamCodeCancelled quic.StreamErrorCode = 1
 	streamCodeTooLarge  quic.StreamErrorCode = 2
 	streamCodeMalformed quic.StreamErrorCode = 3
+	// streamCodeNoMemory states that a message was given up before it was handled.
+	streamCodeNoMemory quic.StreamErrorCode = 4
+
+	// receiveBuffer is the size of the receive buffer of the socket, of which the kernel may
+	// hold twice as much. The library would set several MiB, which count as memory of the
+	// machine while the process does not read them.
+	receiveBuffer = 1 << 20
 )
 
 // ErrClosed is returned by calls on an Endpoint that has been closed.
@@ -61,6 +70,11 @@
 	Keys    *keys.Store
 	Clock   clock.Clock
 	Logger  *slog.Logger
+	// MaxConnections is the largest number of connections that peers may have open; zero: no limit.
+	MaxConnections int
+	// Memory is the number of bytes that messages of peers, replies to them and their receive
+	// windows may take; zero: no limit.
+	Memory int64
 }
 
 // Stats holds the counters of an Endpoint since it was created.
@@ -73,6 +87,9 @@
 	DialsFailed   uint64
 	BytesSent     uint64 // bytes of messages, without the overhead of QUIC
 	BytesReceived uint64 // bytes of messages, without the overhead of QUIC
+	Refused       uint64 // connections of peers that were refused or closed because of MaxConnections
+	Evicted       uint64 // messages that were given up because of Memory
+	MemoryUsed    int64  // bytes of Memory
 }
 
 // Endpoint sends and serves control messages over QUIC on one UDP socket. Both
@@ -98,6 +115,10 @@
 	activeHandlers sync.WaitGroup
 	cancel         context.CancelFunc
 	baseCtx        context.Context
+
+	admission   *admission
+	memory      *messageMemory
+	boundLogged atomic.Int64 // time of the last line of logBound in Unix nanoseconds
 }
 
 type counters struct {
@@ -115,6 +136,9 @@
 	if c.Logger == nil {
 		c.Logger = slog.New(slog.DiscardHandler)
 	}
+	if c.Memory == 0 {
+		c.Memory = math.MaxInt64 / 2
+	}
 	t, err := openTransport(c)
 	if err != nil {
 		return nil, err
@@ -125,15 +149,20 @@
 		clock:        c.Clock,
 		logger:       c.Logger,
 		transport:    t,
-		config:       quicConfig(),
+		admission:    newAdmission(c.MaxConnections, c.Clock),
+		memory:       newMessageMemory(c.Memory, c.Clock),
 		clientTLS:    c.Keys.QUICClient(),
 		address:      t.Conn.LocalAddr().String(),
 		serveStarted: make(chan struct{}),
 		links:        map[string]*link{},
 		backoffs:     map[string]*backoff{},
 	}
-	t.ConnContext = e.withHandshakeGeneration
+	e.config = quicConfig(e.memory)
+	t.ConnContext = e.acceptContext
 	e.listener, err = t.Listen(c.Keys.QUICServer(), e.config)
+	if err == nil {
+		err = t.Conn.(*net.UDPConn).SetReadBuffer(receiveBuffer) // after the library has set its own size
+	}
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("listen for control messages: %w", err), t.Close(), t.Conn.Close())
 	}
@@ -162,7 +191,7 @@
 	return &quic.Transport{Conn: conn, StatelessResetKey: &key}, nil
 }
 
-func quicConfig() *quic.Config {
+func quicConfig(memory *messageMemory) *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:           handshakeTimeout,
 		MaxIdleTimeout:                 idleTimeout,
@@ -170,6 +199,7 @@
 		MaxStreamReceiveWindow:         maxStreamWindow,
 		InitialConnectionReceiveWindow: initialConnectionWindow,
 		MaxConnectionReceiveWindow:     maxConnectionWindow,
+		AllowConnectionWindowIncrease:  memory.growWindow,
 		MaxIncomingStreams:             maxIncomingStreams,
 		MaxIncomingUniStreams:          -1,
 		RequireStreamCreditRelease:     true,
@@ -194,6 +224,9 @@
 		DialsFailed:   e.stats.dialsFailed.Load(),
 		BytesSent:     e.stats.bytesSent.Load(),
 		BytesReceived: e.stats.bytesReceived.Load(),
+		Refused:       e.admission.refusals(),
+		Evicted:       e.memory.evictions(),
+		MemoryUsed:    e.memory.budget.Used(),
 	}
 }
 
--- a/transport/link.go
+++ b/transport/link.go
@@ -26,6 +26,7 @@
 	peer              Peer
 	keyGeneration     uint64        // generation of the keys of this endpoint before the handshake
 	checkedGeneration atomic.Uint64 // generation of the keys against which the peer was last checked
+	accepted          *accepted     // nil: this endpoint has opened the connection
 
 	mu            sync.Mutex
 	servedStreams []*quic.Stream // served streams whose credit was not returned to the peer yet
@@ -62,35 +63,64 @@
 		if err != nil {
 			return
 		}
-		generation, _ := c.Context().Value(handshakeGeneration{}).(uint64)
-		if _, err := e.addConnection(c, c.RemoteAddr().String(), generation); err != nil {
+		h, _ := c.Context().Value(handshakeKey{}).(handshake)
+		if _, err := e.addConnection(c, c.RemoteAddr().String(), h); err != nil {
 			e.logger.Debug("connection refused", "remote", c.RemoteAddr(), "error", err)
 		}
 	}
 }
 
-// handshakeGeneration is the context key for the generation of the keys at the start of an
-// accepted connection.
-type handshakeGeneration struct{}
+// handshake is what was known about a connection before its handshake.
+type handshake struct {
+	keyGeneration uint64    // of the keys of this endpoint
+	accepted      *accepted // nil: this endpoint opens the connection
+}
+
+// handshakeKey is the context key for the handshake of an accepted connection.
+type handshakeKey struct{}
 
-// withHandshakeGeneration stores the generation of the keys before the handshake of an
-// accepted connection reads them.
-func (e *Endpoint) withHandshakeGeneration(ctx context.Context, _ *quic.ClientInfo) (context.Context, error) {
-	return context.WithValue(ctx, handshakeGeneration{}, e.keys.CachedGeneration()), nil
+// acceptContext admits a connection of a peer and stores the generation of the keys before its
+// handshake reads them. An error refuses the connection.
+func (e *Endpoint) acceptContext(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
+	a, err := e.admission.enter()
+	if err != nil {
+		e.logBound("connection refused", info.RemoteAddr, err)
+		return nil, err
+	}
+	context.AfterFunc(ctx, func() { e.admission.leave(a) })
+	return context.WithValue(ctx, handshakeKey{}, handshake{keyGeneration: e.keys.CachedGeneration(), accepted: a}), nil
+}
+
+// boundLogInterval is the time between two log lines about a bound that peers have reached.
+const boundLogInterval = 10 * time.Second
+
+// logBound logs that a peer has reached a bound, at most once in boundLogInterval.
+func (e *Endpoint) logBound(event string, remote net.Addr, err error) {
+	now := e.clock.Now().UnixNano()
+	last := e.boundLogged.Load()
+	if last != 0 && now-last < int64(boundLogInterval) || !e.boundLogged.CompareAndSwap(last, now) {
+		return
+	}
+	s := e.Stats()
+	e.logger.Warn(event, "remote", remote, "error", err, "refused", s.Refused, "evicted", s.Evicted, "memory_used", s.MemoryUsed, "memory_limit", e.memory.budget.Limit())
 }
 
 // addConnection adds a connection to the pool and serves its streams. It replaces an
-// earlier connection to the same address, which stays open until it is idle. generation is that
-// of the keys before the handshake: a reload during it must not make the connection count as
-// one with the new keys.
-func (e *Endpoint) addConnection(c *quic.Conn, address string, generation uint64) (*link, error) {
+// earlier connection to the same address, which stays open until it is idle. A reload of the
+// keys during the handshake must not make the connection count as one with the new keys.
+func (e *Endpoint) addConnection(c *quic.Conn, address string, h handshake) (*link, error) {
 	name, role, err := keys.PeerOf(c.ConnectionState().TLS)
 	if err != nil {
 		_ = c.CloseWithError(closeCodeRefused, "refused")
 		return nil, err
 	}
-	l := &link{conn: c, peer: Peer{Node: name, Role: role, Address: address}, keyGeneration: generation}
+	l := &link{conn: c, peer: Peer{Node: name, Role: role, Address: address}, keyGeneration: h.keyGeneration, accepted: h.accepted}
 	l.checkedGeneration.Store(l.keyGeneration)
+	e.memory.track(c)
+	context.AfterFunc(c.Context(), func() { e.memory.untrack(c) })
+	if l.accepted != nil {
+		e.admission.establish(l.accepted, func() { _ = c.CloseWithError(closeCodeOverloaded, "too many connections") })
+	}
 	e.mu.Lock()
 	closed := e.closed
 	if !closed {
@@ -246,5 +276,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return e.addConnection(c, address, generation)
+	return e.addConnection(c, address, handshake{keyGeneration: generation})
 }
