--- a/proxy/pipeline_test.go
+++ b/proxy/pipeline_test.go
@@ -57,8 +57,18 @@
 	return n
 }
 
-// dialDoor opens the caller listener of a node behind a door and returns a connection to it.
+// dialDoor returns a connection to the caller listener of a node behind a door.
 func dialDoor(t *testing.T, n *node) net.Conn {
+	c, err := net.Dial("tcp", openDoor(t, n, t.Context().Done()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// openDoor opens the caller listener of a node behind a door and returns its address.
+func openDoor(t testing.TB, n *node, done <-chan struct{}) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -67,13 +77,9 @@
 	limits := guard.Limits{HeadBytes: 64 << 10, HeadTime: 10 * time.Second, IdleTime: 10 * time.Second}
 	s := &http.Server{Handler: guard.Handler(n.CallerHandler()), ConnContext: guard.ConnContext, ConnState: guard.ConnState, ErrorLog: log.New(io.Discard, "", 0)}
 	go func() { _ = s.Serve(g.Door(l, guard.DoorConfig{Limits: func() guard.Limits { return limits }})) }()
-	go g.Watch(t.Context().Done())
-	c, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _, _ = s.Close(), c.Close() })
-	return c
+	go g.Watch(done)
+	t.Cleanup(func() { _ = s.Close() })
+	return l.Addr().String()
 }
 
 // pipelinedRequest returns a request of the class read.
