admit: unfinished bodies hold at most half of the slots

What callers saw: while 100 clients sent the beginning of a body and then a byte each 500 ms, every request of an ordinary caller was refused with queue_full, until the timeout of the route ended the slow requests; clients that come back refuse service for good.

Cause: a body that is not buffered is passed on while it arrives, and its request holds a slot of the backend server meanwhile. A client that sends a byte now and then is not slow by any bound.

Change: the entry node states that the body of an attempt has not arrived (CallMeta.Uploading). The controller admits such requests to half of the slots, running and queued together, and refuses others at once. When the body has been read to its end, the request does not count any more.

--- a/admit/config.go
+++ b/admit/config.go
@@ -103,6 +103,8 @@
 	// OtherZone is set when the request entered the fleet in another zone. It is queued behind
 	// the requests of the own zone that are as urgent.
 	OtherZone bool
+	// Uploading is set when the body has not been received completely. BodyReceived ends that.
+	Uploading bool
 }
 
 // privileged reports whether r may use the reserved slots.
--- a/admit/controller.go
+++ b/admit/controller.go
@@ -32,6 +32,7 @@
 	configured Config // as passed to NewController, with the Slots of the last SetSlots
 	running    map[uint64]running
 	ordinary   int // running requests that may not use the reserved slots, see Request.privileged
+	uploading  int // running requests whose bodies have not been received completely
 	queue      queue
 	sequence   uint64               // number of the newest queued request, in the order of arrival
 	closed     errkind.Kind         // kind of every refusal after Close; empty: open
@@ -49,6 +50,7 @@
 	workAtStart time.Duration // reading of slowdownState.workClock when the request started
 	deadline    time.Time
 	privileged  bool
+	uploading   bool
 	class       string
 }
 
@@ -103,6 +105,9 @@
 	if c.refusesHedge(r) {
 		return Refused, errkind.RateLimited, c.actions
 	}
+	if r.Uploading && c.uploadsFull() {
+		return Refused, errkind.QueueFull, c.actions
+	}
 	if c.hasSlotFor(r) && c.overtakes(r) {
 		if c.remainingTooShort(now, r) {
 			return Refused, errkind.DeadlineBeforeRun, c.actions
@@ -332,6 +337,9 @@
 	if !r.privileged {
 		c.ordinary--
 	}
+	if r.uploading {
+		c.uploading--
+	}
 	if serviceTime > 0 {
 		base := c.slowdown.usualServiceTime(now, serviceTime, r)
 		c.service.add(now, base)
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -73,6 +73,10 @@
 	return Slot{g, id}, nil
 }
 
+// BodyReceived states that the whole body of the request has arrived. The request then no longer
+// counts towards the slots that requests with unfinished bodies may hold.
+func (s Slot) BodyReceived() { s.gate.bodyReceived(s.id) }
+
 // Abandon frees the slot of a request that was not sent to the backend server.
 func (s Slot) Abandon() { s.gate.abandon(s.id) }
 
@@ -115,6 +119,12 @@
 	g.perform(g.controller.Done(g.clock.Now(), id, serviceTime))
 }
 
+func (g *Gate) bodyReceived(id uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.perform(g.controller.BodyReceived(g.clock.Now(), id))
+}
+
 func (g *Gate) cancel(id uint64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/admit/schedule.go
+++ b/admit/schedule.go
@@ -93,7 +93,10 @@
 
 func (c *Controller) recordStart(now time.Time, id uint64, r Request) {
 	c.limit.take()
-	c.running[id] = running{now, c.slowdown.workClock(now), r.Deadline, r.privileged(), r.Class}
+	c.running[id] = running{started: now, workAtStart: c.slowdown.workClock(now), deadline: r.Deadline, privileged: r.privileged(), uploading: r.Uploading, class: r.Class}
+	if r.Uploading {
+		c.uploading++
+	}
 	if !r.privileged() {
 		c.ordinary++
 	}
--- a/filter/admission.go
+++ b/filter/admission.go
@@ -34,7 +34,7 @@
 	r := admit.Request{
 		Urgency: m.Urgency, Internal: m.Internal, Deadline: deadline, Class: m.Class,
 		Customer: m.Customer, Reroutable: m.Reroutable, OnlyServer: m.OnlyServer, Hedge: m.Hedge, LinkWait: load.Wait, Transfer: load.Transfer,
-		OtherZone: m.OtherZone,
+		OtherZone: m.OtherZone, Uploading: m.Uploading,
 	}
 	if m.TargetLeft > 0 {
 		r.Target = deadline.Add(m.TargetLeft - m.Remaining)
@@ -65,6 +65,9 @@
 		c.Record.Queued = start.Sub(arrived)
 	}
 	c.Admitted = true
+	if c.Meta.Uploading {
+		c.Body.OnEnd(slot.BodyReceived)
+	}
 	released := false
 	expected := func() {}
 	if link := f.linkOf(c); link != nil {
--- a/filter/body.go
+++ b/filter/body.go
@@ -39,6 +39,7 @@
 	restAcquired bool      // a reader has begun to read rest
 	restEnded    bool      // rest was read to its end
 	restReader   *bodyReader
+	onEnd        func()      // called once when rest was read to its end; may be nil
 	conn         *guard.Conn // connection from which the body is read; nil: without bounds
 }
 
@@ -153,10 +154,29 @@
 	return nil
 }
 
+// OnEnd makes the body call f once when it has been read to its end, immediately if it was
+// before.
+func (b *Body) OnEnd(f func()) {
+	b.mu.Lock()
+	ended := b.complete || b.restEnded
+	if !ended {
+		b.onEnd = f
+	}
+	b.mu.Unlock()
+	if ended {
+		f()
+	}
+}
+
 func (b *Body) markRestEnded() {
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.restEnded = true
+	f := b.onEnd
+	b.onEnd = nil
+	b.mu.Unlock()
+	if f != nil {
+		f()
+	}
 }
 
 // acquireRest reserves the rest of the body for the reader r, which calls it. It returns false
@@ -229,6 +249,7 @@
 	if w, ok := c.Answer.(*Writer); ok && !c.Body.FullyBuffered() {
 		w.EnableFullDuplex()
 	}
+	c.Meta.Uploading = !c.Body.FullyBuffered()
 	c.Meta.Fingerprint = fingerprintOf(c)
 	if c.Key != "" {
 		c.BodyHash = hashRequest(c)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -146,6 +146,9 @@
 	// OtherZone states that the entry node is in another zone than Target. Target prefers the
 	// requests of its own zone among equals.
 	OtherZone bool `cbor:"28,keyasint,omitempty"`
+	// Uploading states that the entry node has not received the whole body when it sends the
+	// attempt.
+	Uploading bool `cbor:"29,keyasint,omitempty"`
 }
 
 // MaxDepth is the maximum depth of nested calls; deeper calls are rejected.
--- a/proxy/reserve.go
+++ b/proxy/reserve.go
@@ -129,7 +129,7 @@
 // links with little bandwidth as the requests.
 func reservationMeta(m *fleet.CallMeta) *fleet.CallMeta {
 	return &fleet.CallMeta{Class: m.Class, Attempt: m.Attempt, Remaining: m.Remaining, TargetLeft: m.TargetLeft,
-		Incarnation: m.Incarnation, Urgency: m.Urgency, Internal: m.Internal, Reroutable: m.Reroutable, OnlyServer: m.OnlyServer, Hedge: m.Hedge, Told: m.Told, Customer: m.Customer, ColdRate: m.ColdRate, OtherZone: m.OtherZone}
+		Incarnation: m.Incarnation, Urgency: m.Urgency, Internal: m.Internal, Reroutable: m.Reroutable, OnlyServer: m.OnlyServer, Hedge: m.Hedge, Told: m.Told, Customer: m.Customer, ColdRate: m.ColdRate, OtherZone: m.OtherZone, Uploading: m.Uploading}
 }
 
 // await sends a reservation and waits for the reply. It sends the reservation a
