Bounds of connections fit the socket memory, replies keep a connection

A check that the buffers of all connections that clients may open, with those that wait to be accepted, fit into the socket memory failed with the default bounds of a node with 184 MB: 51.8 MB of 48.2. Replies to own control messages count as use of a connection that a peer has opened, so that it is not closed as idle.

--- a/node/limits.go
+++ b/node/limits.go
@@ -41,7 +41,7 @@
 // Shares of the socket memory that connections may take, with those that wait to be accepted. The
 // rest is for other listeners and for connections that the process opens.
 const (
-	callerSocketShare = 7.0 / 16
+	callerSocketShare = 13.0 / 32
 	peerSocketShare   = 3.0 / 8
 )
 
--- a/node/limits_test.go
+++ b/node/limits_test.go
@@ -33,6 +33,14 @@
 	if all := int64(guard.ConnCost * (callers.Connections + peers.Connections)); all > memory*7/8 {
 		t.Errorf("connections of callers and nodes take up to %d bytes of %d, want at most 7/8", all, memory)
 	}
+	sockets := int64(guard.SocketCost * (callers.Connections + peers.Connections + otherListeners*other.Connections))
+	waiting := int64(guard.BacklogCost * (backlog(callers.Connections) + backlog(peers.Connections) + otherListeners*backlog(other.Connections)))
+	if all := sockets + waiting; all > socketMemory(&limits) {
+		t.Errorf("the kernel may hold %d bytes for all connections of clients, want at most the %d of the socket memory", all, socketMemory(&limits))
+	}
+	if n := controlConnections(&limits); n < 200 {
+		t.Errorf("%d connections for control messages, want at least 200", n)
+	}
 	unlimited := &Node{settings: &settings.Settings{CallerAddress: "127.0.0.1:1", Limits: settings.Limits{Memory: 184 << 20, Descriptors: 1 << 20}}}
 	if c, p := unlimited.callerDoor("callers").Connections, unlimited.peerDoor("peers").Connections; int64(guard.ConnCost*(c+p)) > memory*7/8 {
 		t.Errorf("with many descriptors %d connections of callers and %d of nodes do not fit into 7/8 of the memory", c, p)
--- a/transport/admission.go
+++ b/transport/admission.go
@@ -17,7 +17,7 @@
 // accepted is a connection that a peer has opened or is opening.
 type accepted struct {
 	opened      time.Time
-	lastMessage time.Time // when the latest whole message arrived; zero: none so far
+	lastMessage time.Time // when the latest whole message or reply arrived; zero: none so far
 	close       func()    // nil during the handshake
 }
 
@@ -94,7 +94,7 @@
 	c.close = close
 }
 
-// receive records that a whole message has arrived on a connection. c is nil for a connection
+// receive records that a whole message or reply has arrived on a connection. c is nil for a connection
 // that this endpoint has opened.
 func (a *admission) receive(c *accepted) {
 	if c == nil {
--- a/transport/call.go
+++ b/transport/call.go
@@ -71,6 +71,7 @@
 		}
 		return nil, err
 	}
+	e.admission.receive(l.accepted)
 	return encodedReply, nil
 }
 
