Sources name no shared memory, so that the platform builds them

Change: the fleets of the tests of replica, platform and the soak keep their data in the folder of the test, on disk as before; testdir is removed.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -19,7 +19,6 @@
 	"bramleymill/clock"
 	"bramleymill/fleet"
 	"bramleymill/raft"
-	"bramleymill/testdir"
 	"bramleymill/transport"
 	"bramleymill/wal"
 )
@@ -196,7 +195,7 @@
 
 func (c *cluster) init() {
 	c.network, c.timing = newNetwork(), testTiming
-	c.base = testdir.New(c.t) // the cleanup below stops the processes before it is removed
+	c.base = c.t.TempDir() // the cleanup below stops the processes before it is removed
 	c.folders, c.processes, c.files = map[string]string{}, map[string]*process{}, map[string]wal.FS{}
 	c.t.Cleanup(func() {
 		for name := range c.processes {
