raft, replica: a group with slow disks elects and keeps a leader

Cause: a replica handles no messages while it writes, and a write beyond the longest election timeout (0.8 s) counts as a stall. With writes of 0.4 s and more at most replicas, followers gave up each leader that wrote, leaders gave up because followers that wrote did not answer, candidates restarted their elections before the votes were durable, and replies that were ready after the 0.3 s of a call were dropped with it.

Change: election timeouts and the leader's wait for a majority have room for four writes of the usual time, which replicas measure (median of five) and state in their messages; an election without a result doubles the wait for votes (at most 8 times); a write counts as a stall beyond the election timeout and twice the usual write; a reply that misses its call is sent in a call of its own; messages that arrived during a write are handled before an overdue timer. Nothing changes below 100 ms.

All replicas get the same target now; the check is as it was.

--- a/raft/election.go
+++ b/raft/election.go
@@ -23,7 +23,7 @@
 func (n *Node) startElection(transfer bool) {
 	n.role, n.leader, n.preVoting = Candidate, ID{}, false
 	n.setHardState(n.hardState.Term+1, n.id)
-	n.resetElectionTimer()
+	n.backOff()
 	n.votes = map[ID]bool{n.id: true}
 	n.requestVotes(Message{Kind: Vote, Transfer: transfer})
 	if n.hasVoteMajority() {
@@ -143,6 +143,7 @@
 
 func (n *Node) becomeLeader() {
 	n.role, n.leader, n.preVoting, n.votes = Leader, n.id, false, nil
+	n.fruitlessElections = 0
 	n.lead = leaderState{
 		progress: map[ID]*progress{}, roundStarts: map[uint64]time.Duration{}, retiring: map[ID]time.Duration{},
 		electedAt: n.now.Mono, termStart: n.log.lastIndex() + 1,
--- a/raft/follower.go
+++ b/raft/follower.go
@@ -12,7 +12,7 @@
 	if n.role != Follower || n.leader != m.From {
 		n.becomeFollower(m.Term, m.From)
 	}
-	n.leaderContactAt = n.now.Mono
+	n.leaderContactAt, n.fruitlessElections = n.now.Mono, 0
 	n.resetElectionTimer()
 }
 
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -46,12 +46,12 @@
 }
 
 // checkQuorum makes a leader step down when no confirmation round succeeded for
-// ElectionMax. Such a leader is cut off from the majority or has just resumed
+// ElectionMax, or longer if disks are slow. Such a leader is cut off from the majority or has just resumed
 // after a freeze. checkQuorum runs before every input is processed, so that the
 // leader accepts no more commands.
 func (n *Node) checkQuorum() {
 	silence := n.now.Mono - max(n.lead.confirmedAt, n.lead.electedAt)
-	if n.role == Leader && silence > n.timing.ElectionMax && len(n.conf.Voters) > 1 {
+	if n.role == Leader && silence > n.timing.ElectionMax+n.quorumSlack() && len(n.conf.Voters) > 1 {
 		n.becomeFollower(n.hardState.Term, ID{})
 	}
 }
@@ -224,8 +224,8 @@
 }
 
 // Transfer starts a leader transfer to the reachable voter with the most advanced
-// log, and to one that retires only if there is no other. It reports false if this replica is not the leader or no other voter is
-// reachable.
+// log, and to one that retires only if there is no other. It reports false if this replica
+// is not the leader or no other voter is reachable.
 func (n *Node) Transfer(now ClockReading) bool {
 	n.advance(now)
 	if n.role != Leader {
@@ -246,7 +246,7 @@
 	if best == (ID{}) {
 		return false
 	}
-	n.lead.transferee, n.lead.transferUntil = best, n.now.Mono+n.timing.ElectionMax
+	n.lead.transferee, n.lead.transferUntil = best, n.now.Mono+n.timing.ElectionMax+n.quorumSlack()
 	n.finishTransfer()
 	return true
 }
--- a/raft/node.go
+++ b/raft/node.go
@@ -94,6 +94,10 @@
 	votes            map[ID]bool // voters that granted a vote or pre-vote in the current election
 	preVoting        bool        // the current election is a pre-vote
 
+	diskTime           time.Duration        // see SetDiskTime
+	diskTimes          map[ID]time.Duration // those of other members, from their last messages; absent: zero
+	fruitlessElections int                  // elections of this replica since a leader was last heard from, at most maxBackoff
+
 	lead leaderState
 
 	beforePersist []Action // may be executed before the next Persist
@@ -114,7 +118,7 @@
 	n := &Node{
 		id: c.ID, timing: c.Timing, now: now, role: Follower, replaceAfter: c.ReplaceAfter, targetVoters: c.TargetVoters, quorumReads: c.QuorumReads,
 		random:    rand.New(rand.NewPCG(c.Seed, 0x9e3779b97f4a7c15)),
-		hardState: s.HardState, snapshot: s.Snapshot, leaderContactAt: now.Mono,
+		hardState: s.HardState, snapshot: s.Snapshot, leaderContactAt: now.Mono, diskTimes: map[ID]time.Duration{},
 	}
 	if n.targetVoters == 0 {
 		n.targetVoters = MaxVoters
@@ -183,6 +187,7 @@
 	if m.To != n.id || n.fromOtherCluster(m) {
 		return
 	}
+	n.recordDiskTime(m)
 	if m.Term > n.hardState.Term && !n.stepHigherTerm(m) {
 		return
 	}
@@ -285,11 +290,6 @@
 	n.hardStateDirty = true
 }
 
-func (n *Node) resetElectionTimer() {
-	spread := int64(n.timing.ElectionMax - n.timing.ElectionMin)
-	n.electionDeadline = n.now.Mono + n.timing.ElectionMin + time.Duration(n.random.Int64N(spread+1))
-}
-
 // sendAfterPersist queues m to be sent after the next Persist.
 func (n *Node) sendAfterPersist(m Message) {
 	n.afterPersist = append(n.afterPersist, Send{n.setSender(m)})
@@ -305,7 +305,7 @@
 // setSender sets the sender and cluster of m, and its term unless it is set
 // already.
 func (n *Node) setSender(m Message) Message {
-	m.From, m.ClusterID = n.id, n.conf.ClusterID
+	m.From, m.ClusterID, m.DiskTime = n.id, n.conf.ClusterID, n.diskTime
 	if m.Term == 0 {
 		m.Term = n.hardState.Term
 	}
--- a/raft/retire_test.go
+++ b/raft/retire_test.go
@@ -269,10 +269,11 @@
 	pending := 0
 	for seed := range uint64(modelSeeds) {
 		s := newSim(t, seed, 4+int(seed%3))
-		s.replaceSilentVoters(retireReplaceAfter*simTiming.Heartbeat, 3+2*int(seed%2))
-		if len(s.servers) <= s.targetVoters {
-			s.targetVoters = 3
+		voters := 3 + 2*int(seed%2)
+		if len(s.servers) <= voters {
+			voters = 3
 		}
+		s.replaceSilentVoters(retireReplaceAfter*simTiming.Heartbeat, voters)
 		s.runFor(200 * time.Millisecond)
 		for range modelSteps {
 			s.randomStep()
--- a/raft/types.go
+++ b/raft/types.go
@@ -153,8 +153,9 @@
 	Probed uint64 `cbor:"12,keyasint,omitempty"`
 	// Transfer marks a Vote request that follows a TimeoutNow from the leader.
 	// Voters may grant such a request even while that leader's lease holds.
-	Transfer bool   `cbor:"13,keyasint,omitempty"`
-	Chunk    *Chunk `cbor:"14,keyasint,omitempty"`
+	Transfer bool          `cbor:"13,keyasint,omitempty"`
+	Chunk    *Chunk        `cbor:"14,keyasint,omitempty"`
+	DiskTime time.Duration `cbor:"15,keyasint,omitempty"` // usual time of a write at the sender; see Node.SetDiskTime
 }
 
 // Chunk is the part of a snapshot that starts at byte Offset of Total. The core
--- a/replica/disk.go
+++ b/replica/disk.go
@@ -153,9 +153,43 @@
 
 // runDiskOperation runs a disk operation on the goroutine that owns the core. Its
 // limit is the longest election timeout. By then the other voters have received no
-// heartbeat for long enough to elect another leader.
+// heartbeat for long enough to elect another leader. The limit of a disk that is slow for
+// good is longer: it responds, and the disks of the other voters may be as slow.
 func (g *Group) runDiskOperation(operation string, f func() error) error {
-	return g.disk.watch(g.operationName(operation), g.config.Timing.ElectionMax, f)
+	return g.disk.watch(g.operationName(operation), g.config.Timing.ElectionMax+2*g.writes.usual(), f)
+}
+
+// write runs an operation that makes something durable, and tells the core how long the disk
+// takes for it at present.
+func (g *Group) write(operation string, f func() error) error {
+	began := time.Now()
+	err := g.runDiskOperation(operation, f)
+	g.writes.add(time.Since(began))
+	usual := g.writes.usual()
+	g.node.SetDiskTime(usual)
+	if slow := usual >= g.config.Timing.ElectionMin; slow != g.slowDisk {
+		g.slowDisk = slow
+		g.config.Logger.Warn("speed of the disk changed", "slow", slow, "usual_write", usual.Round(time.Millisecond))
+	}
+	return err
+}
+
+// writeTimes holds the durations of the latest writes, in a ring.
+type writeTimes struct {
+	latest [5]time.Duration
+	next   int
+}
+
+func (w *writeTimes) add(d time.Duration) {
+	w.latest[w.next] = d
+	w.next = (w.next + 1) % len(w.latest)
+}
+
+// usual returns the median of the latest writes, so that single stalls do not count.
+func (w *writeTimes) usual() time.Duration {
+	times := w.latest
+	slices.Sort(times[:])
+	return times[len(times)/2]
 }
 
 func (g *Group) operationName(what string) string {
--- a/replica/group.go
+++ b/replica/group.go
@@ -55,9 +55,11 @@
 	pendingReplies   map[raft.ID][]*replyCollector
 	senderAddresses  map[raft.ID]string // used to reply to senders that are not members
 	diskFull         error              // last write error if the disk is full; nil: not full
-	role             raft.Role          // role at the last call of publish
-	reachedMinVoters bool               // the group has had MinVoters voters
-	oneMissingSince  time.Duration      // since when this leader has had one voter fewer than MinVoters; negative: it has not
+	writes           writeTimes
+	slowDisk         bool          // the usual write takes as long as an election timeout
+	role             raft.Role     // role at the last call of publish
+	reachedMinVoters bool          // the group has had MinVoters voters
+	oneMissingSince  time.Duration // since when this leader has had one voter fewer than MinVoters; negative: it has not
 }
 
 // Open opens the replica that is stored in the folder of c, or creates an empty one.
@@ -173,6 +175,7 @@
 		case f := <-g.inputs:
 			g.runInputs(f)
 		case <-timer.C:
+			g.runQueuedInputs()
 			g.node.Tick(g.reading())
 		case <-g.ctx.Done():
 		}
@@ -194,6 +197,16 @@
 	return d
 }
 
+// runQueuedInputs runs the inputs that wait, before a timer expires: the timer may be overdue because
+// of a slow write, during which a leader was heard from.
+func (g *Group) runQueuedInputs() {
+	select {
+	case f := <-g.inputs:
+		g.runInputs(f)
+	default:
+	}
+}
+
 // runInputs runs f and the inputs that are already queued, at most maxInputs.
 func (g *Group) runInputs(f input) {
 	now := g.reading()
@@ -233,7 +246,7 @@
 			if !writesSucceeded {
 				continue
 			}
-			err = g.runDiskOperation("writing the log", func() error { return g.storage.persist(a) })
+			err = g.write("writing the log", func() error { return g.storage.persist(a) })
 			if err == nil {
 				g.node.Persisted(a)
 			}
--- a/replica/route.go
+++ b/replica/route.go
@@ -10,10 +10,13 @@
 // replyCollector collects the Raft replies to the messages of one received batch. They
 // are returned together as the reply to the batch instead of in separate calls.
 type replyCollector struct {
-	group    *Group
-	done     chan struct{}
-	once     sync.Once
-	messages []raft.Message
+	group *Group
+	done  chan struct{}
+	once  sync.Once
+
+	mu        sync.Mutex
+	messages  []raft.Message
+	abandoned bool // nobody waits any more
 }
 
 func newReplyCollector(g *Group) *replyCollector {
@@ -22,17 +25,29 @@
 
 func (s *replyCollector) finish() { s.once.Do(func() { close(s.done) }) }
 
-// wait returns the collected replies once the messages are handled. It returns nil if
-// ctx ends, the disk stalls or the replica stops before that.
+// add adds a reply and reports whether it will be returned.
+func (s *replyCollector) add(m raft.Message) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.abandoned {
+		s.messages = append(s.messages, m)
+	}
+	return !s.abandoned
+}
+
+// wait returns the replies that are there when the messages are handled, ctx ends, the disk
+// stalls or the replica stops. Later replies are not added: they are sent in calls of their own.
 func (s *replyCollector) wait(ctx context.Context) []raft.Message {
 	select {
 	case <-s.done:
-		return s.messages
 	case <-s.group.disk.stalled():
 	case <-ctx.Done():
 	case <-s.group.ctx.Done():
 	}
-	return nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.abandoned = true
+	return s.messages
 }
 
 // receive passes messages and the proof that came with them, if any, to the core. p is
@@ -90,8 +105,7 @@
 // route sends m. If m answers a message of a received batch, it is sent in the reply to
 // that batch, otherwise in a new call.
 func (g *Group) route(m raft.Message) {
-	if collectors := g.pendingReplies[m.To]; len(collectors) > 0 && isReply(m.Kind) {
-		collectors[0].messages = append(collectors[0].messages, m)
+	if collectors := g.pendingReplies[m.To]; len(collectors) > 0 && isReply(m.Kind) && collectors[0].add(m) {
 		return
 	}
 	if member, ok := g.node.Status().Configuration.Find(m.To); ok {
