proxy: an answer that ends with a reset is not complete

The caller got the part as a complete answer.

Cause: the request is written by a goroutine of its own. The kernel reports a reset once, to whichever call comes first. If that was the write, the next read returned a plain end of file, and the answer, which ends with its connection, seemed whole. Nobody looked at the result of the write.

Change: at the end of such an answer the exchange ends the write in progress and asks the connection whether a write found ECONNRESET; the answer is cut then. If the server closed its direction before the reset, the kernel reports EPIPE, and the answer is whole as before.

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -4,6 +4,8 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
+	"time"
 
 	"bramleymill/guard"
 )
@@ -17,6 +19,9 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool // every further write fails
+
+	writing  sync.Mutex // held during a write
+	wasReset bool       // a write found that the peer has reset the connection; guarded by writing
 }
 
 func (c *countedConn) Write(p []byte) (int, error) {
@@ -27,7 +32,10 @@
 	}
 	c.writes++
 	c.mu.Unlock()
+	c.writing.Lock()
 	n, err := c.Conn.Write(p)
+	c.wasReset = c.wasReset || errors.Is(err, syscall.ECONNRESET)
+	c.writing.Unlock()
 	if n == 0 && err != nil && c.zeroMeansUnsent() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -37,6 +45,17 @@
 	return n, err
 }
 
+// resetDuringWrite ends a write that is in progress, makes later writes fail, and reports whether
+// a write has found that the peer reset the connection. The operating system reports a reset once,
+// to the read or write that comes first; later reads end as at a regular close. If the peer closed
+// its direction before the reset, a write gets EPIPE instead: what was read until then is whole.
+func (c *countedConn) resetDuringWrite() bool {
+	_ = c.SetWriteDeadline(time.Unix(1, 0)) // it fails only for a closed connection, whose writes fail too
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	return c.wasReset
+}
+
 // zeroMeansUnsent reports whether a write that returns zero bytes is known to have sent
 // nothing. A TLS connection may have sent part of a record.
 func (c *countedConn) zeroMeansUnsent() bool {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -228,14 +228,25 @@
 	exchange *exchange
 }
 
+var errAnswerReset = errors.New("the connection was reset during an answer without a length, while the request was being sent")
+
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	if errors.Is(err, io.EOF) {
-		b.exchange.complete = true
+		x := b.exchange
+		if x.endsWithConnection() && x.link.resetDuringWrite() {
+			return n, errAnswerReset
+		}
+		x.complete = true
 	}
 	return n, err
 }
 
+// endsWithConnection reports whether only the end of the connection shows the end of the answer.
+func (x *exchange) endsWithConnection() bool {
+	return x.response.Close && x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
+}
+
 func (b *answerBody) Close() error { return nil }
 
 func (x *exchange) newRequest() (*http.Request, error) {
