replica: a disk that hangs several times counts as stalled after 3.2 s at most

Cause: the limit after which a write counts as a stall grew with the usual write without a bound, so that three writes of five that hung for 20 s each would have kept the next stall of a leader from being noticed for 40 s. Found by reading.

Change: the limit and the timeouts are extended for writes of up to one and a half times the longest election timeout (1.2 s).

--- a/raft/disktime.go
+++ b/raft/disktime.go
@@ -30,9 +30,9 @@
 	n.diskTime = min(d, n.timing.MaxDiskTime())
 }
 
-// MaxDiskTime is the longest time of a write for which timeouts are extended. The disk of a replica
-// whose writes take longer counts as lost.
-func (t Timing) MaxDiskTime() time.Duration { return 2 * t.ElectionMax }
+// MaxDiskTime is the longest time of a write for which timeouts are extended. A disk whose writes
+// take longer is not waited for, because other replicas may have a disk that works.
+func (t Timing) MaxDiskTime() time.Duration { return t.ElectionMax * 3 / 2 }
 
 // recordDiskTime records how long writes take at the sender of m.
 func (n *Node) recordDiskTime(m Message) {
--- a/replica/disk.go
+++ b/replica/disk.go
@@ -156,7 +156,8 @@
 // heartbeat for long enough to elect another leader. The limit of a disk that is slow for
 // good is longer: it responds, and the disks of the other voters may be as slow.
 func (g *Group) runDiskOperation(operation string, f func() error) error {
-	return g.disk.watch(g.operationName(operation), g.config.Timing.ElectionMax+2*g.writes.usual(), f)
+	limit := g.config.Timing.ElectionMax + 2*min(g.writes.usual(), g.config.Timing.MaxDiskTime())
+	return g.disk.watch(g.operationName(operation), limit, f)
 }
 
 // write runs an operation that makes something durable, and tells the core how long the disk
