proxy: the id of a request admits no nested calls after its answer

What callers saw: on the platform's protocol a call with the id of a request that had been answered was still accepted for a moment (200 in place of 503, parent_ended).

Cause: the id was revoked after the answer had been passed on whole, so that the caller could be faster. The product's own protocol revokes before the end of the answer.

Change: the id is revoked at the end of the answer, before its last bytes. Once, because a further attempt may have registered the same id meanwhile.

--- a/proxy/dispatch.go
+++ b/proxy/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"bramleymill/errkind"
@@ -21,7 +22,8 @@
 	}
 	id := c.Request.Header.Get(d.RequestID)
 	b.tokens.register(id, &filter.Parent{RequestID: c.Meta.RequestID, Deadline: c.Deadline, Depth: c.Meta.Depth, Repeated: c.Meta.Repeated, Customer: c.Meta.Customer})
-	defer b.tokens.revoke(id)
+	revoke := sync.OnceFunc(func() { b.tokens.revoke(id) }) // once: another attempt may register the id again
+	defer revoke()
 	for attempt := 1; ; attempt++ {
 		x := &exchange{call: c, host: b.address, rules: b.rules, header: b.dialectHeader(c, d, instance),
 			served: &b.buffered, id: id, skip: maxSkipped, expect: c.Body.ExpectsContinue, expectTimeout: backendExpectTimeout}
@@ -29,7 +31,7 @@
 		switch {
 		case err == nil:
 			defer x.end()
-			return b.receiveDialect(x, d, resp, instance)
+			return b.receiveDialect(x, d, resp, instance, revoke)
 		case written:
 			return lost(c, "connection to the backend server broke", err)
 		case x.link == nil || attempt == maxSendAttempts:
@@ -57,8 +59,9 @@
 }
 
 // receiveDialect passes an answer on to the caller, unless it proves that the
-// request did not run or does not belong to the request.
-func (b *backend) receiveDialect(x *exchange, d *Dialect, resp *http.Response, instance string) error {
+// request did not run or does not belong to the request. It calls revoke at the end of the
+// answer: the id must not admit nested calls after the caller has received the whole answer.
+func (b *backend) receiveDialect(x *exchange, d *Dialect, resp *http.Response, instance string, revoke func()) error {
 	c := x.call
 	c.HeadAt = b.clock.Now()
 	if load, ok := parseLoad(resp.Header.Get(d.Load)); ok {
@@ -92,6 +95,7 @@
 	}
 	generation := b.monitor.Generation()
 	return x.relay(resp, b.rules.answer(resp.Header), func() error {
+		revoke()
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && b.monitor.Died(c.Ctx, generation) {
 			return errkind.New(errkind.ConnectionLost, "the backend server process ended during an answer without a length")
 		}
