--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -33,6 +33,7 @@
 	loss        float64            // share of the messages and replies that are lost
 	delay       time.Duration      // largest delay of a message or reply, which reorders them
 	random      *rand.Rand
+	preVotes    map[string]int // requests for a pre-vote, by caller
 }
 
 // setDisorder makes the network lose and delay messages at random.
@@ -56,7 +57,7 @@
 }
 
 func newNetwork() *network {
-	return &network{muxes: map[string]*transport.Mux{}, partitioned: map[[2]string]bool{}, lostReplies: map[[2]string]bool{}}
+	return &network{preVotes: map[string]int{}, muxes: map[string]*transport.Mux{}, partitioned: map[[2]string]bool{}, lostReplies: map[[2]string]bool{}}
 }
 
 // setFault turns a fault, partitioned or lostReplies, on or off for one direction.
@@ -100,6 +101,9 @@
 		return err
 	}
 	c.n.mu.Lock()
+	if b, ok := request.(*batch); ok && slices.ContainsFunc(b.Messages, func(m groupMessage) bool { return m.Message.Kind == raft.PreVote }) {
+		c.n.preVotes[c.address]++
+	}
 	mux := c.n.muxes[address]
 	forward, backward := [2]string{c.address, address}, [2]string{address, c.address}
 	cut, replyLost := c.n.partitioned[forward], c.n.lostReplies[forward] || c.n.partitioned[backward]
--- a/replica/slowdisk_test.go
+++ b/replica/slowdisk_test.go
@@ -58,3 +58,30 @@
 		return err == nil
 	})
 }
+
+// Guards against an election that a replica starts after a long write, although the leader was
+// heard from during the write.
+func TestLeaderHeardDuringAWritePreventsAnElection(t *testing.T) {
+	c, disks := newFaultyCluster(t)
+	leader := c.leader()
+	follower := map[bool]string{true: "b", false: "a"}[leader == "a"]
+	preVotes := func() int {
+		c.network.mu.Lock()
+		defer c.network.mu.Unlock()
+		return c.network.preVotes[follower]
+	}
+	before := preVotes()
+	for i := range 8 {
+		disks[follower].SlowSyncs(testTiming.ElectionMax * 9 / 10)
+		c.propose(leader, fmt.Sprint("slow ", i))
+		time.Sleep(testTiming.ElectionMax)
+		disks[follower].SlowSyncs(0)
+		for j := range len(writeTimes{}.latest) { // the slow write is not usual
+			c.propose(leader, fmt.Sprint("fast ", i, j))
+		}
+		c.noError(c.processes[follower].group.ReadBarrier(c.context()))
+		if n := preVotes(); n != before {
+			t.Fatalf("write %d: %d requests for a pre-vote, want none", i, n-before)
+		}
+	}
+}
