--- a/raft/disktime.go
+++ b/raft/disktime.go
@@ -43,8 +43,8 @@
 	n.diskTimes[m.From] = min(m.DiskTime, n.timing.MaxDiskTime())
 }
 
-// quorumSlack is added to the time for which a leader waits for a majority. It depends on the disks of
-// the majority with the fastest disks: a leader whose own disk alone is slow is replaced.
+// quorumSlack is added to the time for which a leader waits for a majority. It depends on the
+// faster half of the disks: a leader whose own disk alone is slow is replaced.
 func (n *Node) quorumSlack() time.Duration {
 	if n.role != Leader || len(n.conf.Voters) == 0 {
 		return 0
@@ -72,8 +72,8 @@
 	return n.timing.ElectionMin + time.Duration(n.random.Int64N(spread+1))
 }
 
-// backOff extends the wait for votes after elections without a result: the disks of the voters may be
-// slower than that of this replica, or the candidates may disturb each other.
+// backOff starts the wait for votes, which is longer after elections without a result: the disks
+// of the voters may be slower than that of this replica, or candidates may disturb each other.
 func (n *Node) backOff() {
 	n.electionDeadline = n.now.Mono + n.randomTimeout()<<n.fruitlessElections + writesPerTimeout*n.diskTime
 	n.fruitlessElections = min(n.fruitlessElections+1, maxBackoff)
--- a/raft/leader.go
+++ b/raft/leader.go
@@ -46,9 +46,9 @@
 }
 
 // checkQuorum makes a leader step down when no confirmation round succeeded for
-// ElectionMax, or longer if disks are slow. Such a leader is cut off from the majority or has just resumed
-// after a freeze. checkQuorum runs before every input is processed, so that the
-// leader accepts no more commands.
+// ElectionMax, or longer if the disks of a majority are slow. Such a leader is cut off from
+// the majority or has just resumed after a freeze. checkQuorum runs before every input is
+// processed, so that the leader accepts no more commands.
 func (n *Node) checkQuorum() {
 	silence := n.now.Mono - max(n.lead.confirmedAt, n.lead.electedAt)
 	if n.role == Leader && silence > n.timing.ElectionMax+n.quorumSlack() && len(n.conf.Voters) > 1 {
--- a/replica/group.go
+++ b/replica/group.go
@@ -55,7 +55,7 @@
 	pendingReplies   map[raft.ID][]*replyCollector
 	senderAddresses  map[raft.ID]string // used to reply to senders that are not members
 	diskFull         error              // last write error if the disk is full; nil: not full
-	writes           writeTimes
+	writes           writeTimes    // of the log
 	slowDisk         bool          // the usual write takes as long as an election timeout
 	role             raft.Role     // role at the last call of publish
 	reachedMinVoters bool          // the group has had MinVoters voters
@@ -197,8 +197,8 @@
 	return d
 }
 
-// runQueuedInputs runs the inputs that wait, before a timer expires: the timer may be overdue because
-// of a slow write, during which a leader was heard from.
+// runQueuedInputs runs the inputs that wait. It precedes the timer of the core, which may be
+// overdue because of a slow write during which messages of the leader arrived.
 func (g *Group) runQueuedInputs() {
 	select {
 	case f := <-g.inputs:
