node, shutdown: tests of the wait for a vote in the stop of a node

TestPlannedStopDuringFaults drives a replica alone, so that the stop of the node could lose its wait unnoticed. TestStopWaitsForTheVoteAndSaysThatItIsKept stops the only voter while its learner is cut off: one log line for each group has to say that the instance ends with its vote. TestVotesAreHandedOverBeforeTheExit fixes the time of the plan.

--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -41,7 +41,8 @@
 	cancels  []context.CancelFunc
 	done     []chan error
 	backends []*standin.Server
-	records  []string // record files of the stand-ins
+	records  []string  // record files of the stand-ins
+	logs     io.Writer // of the nodes that are started from now on; nil: discarded
 }
 
 func freePort(t *testing.T) string {
@@ -121,7 +122,9 @@
 func (f *testFleet) start(i int) {
 	f.t.Helper()
 	logger := slog.New(slog.DiscardHandler)
-	if os.Getenv("BRAMLEYMILL_TEST_LOG") != "" {
+	if f.logs != nil {
+		logger = slog.New(slog.NewTextHandler(f.logs, nil))
+	} else if os.Getenv("BRAMLEYMILL_TEST_LOG") != "" {
 		logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
 	}
 	n, err := New(f.settings[i], logger)
--- a/node/stop_test.go
+++ b/node/stop_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -132,3 +133,59 @@
 		t.Error("the node has a parent, want none: the test needs a node that waits for one")
 	}
 }
+
+// syncBuffer is a buffer for log lines of several goroutines.
+type syncBuffer struct {
+	mu     sync.Mutex
+	buffer strings.Builder
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// Guards against a control instance that stops without waiting for its vote to be taken over, or
+// that ends with it without a word. The learner that could take it is cut off.
+func TestStopWaitsForTheVoteAndSaysThatItIsKept(t *testing.T) {
+	f := newTestFleet(t, 0)
+	seeds := []string{freePort(t), freePort(t)}
+	f.nodes, f.cancels, f.done = make([]*Node, 2), make([]context.CancelFunc, 2), make([]chan error, 2)
+	logs := &syncBuffer{}
+	for i := range seeds {
+		f.addBackend()
+		f.addSettings(i, seeds)
+		f.settings[i].Control.Voters, f.settings[i].Control.ReplaceAfter = 1, strictjson.Duration(time.Minute)
+		f.settings[i].DrainTimeout, f.settings[i].StopTimeout = strictjson.Duration(100*time.Millisecond), strictjson.Duration(4*time.Second)
+	}
+	f.logs = logs
+	f.start(0)
+	f.logs = nil
+	f.start(1)
+	defer f.stopAll()
+	ctx, cancel := context.WithTimeout(t.Context(), waitTimeout)
+	defer cancel()
+	c := f.nodes[0].control
+	if err := errors.Join(c.config.Bootstrap(ctx), c.claims.Bootstrap(ctx)); err != nil {
+		t.Fatal(err)
+	}
+	f.await("a learner in both groups", func() bool {
+		return len(c.config.Status().Learners) == 1 && len(c.claims.Status().Learners) == 1
+	})
+	if err := f.nodes[1].endpoint.Close(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.stop(0); err != nil {
+		t.Errorf("stop of the only voter: error %v, want none", err)
+	}
+	if got := strings.Count(logs.String(), "ends with a vote"); got != 2 {
+		t.Errorf("%d log lines say that the instance ends with a vote, want one for each group:\n%s", got, logs)
+	}
+}
--- a/shutdown/plan_test.go
+++ b/shutdown/plan_test.go
@@ -39,6 +39,18 @@
 	}
 }
 
+// Guards against a stop that waits for the votes of a control instance until no time is left to
+// transfer the leadership, and against one that hardly waits although it has the time.
+func TestVotesAreHandedOverBeforeTheExit(t *testing.T) {
+	p := New(Limits{Drain: 2850 * time.Millisecond, Total: 6 * time.Second})
+	if p.HandOver < 4*time.Second || p.HandOver > p.Exit-handOverReserve {
+		t.Errorf("plan %+v, want the wait for votes to end after 4 s or later, and %v before the exit", p, handOverReserve)
+	}
+	if p := New(Limits{Drain: 100 * time.Millisecond, Total: 600 * time.Millisecond}); p.HandOver < p.Close || p.HandOver > p.Exit {
+		t.Errorf("short stop: plan %+v, want the wait for votes to end between the closing and the exit", p)
+	}
+}
+
 // Guards against limits that leave no time to close connections and to exit.
 func TestLimitsWithoutTimeToCloseAreRefused(t *testing.T) {
 	err := Limits{Accept: time.Second, Drain: 4 * time.Second, Total: 5 * time.Second}.Validate()
