--- a/replica/group.go
+++ b/replica/group.go
@@ -55,11 +55,11 @@
 	pendingReplies   map[raft.ID][]*replyCollector
 	senderAddresses  map[raft.ID]string // used to reply to senders that are not members
 	diskFull         error              // last write error if the disk is full; nil: not full
-	writes           writeTimes    // of the log
-	slowDisk         bool          // the usual write takes as long as an election timeout
-	role             raft.Role     // role at the last call of publish
-	reachedMinVoters bool          // the group has had MinVoters voters
-	oneMissingSince  time.Duration // since when this leader has had one voter fewer than MinVoters; negative: it has not
+	writes           writeTimes         // of the log
+	slowDisk         bool               // the usual write takes as long as an election timeout
+	role             raft.Role          // role at the last call of publish
+	reachedMinVoters bool               // the group has had MinVoters voters
+	oneMissingSince  time.Duration      // since when this leader has had one voter fewer than MinVoters; negative: it has not
 }
 
 // Open opens the replica that is stored in the folder of c, or creates an empty one.
