--- a/node/plan_test.go
+++ b/node/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"testing"
 
@@ -17,7 +18,13 @@
 	f.bootstrap()
 	f.addPlainNode()
 	entry := f.nodes[1]
-	f.await("a configuration at the entry node", func() bool { return entry.config.Current() != nil && entry.proxy.Load() != nil })
+	f.await("a configuration and an open listener at the entry node", func() bool {
+		conn, err := net.Dial("tcp", f.settings[1].CallerAddress)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err == nil && entry.config.Current() != nil && entry.proxy.Load() != nil
+	})
 	plan := func(entry fleet.NodeID) (*explain.Plan, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), waitTimeout)
 		defer cancel()
